Serve a streamed answer end to end in the core and tasks shape

The first commit sets down the folders, the core types and one path: a ticket is filed on the log service, a router folds it, follows the instance list, grants a request to an endpoint and streams the answer to the caller.

Decisions are in internal/core and are stepped by messages. Each task around it owns its state and its sockets.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# GOTOOL runs a tool pinned in tools/NAME/go.mod.
+LINT  := go tool -modfile=tools/lint/go.mod golangci-lint
+BIN   := .bin
+PROGRAMS := cornelhold-router cornelctl cornelhold-standin
+
+.PHONY: all build test unit lint fmt generate
+
+all: build
+
+build:
+	@mkdir -p $(BIN)
+	go build -o $(BIN)/ ./cmd/...
+
+# test runs formatter check, linter, vet and the tests with the race detector.
+test: lint
+	go vet ./...
+	go test -race -count=1 ./...
+
+lint:
+	$(LINT) fmt --diff
+	$(LINT) run ./...
+
+fmt:
+	$(LINT) fmt
+
+# generate rebuilds the committed protobuf and connect code.
+generate:
+	@mkdir -p $(BIN)
+	go build -modfile=tools/protoc/go.mod -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	go build -modfile=tools/protoc/go.mod -o $(BIN)/protoc-gen-connect-go connectrpc.com/connect/cmd/protoc-gen-connect-go
+	PATH="$(CURDIR)/$(BIN):$$PATH" go tool -modfile=tools/buf/go.mod buf generate
--- /dev/null
+++ b/internal/callerapi/api.go
@@ -0,0 +1,45 @@
+// Package callerapi is the callers' HTTP interface: an OpenAI-compatible chat
+// completion, streamed or not, and access to a request by its id. Handlers
+// decode, post a message to the router and encode the reply; they decide
+// nothing.
+package callerapi
+
+import (
+	"net/http"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+
+	"github.com/cornelhold/cornelhold/internal/router"
+)
+
+// maxBodyBytes bounds the body of a request.
+const maxBodyBytes = 4 << 20
+
+type api struct {
+	router *router.Router
+	active *router.Active
+}
+
+// New returns the handler of the callers' interface.
+func New(r *router.Router, active *router.Active) http.Handler {
+	mux := http.NewServeMux()
+	config := huma.DefaultConfig("cornelhold", "1")
+	config.DocsPath = ""
+	humaAPI := humago.New(mux, config)
+	a := &api{router: r, active: active}
+	huma.Register(humaAPI, huma.Operation{
+		OperationID:  "chat-completion",
+		Method:       http.MethodPost,
+		Path:         "/v1/chat/completions",
+		Summary:      "Answer a chat completion, streamed by server-sent events or whole",
+		MaxBodyBytes: maxBodyBytes,
+	}, a.chatCompletion)
+	huma.Register(humaAPI, huma.Operation{
+		OperationID: "request-events",
+		Method:      http.MethodGet,
+		Path:        "/v1/requests/{id}/events",
+		Summary:     "Continue the stream of a request after Last-Event-ID",
+	}, a.requestEvents)
+	return mux
+}
--- /dev/null
+++ b/internal/callerapi/chat.go
@@ -0,0 +1,136 @@
+package callerapi
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/router"
+)
+
+const (
+	notReadyRetryAfter = time.Second
+	defaultMaxTokens   = 256
+)
+
+type chatInput struct {
+	Authorization string `header:"Authorization"`
+	Body          chatRequest
+}
+
+type chatRequest struct {
+	_                   struct{}      `additionalProperties:"true"`
+	Model               string        `json:"model" doc:"Service name, or service:adapter"`
+	Messages            []chatMessage `json:"messages" minItems:"1"`
+	Stream              bool          `json:"stream,omitempty"`
+	MaxTokens           int           `json:"max_tokens,omitempty" minimum:"0"`
+	MaxCompletionTokens int           `json:"max_completion_tokens,omitempty" minimum:"0"`
+}
+
+type chatMessage struct {
+	_       struct{} `additionalProperties:"true"`
+	Role    string   `json:"role"`
+	Content string   `json:"content"`
+}
+
+type chatChunk struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Created int64        `json:"created"`
+	Model   string       `json:"model"`
+	Choices []chatChoice `json:"choices"`
+}
+
+type chatChoice struct {
+	Index        int          `json:"index"`
+	Delta        *chatMessage `json:"delta,omitempty"`
+	Message      *chatMessage `json:"message,omitempty"`
+	FinishReason *string      `json:"finish_reason"`
+}
+
+func (a *api) chatCompletion(_ context.Context, in *chatInput) (*huma.StreamResponse, error) {
+	return &huma.StreamResponse{Body: func(ctx huma.Context) {
+		team, refusal := authenticate(a.active.Spec(), in.Authorization)
+		if refusal != nil {
+			writeProblem(ctx, refusal)
+			return
+		}
+		handle, refusal := a.router.Submit(ctx.Context(), a.submission(team.Name, in.Body))
+		if refusal != nil {
+			writeProblem(ctx, refusal)
+			return
+		}
+		ctx.SetHeader("X-Request-Id", string(handle.ID))
+		if in.Body.Stream {
+			streamEvents(ctx, handle, in.Body.Model, 0)
+			return
+		}
+		writeWhole(ctx, handle, in.Body.Model)
+	}}, nil
+}
+
+func (a *api) submission(team fleet.TeamName, body chatRequest) router.Submission {
+	service, adapter, _ := strings.Cut(body.Model, ":")
+	s := router.Submission{
+		Team:      team,
+		Service:   fleet.ServiceName(service),
+		Adapter:   adapter,
+		Prompt:    promptOf(body.Messages),
+		MaxTokens: max(body.MaxTokens, body.MaxCompletionTokens),
+	}
+	if s.MaxTokens == 0 {
+		s.MaxTokens = defaultMaxTokens
+	}
+	if configured, ok := a.active.Spec().Services[s.Service]; ok {
+		s.Class = configured.Class
+	}
+	return s
+}
+
+func promptOf(messages []chatMessage) string {
+	var b strings.Builder
+	for _, m := range messages {
+		b.WriteString(m.Role)
+		b.WriteString(": ")
+		b.WriteString(m.Content)
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
+// writeWhole collects the answer and writes it as one JSON document.
+func writeWhole(ctx huma.Context, handle *router.Handle, model string) {
+	var text strings.Builder
+	for next := 0; ; {
+		frames, err := handle.Read(ctx.Context(), next)
+		if err != nil {
+			handle.Abandon()
+			return
+		}
+		for _, t := range frames.Texts {
+			text.WriteString(t)
+		}
+		next += len(frames.Texts)
+		if !frames.Ended {
+			continue
+		}
+		if frames.Refusal != nil {
+			writeProblem(ctx, frames.Refusal)
+			return
+		}
+		writeCompletion(ctx, handle, model, text.String(), frames.Finish)
+		return
+	}
+}
+
+func writeCompletion(ctx huma.Context, handle *router.Handle, model, text, finish string) {
+	ctx.SetHeader("Content-Type", "application/json")
+	_ = json.NewEncoder(ctx.BodyWriter()).Encode(chatChunk{
+		ID: string(handle.ID), Object: "chat.completion", Created: time.Now().Unix(), Model: model,
+		Choices: []chatChoice{{Message: &chatMessage{Role: "assistant", Content: text}, FinishReason: &finish}},
+	})
+}
--- /dev/null
+++ b/internal/callerapi/events.go
@@ -0,0 +1,125 @@
+package callerapi
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/router"
+)
+
+type eventsInput struct {
+	Authorization string `header:"Authorization"`
+	LastEventID   string `header:"Last-Event-ID"`
+	ID            string `path:"id" maxLength:"100"`
+	Model         string `query:"model" maxLength:"200"`
+}
+
+// requestEvents continues the stream of a request. Event ids count frames from
+// 1, so Last-Event-ID is the number of frames that the caller already has.
+func (a *api) requestEvents(_ context.Context, in *eventsInput) (*huma.StreamResponse, error) {
+	return &huma.StreamResponse{Body: func(ctx huma.Context) {
+		team, refusal := authenticate(a.active.Spec(), in.Authorization)
+		if refusal != nil {
+			writeProblem(ctx, refusal)
+			return
+		}
+		from, refusal := parseEventID(in.LastEventID)
+		if refusal != nil {
+			writeProblem(ctx, refusal)
+			return
+		}
+		handle, refusal := a.router.Find(ctx.Context(), fleet.RequestID(in.ID), team.Name)
+		if refusal != nil {
+			writeProblem(ctx, refusal)
+			return
+		}
+		streamEvents(ctx, handle, in.Model, from)
+	}}, nil
+}
+
+func parseEventID(id string) (int, *fleet.Refusal) {
+	if id == "" {
+		return 0, nil
+	}
+	n, err := strconv.Atoi(id)
+	if err != nil || n < 0 {
+		return 0, fleet.Refuse(fleet.RefusedInvalid, 0, "Last-Event-ID must be the id of an event of this stream")
+	}
+	return n, nil
+}
+
+// streamEvents writes frames as server-sent events. A refusal before the first
+// frame becomes a problem response, a later one an error event.
+func streamEvents(ctx huma.Context, handle *router.Handle, model string, from int) {
+	started := false
+	for next := from; ; {
+		frames, err := handle.Read(ctx.Context(), next)
+		if err != nil {
+			return
+		}
+		if !started && frames.Refusal != nil && len(frames.Texts) == 0 {
+			writeProblem(ctx, frames.Refusal)
+			return
+		}
+		if !started {
+			started = true
+			ctx.SetHeader("Content-Type", "text/event-stream")
+			ctx.SetHeader("Cache-Control", "no-store")
+		}
+		last := frames.Ended && frames.Refusal == nil
+		for i, text := range frames.Texts {
+			next++
+			finish := ""
+			if last && i == len(frames.Texts)-1 {
+				finish = frames.Finish
+			}
+			if !writeEvent(ctx, handle, model, next, text, finish) {
+				return
+			}
+		}
+		if frames.Ended {
+			endEvents(ctx, frames.Refusal)
+			return
+		}
+	}
+}
+
+func writeEvent(ctx huma.Context, handle *router.Handle, model string, id int, text, finish string) bool {
+	choice := chatChoice{Delta: &chatMessage{Role: "assistant", Content: text}}
+	if finish != "" {
+		choice.FinishReason = &finish
+	}
+	data, err := json.Marshal(chatChunk{
+		ID: string(handle.ID), Object: "chat.completion.chunk", Created: time.Now().Unix(), Model: model,
+		Choices: []chatChoice{choice},
+	})
+	if err != nil {
+		return false
+	}
+	_, err = fmt.Fprintf(ctx.BodyWriter(), "id: %d\ndata: %s\n\n", id, data)
+	flush(ctx)
+	return err == nil
+}
+
+func endEvents(ctx huma.Context, refusal *fleet.Refusal) {
+	if refusal != nil {
+		data, _ := json.Marshal(map[string]Problem{"error": problemOf(refusal)})
+		_, _ = fmt.Fprintf(ctx.BodyWriter(), "event: error\ndata: %s\n\n", data)
+	} else {
+		_, _ = fmt.Fprint(ctx.BodyWriter(), "data: [DONE]\n\n")
+	}
+	flush(ctx)
+}
+
+func flush(ctx huma.Context) {
+	if f, ok := ctx.BodyWriter().(http.Flusher); ok {
+		f.Flush()
+	}
+}
--- /dev/null
+++ b/internal/core/config/fold.go
@@ -0,0 +1,89 @@
+package config
+
+import "slices"
+
+// Fold holds the highest known configuration. Invariant: the number of the
+// current snapshot never decreases, whatever the order and the source of the
+// records and snapshots that are applied.
+type Fold struct {
+	current *Snapshot
+}
+
+// NewFold returns a fold without any accepted ticket.
+func NewFold() *Fold { return &Fold{current: &Snapshot{}} }
+
+// Current returns the highest known snapshot. It is never nil.
+func (f *Fold) Current() *Snapshot { return f.current }
+
+// Apply folds the ticket record at the given offset of the ticket stream.
+func (f *Fold) Apply(offset uint64, t Ticket) Verdict {
+	verdict := f.judge(t)
+	next := max(f.current.Offset, offset+1)
+	if verdict != VerdictAccepted {
+		f.current = f.current.withOffset(next)
+		return verdict
+	}
+	f.current = &Snapshot{
+		Number:   t.Number,
+		TicketID: t.ID,
+		Offset:   next,
+		Objects:  mergeObjects(f.current.Objects, t.Objects),
+	}
+	return VerdictAccepted
+}
+
+// Adopt takes a snapshot from a checkpoint or a peer if its number is higher
+// than the current one. It reports whether the snapshot was taken.
+func (f *Fold) Adopt(s *Snapshot) bool {
+	if s.Number <= f.current.Number {
+		return false
+	}
+	f.current = s
+	return true
+}
+
+func (f *Fold) judge(t Ticket) Verdict {
+	switch {
+	case t.Number == f.current.Number+1:
+		return VerdictAccepted
+	case t.Number > f.current.Number+1:
+		return VerdictGap
+	case t.Number == f.current.Number && t.ID == f.current.TicketID:
+		return VerdictDuplicate
+	default:
+		return VerdictLost
+	}
+}
+
+func (s *Snapshot) withOffset(offset uint64) *Snapshot {
+	if offset == s.Offset {
+		return s
+	}
+	moved := *s
+	moved.Offset = offset
+	return &moved
+}
+
+// mergeObjects returns a new sorted slice; old is not modified.
+func mergeObjects(old, changes []Object) []Object {
+	merged := slices.Clone(old)
+	for _, change := range changes {
+		merged = mergeObject(merged, change)
+	}
+	return merged
+}
+
+func mergeObject(objects []Object, change Object) []Object {
+	i, found := slices.BinarySearchFunc(objects, change.Key, compareObjectKey)
+	switch {
+	case found && change.Deleted:
+		return slices.Delete(objects, i, i+1)
+	case found:
+		objects[i] = change
+		return objects
+	case change.Deleted:
+		return objects
+	default:
+		return slices.Insert(objects, i, change)
+	}
+}
--- /dev/null
+++ b/internal/router/dispatcher.go
@@ -0,0 +1,85 @@
+package router
+
+import (
+	"context"
+
+	"github.com/cornelhold/cornelhold/internal/core/dispatch"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/request"
+	"github.com/cornelhold/cornelhold/internal/task"
+)
+
+// dispatcherCapacity bounds the messages that wait for the dispatcher; beyond
+// it new submissions are refused.
+const dispatcherCapacity = 4096
+
+// dispatcher is the task that owns dispatch.Machine.
+type dispatcher struct {
+	clock    task.Clock
+	mailbox  task.Mailbox[dispatcherMessage]
+	machine  *dispatch.Machine
+	requests map[fleet.RequestID]requestMailbox
+	alarm    *task.Alarm
+}
+
+func newDispatcher(clock task.Clock) *dispatcher {
+	return &dispatcher{
+		clock:    clock,
+		mailbox:  task.NewMailbox[dispatcherMessage](dispatcherCapacity),
+		machine:  dispatch.New(),
+		requests: make(map[fleet.RequestID]requestMailbox),
+		alarm:    task.NewAlarm(),
+	}
+}
+
+// Run owns the machine until ctx ends.
+func (d *dispatcher) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case msg := <-d.mailbox.Receive():
+			d.handle(msg)
+		case <-d.alarm.C():
+			d.handle(dispatcherMessage{message: dispatch.Tick{}})
+		}
+	}
+}
+
+func (d *dispatcher) handle(msg dispatcherMessage) {
+	if submit, ok := msg.message.(dispatch.Submit); ok && msg.sender != nil {
+		d.requests[submit.Request] = *msg.sender
+	}
+	now := d.clock.Now()
+	for _, action := range d.machine.Step(now, msg.message) {
+		d.perform(action)
+	}
+	switch m := msg.message.(type) {
+	case dispatch.Ended:
+		if m.Final {
+			delete(d.requests, m.Request)
+		}
+	case dispatch.Cancel:
+		delete(d.requests, m.Request)
+	}
+}
+
+func (d *dispatcher) perform(action dispatch.Action) {
+	switch a := action.(type) {
+	case dispatch.Grant:
+		d.tell(a.Request, request.Granted{Attempt: a.Attempt, Endpoint: a.Endpoint, Hedge: a.Hedge})
+	case dispatch.Refuse:
+		d.tell(a.Request, request.Refused{Refusal: a.Refusal})
+		delete(d.requests, a.Request)
+	case dispatch.Wake:
+		d.alarm.Arm(a.At - d.clock.Now())
+	}
+}
+
+// tell posts to a request task. A request task reserves room for the few
+// messages that the dispatcher sends it, so the mailbox is not full.
+func (d *dispatcher) tell(id fleet.RequestID, msg request.Message) {
+	if mailbox, ok := d.requests[id]; ok {
+		mailbox.TrySend(coreMessage{message: msg})
+	}
+}
--- /dev/null
+++ b/internal/router/registry.go
@@ -0,0 +1,48 @@
+package router
+
+import (
+	"context"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/task"
+)
+
+const registryCapacity = 1024
+
+// registry is the task that maps request ids to request tasks.
+type registry struct {
+	mailbox task.Mailbox[any]
+	entries map[fleet.RequestID]registerRequest
+}
+
+func newRegistry() *registry {
+	return &registry{
+		mailbox: task.NewMailbox[any](registryCapacity),
+		entries: make(map[fleet.RequestID]registerRequest),
+	}
+}
+
+// Run owns the map until ctx ends.
+func (r *registry) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case msg := <-r.mailbox.Receive():
+			r.handle(msg)
+		}
+	}
+}
+
+func (r *registry) handle(msg any) {
+	switch msg := msg.(type) {
+	case registerRequest:
+		r.entries[msg.id] = msg
+	case forgetRequest:
+		delete(r.entries, msg.id)
+	case findRequest:
+		// Another team's request is reported as absent, so that ids can't be probed.
+		entry, ok := r.entries[msg.id]
+		msg.reply <- findReply{mailbox: entry.mailbox, found: ok && entry.team == msg.team}
+	}
+}
--- /dev/null
+++ b/internal/router/watcher.go
@@ -0,0 +1,59 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/cornelhold/cornelhold/internal/core/dispatch"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/platform"
+	"github.com/cornelhold/cornelhold/internal/task"
+)
+
+// watcher is the task that follows the platform's instance list.
+type watcher struct {
+	client     *platform.InstanceClient
+	dispatcher task.Mailbox[dispatcherMessage]
+	version    uint64
+}
+
+// Run watches the instance list until ctx ends.
+func (w *watcher) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		list, err := w.client.Watch(ctx, w.version, longPoll)
+		if err != nil {
+			pause(ctx, retryDelay)
+			continue
+		}
+		if list.Version > w.version {
+			w.publish(ctx, list)
+		}
+	}
+	return nil
+}
+
+func (w *watcher) publish(ctx context.Context, list platform.InstanceList) {
+	w.version = list.Version
+	endpoints := dispatch.Endpoints{Version: list.Version, List: lo.Map(list.Instances, toEndpoint)}
+	_ = w.dispatcher.Send(ctx, dispatcherMessage{message: endpoints})
+	for _, i := range list.Instances {
+		if i.State == platform.StateLeaving && i.ReclaimInMillis > 0 {
+			notice := dispatch.Notice{
+				Endpoint:  fleet.EndpointID(i.ID),
+				Remaining: time.Duration(i.ReclaimInMillis) * time.Millisecond,
+			}
+			_ = w.dispatcher.Send(ctx, dispatcherMessage{message: notice})
+		}
+	}
+}
+
+func toEndpoint(i platform.Instance, _ int) dispatch.Endpoint {
+	return dispatch.Endpoint{
+		ID: fleet.EndpointID(i.ID), Service: fleet.ServiceName(i.Service), Address: i.Address,
+		DataCentre: fleet.DataCentre(i.DataCentre), Class: fleet.InstanceClass(i.Class),
+		Reclaimable: i.Reclaimable, Role: i.Role, Slots: i.Slots,
+		Leaving: i.State == platform.StateLeaving,
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,112 @@
+// Package settings loads the YAML settings of a program. Loading is strict:
+// an unknown key, a value of the wrong type or a value out of range is an
+// error that names file, line, key and remedy.
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors about settings.
+var Error = errs.Class("settings")
+
+// MaxFileBytes bounds the size of a settings file.
+const MaxFileBytes = 4 << 20
+
+// Load reads the file at path into settings, which holds the defaults.
+func Load(path string, settings any) error {
+	if path == "" {
+		return Error.New("no settings file given; pass --config FILE")
+	}
+	data, err := os.ReadFile(path) //nolint:gosec // the operator names the file
+	if err != nil {
+		return Error.New("cannot read %s: %w; check the path and its permissions", path, err)
+	}
+	return Parse(path, data, settings)
+}
+
+// Parse decodes data into settings, which holds the defaults. name is the
+// file name for error messages.
+func Parse(name string, data []byte, settings any) error {
+	if len(data) > MaxFileBytes {
+		return Error.New("%s is larger than %d bytes; split the file", name, MaxFileBytes)
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(), yaml.DisallowUnknownField())
+	if err := decoder.Decode(settings); err != nil {
+		return decodeError(name, err)
+	}
+	if err := newValidator().Struct(settings); err != nil {
+		return validationError(name, data, err)
+	}
+	return nil
+}
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		key, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+		return key
+	})
+	return v
+}
+
+func decodeError(name string, err error) error {
+	var located yaml.Error
+	if !errors.As(err, &located) || located.GetToken() == nil {
+		return Error.New("%s: %w; correct the YAML", name, err)
+	}
+	token := located.GetToken()
+	return Error.New("%s:%d: key or value %q: %s; correct or remove it, see the example in deploy/",
+		name, token.Position.Line, token.Value, located.GetMessage())
+}
+
+func validationError(name string, data []byte, err error) error {
+	var fields validator.ValidationErrors
+	if !errors.As(err, &fields) {
+		return Error.New("%s: %w", name, err)
+	}
+	var group errs.Group
+	for _, field := range fields {
+		_, key, _ := strings.Cut(field.Namespace(), ".")
+		group.Add(Error.New("%s:%d: key %q has the value %q, which violates %q; set a value that satisfies the rule",
+			name, lineOf(data, key), key, fmt.Sprint(field.Value()), rule(field)))
+	}
+	return group.Err()
+}
+
+func rule(f validator.FieldError) string {
+	if f.Param() == "" {
+		return f.Tag()
+	}
+	return f.Tag() + "=" + f.Param()
+}
+
+// lineOf returns the line of a key given as a dotted path, or that of its
+// nearest parent that is present in the file, or 1.
+func lineOf(data []byte, key string) int {
+	file, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return 1
+	}
+	for key != "" {
+		path, err := yaml.PathString("$." + key)
+		if err == nil {
+			if node, err := path.FilterFile(file); err == nil && node != nil {
+				return node.GetToken().Position.Line
+			}
+		}
+		cut := strings.LastIndexAny(key, ".[")
+		key = key[:max(cut, 0)]
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/standin/logservice/http.go
@@ -0,0 +1,121 @@
+package logservice
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/platform"
+)
+
+const (
+	maxBodyBytes = 4 << 20
+	maxLimit     = 1000
+	maxWait      = 30 * time.Second
+)
+
+// Handler returns the HTTP interface of the service.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/streams/{stream}/records", s.handleAppend)
+	mux.HandleFunc("GET /v1/streams/{stream}/records", s.handleRead)
+	mux.HandleFunc("PUT /faults", s.handleFaults)
+	return mux
+}
+
+func (s *Service) handleAppend(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Data json.RawMessage `json:"data"`
+	}
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&body); err != nil || len(body.Data) == 0 {
+		http.Error(w, "body must be a JSON object with the key data", http.StatusBadRequest)
+		return
+	}
+	reply := make(chan appendReply, 1)
+	msg := appendMessage{stream: r.PathValue("stream"), data: body.Data, reply: reply}
+	if s.mailbox.Send(r.Context(), msg) != nil {
+		return
+	}
+	answer := <-reply
+	time.Sleep(answer.delay)
+	if answer.lose {
+		panic(http.ErrAbortHandler)
+	}
+	if answer.refused != "" {
+		refuse(w, answer.refused)
+		return
+	}
+	writeJSON(w, answer.record)
+}
+
+func (s *Service) handleRead(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "query parameter from must be an offset", http.StatusBadRequest)
+		return
+	}
+	limit, _ := strconv.Atoi(r.URL.Query().Get("limit"))
+	waitMillis, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	wait := min(time.Duration(max(waitMillis, 0))*time.Millisecond, maxWait)
+	cancel := make(chan struct{})
+	defer close(cancel)
+	reply := make(chan readReply, 1)
+	msg := readMessage{
+		stream: r.PathValue("stream"), from: from, limit: min(max(limit, 1), maxLimit),
+		block: wait > 0, reply: reply, cancel: cancel,
+	}
+	if s.mailbox.Send(r.Context(), msg) != nil {
+		return
+	}
+	var timeout <-chan time.Time
+	if wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		timeout = timer.C
+	}
+	select {
+	case answer := <-reply:
+		writeRead(w, answer)
+	case <-timeout:
+		writeJSON(w, platform.Batch{Next: from})
+	case <-r.Context().Done():
+	}
+}
+
+func writeRead(w http.ResponseWriter, answer readReply) {
+	time.Sleep(answer.delay)
+	switch {
+	case answer.refused != "":
+		refuse(w, answer.refused)
+	case answer.expired:
+		w.WriteHeader(http.StatusGone)
+		_ = json.NewEncoder(w).Encode(answer.batch)
+	default:
+		writeJSON(w, answer.batch)
+	}
+}
+
+func (s *Service) handleFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	done := make(chan struct{})
+	if s.mailbox.Send(r.Context(), faultsMessage{faults: faults, reply: done}) == nil {
+		<-done
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func refuse(w http.ResponseWriter, message string) {
+	w.Header().Set("Retry-After", "0.2")
+	http.Error(w, message, http.StatusServiceUnavailable)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/standin/logservice/service.go
@@ -0,0 +1,219 @@
+// Package logservice is a stand-in of the platform's log service: append-only
+// streams with offsets, retention, a rate limit and outages. One task owns the
+// streams; HTTP handlers post messages to it.
+package logservice
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/cornelhold/cornelhold/internal/platform"
+	"github.com/cornelhold/cornelhold/internal/task"
+)
+
+// Settings configures the stand-in.
+type Settings struct {
+	// Retention is how long a record is kept; 0 keeps all.
+	Retention time.Duration `yaml:"retention" validate:"min=0"`
+	// AppendsPerSecond limits appends over all streams; 0 means no limit.
+	AppendsPerSecond float64 `yaml:"appends_per_second" validate:"min=0"`
+}
+
+// Faults are switched on by tests through PUT /faults.
+type Faults struct {
+	// Down refuses every call.
+	Down bool `json:"down"`
+	// LoseAppendResponses makes that many appends take effect and then break
+	// the connection.
+	LoseAppendResponses int `json:"lose_append_responses"`
+	// DelayMillis delays every response.
+	DelayMillis int `json:"delay_ms"`
+}
+
+const mailboxCapacity = 1024
+
+// Service owns the streams.
+type Service struct {
+	settings Settings
+	mailbox  task.Mailbox[any]
+	streams  map[string]*stream
+	limiter  *rate.Limiter
+	faults   Faults
+}
+
+type stream struct {
+	first   uint64
+	records []platform.Record
+	readers []readMessage
+}
+
+type appendMessage struct {
+	stream string
+	data   json.RawMessage
+	reply  chan appendReply
+}
+
+type appendReply struct {
+	record  platform.Record
+	refused string
+	lose    bool
+	delay   time.Duration
+}
+
+type readMessage struct {
+	stream string
+	from   uint64
+	limit  int
+	// block makes the read wait for the next record.
+	block  bool
+	reply  chan readReply
+	cancel <-chan struct{}
+}
+
+type readReply struct {
+	batch   platform.Batch
+	expired bool
+	refused string
+	delay   time.Duration
+}
+
+type faultsMessage struct {
+	faults Faults
+	reply  chan struct{}
+}
+
+// New returns a log service without records.
+func New(settings Settings) *Service {
+	limit := rate.Inf
+	if settings.AppendsPerSecond > 0 {
+		limit = rate.Limit(settings.AppendsPerSecond)
+	}
+	return &Service{
+		settings: settings,
+		mailbox:  task.NewMailbox[any](mailboxCapacity),
+		streams:  make(map[string]*stream),
+		limiter:  rate.NewLimiter(limit, max(1, int(settings.AppendsPerSecond))),
+	}
+}
+
+// Run owns the streams until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case msg := <-s.mailbox.Receive():
+			s.step(msg)
+		}
+	}
+}
+
+func (s *Service) step(msg any) {
+	switch msg := msg.(type) {
+	case appendMessage:
+		msg.reply <- s.append(msg)
+	case readMessage:
+		s.read(msg)
+	case faultsMessage:
+		s.faults = msg.faults
+		close(msg.reply)
+		s.releaseReaders()
+	}
+}
+
+func (s *Service) append(msg appendMessage) appendReply {
+	delay := time.Duration(s.faults.DelayMillis) * time.Millisecond
+	if s.faults.Down {
+		return appendReply{refused: "log service is down", delay: delay}
+	}
+	if !s.limiter.Allow() {
+		return appendReply{refused: "append rate limit reached", delay: delay}
+	}
+	st := s.stream(msg.stream)
+	record := platform.Record{
+		Offset:     st.next(),
+		TimeMillis: time.Now().UnixMilli(),
+		Data:       msg.data,
+	}
+	st.records = append(st.records, record)
+	s.expire(st)
+	s.wakeReaders(st)
+	lose := s.faults.LoseAppendResponses > 0
+	if lose {
+		s.faults.LoseAppendResponses--
+	}
+	return appendReply{record: record, lose: lose, delay: delay}
+}
+
+func (s *Service) read(msg readMessage) {
+	delay := time.Duration(s.faults.DelayMillis) * time.Millisecond
+	if s.faults.Down {
+		msg.reply <- readReply{refused: "log service is down", delay: delay}
+		return
+	}
+	st := s.stream(msg.stream)
+	s.expire(st)
+	if msg.from < st.first {
+		msg.reply <- readReply{expired: true, batch: platform.Batch{First: st.first, Next: st.next()}}
+		return
+	}
+	if msg.from < st.next() || !msg.block {
+		msg.reply <- readReply{batch: st.batch(msg.from, msg.limit), delay: delay}
+		return
+	}
+	st.readers = append(st.readers, msg)
+}
+
+// wakeReaders answers the readers that waited for a record.
+func (s *Service) wakeReaders(st *stream) {
+	waiting := st.readers
+	st.readers = nil
+	for _, reader := range waiting {
+		select {
+		case <-reader.cancel:
+		default:
+			s.read(reader)
+		}
+	}
+}
+
+func (s *Service) releaseReaders() {
+	for _, st := range s.streams {
+		s.wakeReaders(st)
+	}
+}
+
+func (s *Service) expire(st *stream) {
+	if s.settings.Retention == 0 {
+		return
+	}
+	oldest := time.Now().Add(-s.settings.Retention).UnixMilli()
+	for len(st.records) > 0 && st.records[0].TimeMillis < oldest {
+		st.records = st.records[1:]
+		st.first++
+	}
+}
+
+func (s *Service) stream(name string) *stream {
+	st, ok := s.streams[name]
+	if !ok {
+		st = &stream{}
+		s.streams[name] = st
+	}
+	return st
+}
+
+func (st *stream) next() uint64 { return st.first + uint64(len(st.records)) }
+
+func (st *stream) batch(from uint64, limit int) platform.Batch {
+	start := min(int(from-st.first), len(st.records))
+	end := min(start+limit, len(st.records))
+	return platform.Batch{
+		Records: append([]platform.Record(nil), st.records[start:end]...),
+		First:   st.first,
+		Next:    st.next(),
+	}
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,100 @@
+// Package standin is the development and test stand-in of everything outside
+// the system: the platform's services, model engines and plain services. One
+// process serves the parts that its settings name.
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/daemon"
+	"github.com/cornelhold/cornelhold/internal/platform"
+	"github.com/cornelhold/cornelhold/internal/standin/logservice"
+	"github.com/cornelhold/cornelhold/internal/standin/modelengine"
+	"github.com/cornelhold/cornelhold/internal/standin/platformapi"
+	"github.com/cornelhold/cornelhold/internal/task"
+)
+
+// Settings names the parts that a stand-in process serves.
+type Settings struct {
+	Admin     string             `yaml:"admin" validate:"omitempty,hostname_port"`
+	Log       *LogSettings       `yaml:"log"`
+	Instances *InstancesSettings `yaml:"instances"`
+	Engines   []EngineSettings   `yaml:"engines" validate:"dive"`
+}
+
+// LogSettings configures the log service stand-in.
+type LogSettings struct {
+	Listen  string              `yaml:"listen" validate:"required,hostname_port"`
+	Service logservice.Settings `yaml:"service"`
+}
+
+// InstancesSettings configures the instance list stand-in.
+type InstancesSettings struct {
+	Listen string           `yaml:"listen" validate:"required,hostname_port"`
+	List   []InstanceRecord `yaml:"list" validate:"dive"`
+}
+
+// InstanceRecord is one instance of the initial list.
+type InstanceRecord struct {
+	ID         string `yaml:"id" validate:"required"`
+	Service    string `yaml:"service" validate:"required"`
+	Address    string `yaml:"address" validate:"required,hostname_port"`
+	DataCentre string `yaml:"data_centre" validate:"required"`
+	Class      string `yaml:"class"`
+	Slots      int    `yaml:"slots" validate:"min=0"`
+}
+
+// EngineSettings configures one model engine stand-in.
+type EngineSettings struct {
+	Listen string               `yaml:"listen" validate:"required,hostname_port"`
+	Engine modelengine.Settings `yaml:"engine"`
+}
+
+const headerTimeout = 5 * time.Second
+
+// Run serves the configured parts until ctx ends.
+func Run(ctx context.Context, env *daemon.Env, s *Settings) error {
+	group := task.NewGroup(ctx)
+	if s.Log != nil {
+		service := logservice.New(s.Log.Service)
+		group.Go("log", service.Run)
+		group.Go("log server", serve(s.Log.Listen, service.Handler()))
+	}
+	if s.Instances != nil {
+		list := platformapi.NewInstances(s.Instances.initial())
+		group.Go("instances", list.Run)
+		group.Go("instances server", serve(s.Instances.Listen, list.Handler()))
+	}
+	for _, e := range s.Engines {
+		group.Go("engine server", serve(e.Listen, modelengine.New(e.Engine).Handler()))
+	}
+	env.Ready.Set("")
+	return group.Wait()
+}
+
+func (s *InstancesSettings) initial() []platform.Instance {
+	instances := make([]platform.Instance, 0, len(s.List))
+	for _, i := range s.List {
+		instances = append(instances, platform.Instance{
+			ID: i.ID, Service: i.Service, Address: i.Address, DataCentre: i.DataCentre,
+			Class: i.Class, Slots: i.Slots, State: "live",
+		})
+	}
+	return instances
+}
+
+func serve(address string, handler http.Handler) func(context.Context) error {
+	return func(ctx context.Context) error {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return daemon.Error.New("cannot listen on %s: %w; free the port or change the setting", address, err)
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		return server.Serve(listener)
+	}
+}
