--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 lint:
 	$(LINT) fmt --diff
-	$(LINT) run ./...
+	$(LINT) run --allow-parallel-runners ./...
 
 fmt:
 	$(LINT) fmt
--- a/internal/core/dispatch/machine.go
+++ b/internal/core/dispatch/machine.go
@@ -1,16 +1,24 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/cornelhold/cornelhold/internal/core/config"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/reclaim"
 )
 
 // RetryAfterNoEndpoint is the delay suggested to callers when a service has no
 // live endpoint; replacement instances take seconds to appear in the list.
 const RetryAfterNoEndpoint = 2 * time.Second
 
+// assumedTokenInterval is the time between tokens that reclaim plans assume.
+const assumedTokenInterval = 70 * time.Millisecond
+
 // Machine is the dispatcher. Invariant: the number of outstanding attempts of
 // an endpoint equals the number of granted attempts that have not ended.
 type Machine struct {
@@ -23,6 +31,8 @@
 type endpointState struct {
 	Endpoint
 	outstanding int
+	// noticed is set once the reclaim notice has been acted on.
+	noticed bool
 }
 
 type requestState struct {
@@ -56,7 +66,7 @@
 	case Endpoints:
 		m.replaceEndpoints(msg)
 	case Notice:
-		m.notice(msg)
+		return m.notice(msg)
 	case Configure:
 		m.spec = msg.Spec
 	}
@@ -143,6 +153,7 @@
 		state := &endpointState{Endpoint: e}
 		if old, ok := m.endpoints[e.ID]; ok {
 			state.outstanding = old.outstanding
+			state.noticed = old.noticed
 			state.Leaving = e.Leaving || old.Leaving
 		}
 		next[e.ID] = state
@@ -150,10 +161,31 @@
 	m.endpoints = next
 }
 
-func (m *Machine) notice(msg Notice) {
-	if e, ok := m.endpoints[msg.Endpoint]; ok {
-		e.Leaving = true
+func (m *Machine) notice(msg Notice) []Action {
+	e, ok := m.endpoints[msg.Endpoint]
+	if !ok || e.noticed {
+		return nil
+	}
+	e.Leaving = true
+	e.noticed = true
+	return m.relocate(msg)
+}
+
+// relocate plans the moves of all streams on a leaving endpoint.
+func (m *Machine) relocate(msg Notice) []Action {
+	var streams []reclaim.Stream
+	for id, r := range m.outstanding {
+		if r.running && r.endpoint == msg.Endpoint {
+			streams = append(streams, reclaim.Stream{
+				Request: id, Class: r.submit.Class, PromptTokens: r.submit.Prompt.Tokens, Remaining: r.submit.MaxTokens,
+			})
+		}
 	}
+	slices.SortFunc(streams, func(a, b reclaim.Stream) int { return cmp.Compare(a.Request, b.Request) })
+	moves := reclaim.Plan(streams, msg.Remaining, reclaim.Rates{TokenInterval: assumedTokenInterval})
+	return lo.Map(moves, func(move reclaim.Move, _ int) Action {
+		return Relocate{Request: move.Request, Attempt: m.outstanding[move.Request].attempts, Method: move.Method}
+	})
 }
 
 func refuse(id fleet.RequestID, r *fleet.Refusal) []Action {
--- a/internal/core/dispatch/messages.go
+++ b/internal/core/dispatch/messages.go
@@ -8,6 +8,7 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/config"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/reclaim"
 )
 
 // Message is an input of the machine.
@@ -180,6 +181,14 @@
 	At time.Duration
 }
 
-func (Grant) isAction()  {}
-func (Refuse) isAction() {}
-func (Wake) isAction()   {}
+// Relocate tells a running request that its endpoint leaves, and how to move.
+type Relocate struct {
+	Request fleet.RequestID
+	Attempt fleet.AttemptNumber
+	Method  reclaim.Method
+}
+
+func (Grant) isAction()    {}
+func (Refuse) isAction()   {}
+func (Wake) isAction()     {}
+func (Relocate) isAction() {}
--- a/internal/core/request/machine.go
+++ b/internal/core/request/machine.go
@@ -6,6 +6,7 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/dispatch"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/reclaim"
 )
 
 // MaxAttempts bounds the attempts of one request.
@@ -51,7 +52,7 @@
 	case CallerGone:
 		return m.callerGone()
 	case Move:
-		return m.retry(dispatch.AttemptCancelled, true)
+		return m.move(msg)
 	}
 	return nil
 }
@@ -145,6 +146,13 @@
 	)
 }
 
+func (m *Machine) move(msg Move) []Action {
+	if msg.Attempt != m.attempt || msg.Method == reclaim.MethodFinish {
+		return nil
+	}
+	return m.retry(dispatch.AttemptCancelled, true)
+}
+
 func (m *Machine) callerGone() []Action {
 	var actions []Action
 	if m.running {
--- a/internal/core/request/messages.go
+++ b/internal/core/request/messages.go
@@ -8,6 +8,7 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/dispatch"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/reclaim"
 )
 
 // Message is an input of the machine.
@@ -68,8 +69,11 @@
 // CallerGone reports that the caller left before the answer was whole.
 type CallerGone struct{}
 
-// Move orders the current attempt to be moved to another endpoint.
-type Move struct{}
+// Move orders an attempt to be moved to another endpoint by the given method.
+type Move struct {
+	Attempt fleet.AttemptNumber
+	Method  reclaim.Method
+}
 
 func (Granted) isMessage()       {}
 func (Refused) isMessage()       {}
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -71,6 +71,8 @@
 	case dispatch.Refuse:
 		d.tell(a.Request, request.Refused{Refusal: a.Refusal})
 		delete(d.requests, a.Request)
+	case dispatch.Relocate:
+		d.tell(a.Request, request.Move{Attempt: a.Attempt, Method: a.Method})
 	case dispatch.Wake:
 		d.alarm.Arm(a.At - d.clock.Now())
 	}
