--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,11 +9,14 @@
 	"fmt"
 	"os"
 	"reflect"
+	"strconv"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
+	tokens "github.com/goccy/go-yaml/token"
 	"github.com/zeebo/errs"
 )
 
@@ -41,9 +44,8 @@
 	if len(data) > MaxFileBytes {
 		return Error.New("%s is larger than %d bytes; split the file", name, MaxFileBytes)
 	}
-	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(), yaml.DisallowUnknownField())
-	if err := decoder.Decode(settings); err != nil {
-		return decodeError(name, err)
+	if err := decode(name, data, settings); err != nil {
+		return err
 	}
 	if err := newValidator().Struct(settings); err != nil {
 		return validationError(name, data, err)
@@ -51,6 +53,21 @@
 	return nil
 }
 
+// decode converts panics of the YAML library to errors: fuzzing found
+// malformed tags, such as "!00 00" for a list, that make it panic.
+func decode(name string, data []byte, settings any) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = Error.New("%s: malformed YAML: %v; correct the file", name, cause)
+		}
+	}()
+	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(), yaml.DisallowUnknownField())
+	if err := decoder.Decode(settings); err != nil {
+		return decodeError(name, data, err)
+	}
+	return nil
+}
+
 func newValidator() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(func(f reflect.StructField) string {
@@ -60,16 +77,33 @@
 	return v
 }
 
-func decodeError(name string, err error) error {
+func decodeError(name string, data []byte, err error) error {
 	var located yaml.Error
 	if !errors.As(err, &located) || located.GetToken() == nil {
-		return Error.New("%s: %w; correct the YAML", name, err)
+		return unlocatedError(name, data, err)
 	}
 	token := located.GetToken()
 	return Error.New("%s:%d: key or value %q: %s; correct or remove it, see the example in deploy/",
 		name, token.Position.Line, token.Value, located.GetMessage())
 }
 
+// unlocatedError handles errors of value parsers such as time.ParseDuration,
+// which quote the value but don't know where it stands.
+func unlocatedError(name string, data []byte, err error) error {
+	key := ""
+	for _, token := range lexer.Tokenize(string(data)) {
+		if token.Next != nil && token.Next.Type == tokens.MappingValueType {
+			key = token.Value
+			continue
+		}
+		if token.Value != "" && strings.Contains(err.Error(), strconv.Quote(token.Value)) {
+			return Error.New("%s:%d: key %q: %w; correct the value, for example 250ms, 5s or 1h for a duration",
+				name, token.Position.Line, key, err)
+		}
+	}
+	return Error.New("%s: %w; correct the YAML", name, err)
+}
+
 func validationError(name string, data []byte, err error) error {
 	var fields validator.ValidationErrors
 	if !errors.As(err, &fields) {
