--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # GOTOOL runs a tool pinned in tools/NAME/go.mod.
 LINT  := go tool -modfile=tools/lint/go.mod golangci-lint
 BIN   := .bin
-PROGRAMS := cornelhold-router cornelctl cornelhold-standin
+
 
 .PHONY: all build test unit lint fmt generate
 
@@ -29,3 +29,9 @@
 	go build -modfile=tools/protoc/go.mod -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
 	go build -modfile=tools/protoc/go.mod -o $(BIN)/protoc-gen-connect-go connectrpc.com/connect/cmd/protoc-gen-connect-go
 	PATH="$(CURDIR)/$(BIN):$$PATH" go tool -modfile=tools/buf/go.mod buf generate
+
+# demo shows the whole system on loopback as separate processes, checks what
+# happened and stops everything.
+.PHONY: demo
+demo: build
+	go run ./demo $(BIN)
--- /dev/null
+++ b/demo/main.go
@@ -0,0 +1,59 @@
+// Command demo starts the whole system on loopback as separate processes,
+// shows it under failure, checks what happened and stops everything. It is a
+// development tool; the programs themselves start no processes.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// timeLimit bounds the whole run.
+const timeLimit = time.Minute
+
+func main() {
+	bin := ".bin"
+	if len(os.Args) > 1 {
+		bin = os.Args[1]
+	}
+	if err := runWithin(timeLimit, bin); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "demo failed:", err)
+		os.Exit(1)
+	}
+	say("demo passed")
+}
+
+// runWithin runs the demo until it ends, a signal arrives or the limit passes.
+func runWithin(limit time.Duration, bin string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return run(ctx, bin)
+}
+
+// run carries out all steps in order and stops at the first that fails.
+func run(ctx context.Context, bin string) error {
+	d, err := newDemo(bin)
+	if err != nil {
+		return err
+	}
+	defer d.stop()
+	for _, s := range d.steps() {
+		say("== " + s.title)
+		if err := s.run(ctx); err != nil {
+			d.keepLogs = true
+			return fmt.Errorf("%s: %w (process logs are in %s)", s.title, err, d.dir)
+		}
+	}
+	return nil
+}
+
+// say writes one line of the transcript.
+func say(format string, args ...any) {
+	_, _ = fmt.Fprintf(os.Stdout, format+"\n", args...)
+}
--- /dev/null
+++ b/demo/ticket.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+)
+
+// firstTicket configures the services and the team of the demo.
+func firstTicket() string {
+	hash := sha256.Sum256([]byte(teamKey))
+	return fmt.Sprintf(`number: 1
+comment: first ticket
+models:
+  - {name: cord-advisor, version: "1", weight_bytes: 1000000, context_tokens: 16384}
+services:
+  - name: dial-advisor
+    kind: model
+    model: cord-advisor
+    class: interactive
+    first_token: 630ms
+    between_tokens: 70ms
+    deadline: 5s
+    checks_fencing: true
+    replicas:
+      - {data_centre: kyushu-a, class: gpu-small, reclaimable: 1}
+      - {data_centre: kyushu-b, class: gpu-small, reclaimable: 1}
+      - {data_centre: kyushu-c, class: gpu-small, on_demand: 1}
+  - name: bench-desk
+    kind: plain
+    class: interactive
+    deadline: 2s
+    replicas:
+      - {data_centre: kyushu-a, class: cpu-small, on_demand: 1}
+      - {data_centre: kyushu-b, class: cpu-small, on_demand: 1}
+    operations:
+      - {name: stock-check, idempotent: true, class: interactive, latency: 150ms}
+      - {name: work-order, idempotent: false, class: interactive, latency: 500ms}
+teams:
+  - {name: counter, key_sha256: [%s], weight: 1}
+data_centres:
+  - {name: kyushu-a, region: kyushu, distances: {kyushu-b: 3ms, kyushu-c: 3ms}, prices: {gpu-small: {reclaimable: 0.9, on_demand: 2.4}}}
+  - {name: kyushu-b, region: kyushu, distances: {kyushu-a: 3ms, kyushu-c: 3ms}, prices: {gpu-small: {reclaimable: 0.8, on_demand: 2.4}}}
+  - {name: kyushu-c, region: kyushu, distances: {kyushu-a: 3ms, kyushu-b: 3ms}, prices: {gpu-small: {reclaimable: 1.0, on_demand: 2.5}}}
+`, hex.EncodeToString(hash[:]))
+}
+
+func (d *demo) fileFirstTicket(ctx context.Context) error {
+	path := filepath.Join(d.dir, "ticket-1.yaml")
+	if err := os.WriteFile(path, []byte(firstTicket()), 0o600); err != nil {
+		return err
+	}
+	if _, err := d.cornelctl(ctx, "ticket", "file", path, "--author", "mika"); err != nil {
+		return err
+	}
+	for _, r := range d.routers {
+		err := waitFor(ctx, startLimit, r.name+" to be ready", func() bool {
+			return status("http://"+r.admin+"/readyz") == http.StatusOK
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// cornelctl runs the operators' client, prints its output and returns its exit code.
+func (d *demo) cornelctl(ctx context.Context, args ...string) (int, error) {
+	args = append([]string{"--log", "http://" + d.logAddr}, args...)
+	cmd := exec.CommandContext(ctx, filepath.Join(d.bin, "cornelctl"), args...) //nolint:gosec // built by make
+	output, err := cmd.CombinedOutput()
+	say("   cornelctl %s %s: %s", args[2], args[3], firstLine(output))
+	return cmd.ProcessState.ExitCode(), err
+}
