--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -38,11 +38,10 @@
 // and against refusals that are lost.
 func TestOutcomesAreCounted(t *testing.T) {
 	is := is.New(t)
-	var calls int
 	requests := make(chan int, 1)
 	requests <- 0
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		calls = <-requests
+		calls := <-requests
 		requests <- calls + 1
 		switch calls % 3 {
 		case 0:
