Measure the router process over loopback

Cause: the latency that the router adds and the memory of an open stream were unknown.

Change: make bench-router compares first tokens through a router process with the same engine stand-in reached directly in one run, and opens 9,000 streams. The demo's process handling moved to internal/procs to serve both.

--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,8 @@
 .PHONY: demo
 demo: build
 	go run ./demo $(BIN)
+
+# bench-router measures the router process over loopback.
+.PHONY: bench-router
+bench-router: build
+	go run ./bench $(BIN)
--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,51 @@
+// Command bench measures the router process over loopback: the latency that it
+// adds against a client that talks to the engine stand-in directly, the
+// processor time of a request and the memory of an open stream.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// timeLimit bounds the whole run.
+const timeLimit = 3 * time.Minute
+
+func main() {
+	bin := ".bin"
+	if len(os.Args) > 1 {
+		bin = os.Args[1]
+	}
+	if err := run(bin); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "bench failed:", err)
+		os.Exit(1)
+	}
+}
+
+func run(bin string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, timeLimit)
+	defer cancel()
+	b, err := newBench(bin)
+	if err != nil {
+		return err
+	}
+	defer func() { b.runner.Stop(false) }()
+	if err := b.start(ctx); err != nil {
+		return err
+	}
+	if err := b.measureLatency(ctx); err != nil {
+		return err
+	}
+	return b.measureStreams(ctx)
+}
+
+// figure prints one result line: name, value, unit.
+func figure(name string, value float64, unit string) {
+	_, _ = fmt.Fprintf(os.Stdout, "%-48s %12.3f %s\n", name, value, unit)
+}
--- /dev/null
+++ b/bench/measure.go
@@ -0,0 +1,219 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/cornelhold/cornelhold/internal/engine"
+)
+
+const (
+	// fastInterval and slowInterval are the engines' times between tokens.
+	fastInterval = 5 * time.Millisecond
+	slowInterval = time.Second
+	// requests is the number of requests of a latency measurement.
+	requests = 3000
+	workers  = 8
+	tokens   = 4
+	// openStreams stays below the limit of file descriptors of one process:
+	// the router holds two connections for each stream.
+	openStreams  = 9000
+	streamTokens = 100000
+	// clockTick is the kernel's unit of processor time in /proc.
+	clockTick     = 10 * time.Millisecond
+	highestMicros = 60_000_000
+)
+
+type sender func(ctx context.Context, c *http.Client) (time.Duration, error)
+
+// measureLatency compares the first token through the router with the first
+// token of the same engine reached directly, in one run.
+func (b *bench) measureLatency(ctx context.Context) error {
+	const rounds = 2 // the first warms up connections and is not printed
+	for round := range rounds {
+		direct, err := latencies(ctx, b.direct)
+		if err != nil {
+			return err
+		}
+		before := cpuTime(b.router.PID())
+		start := time.Now()
+		through, err := latencies(ctx, b.throughRouter)
+		if err != nil {
+			return err
+		}
+		elapsed := time.Since(start)
+		cpu := cpuTime(b.router.PID()) - before
+		if round == rounds-1 {
+			printLatency(direct, through, elapsed, cpu)
+		}
+	}
+	return nil
+}
+
+func printLatency(direct, through *hdrhistogram.Histogram, elapsed, cpu time.Duration) {
+	micros := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) }
+	figure("first token direct p50", micros(direct, 50), "us")
+	figure("first token direct p99", micros(direct, 99), "us")
+	figure("first token through router p50", micros(through, 50), "us")
+	figure("first token through router p99", micros(through, 99), "us")
+	figure("added p50", micros(through, 50)-micros(direct, 50), "us")
+	figure("added p99", micros(through, 99)-micros(direct, 99), "us")
+	figure("requests a second", requests/elapsed.Seconds(), "1/s")
+	figure("router processor time a request", float64(cpu.Microseconds())/requests, "us")
+	figure("requests a second and core", requests/cpu.Seconds(), "1/s")
+}
+
+func latencies(ctx context.Context, send sender) (*hdrhistogram.Histogram, error) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workers}}
+	defer client.CloseIdleConnections()
+	results := make(chan time.Duration, requests)
+	failures := make(chan error, workers)
+	for range workers {
+		go func() {
+			for range requests / workers {
+				d, err := send(ctx, client)
+				if err != nil {
+					failures <- err
+					return
+				}
+				results <- d
+			}
+		}()
+	}
+	h := hdrhistogram.New(1, highestMicros, 3)
+	for range requests / workers * workers {
+		select {
+		case d := <-results:
+			_ = h.RecordValue(d.Microseconds())
+		case err := <-failures:
+			return nil, err
+		}
+	}
+	return h, nil
+}
+
+func (b *bench) direct(ctx context.Context, c *http.Client) (time.Duration, error) {
+	body, _ := json.Marshal(engine.CompletionRequest{
+		Model: "m", Prompt: "user: hello\n", MaxTokens: tokens, Stream: true, RequestID: "r", Attempt: 1,
+	})
+	return firstToken(ctx, c, "http://"+b.engines[0]+"/v1/completions", string(body))
+}
+
+func (b *bench) throughRouter(ctx context.Context, c *http.Client) (time.Duration, error) {
+	return firstToken(ctx, c, "http://"+b.listen+"/v1/chat/completions", chatBody("model", tokens))
+}
+
+func chatBody(service string, maxTokens int) string {
+	return fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`, service, maxTokens)
+}
+
+func firstToken(ctx context.Context, c *http.Client, url, body string) (time.Duration, error) {
+	start := time.Now()
+	resp, err := open(ctx, c, url, body)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	reader := bufio.NewReader(resp.Body)
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			return 0, fmt.Errorf("stream ended before the first token: %w", err)
+		}
+		if strings.HasPrefix(line, "data: ") {
+			break
+		}
+	}
+	elapsed := time.Since(start)
+	_, err = io.Copy(io.Discard, reader)
+	return elapsed, err
+}
+
+func open(ctx context.Context, c *http.Client, url, body string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+teamKey)
+	resp, err := c.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		_ = resp.Body.Close()
+		return nil, fmt.Errorf("%s: status %s", url, resp.Status)
+	}
+	return resp, nil
+}
+
+// measureStreams opens many streams and reads the router's resident memory.
+func (b *bench) measureStreams(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	client := &http.Client{Transport: &http.Transport{}}
+	before := residentBytes(b.router.PID())
+	results := make(chan error, openStreams)
+	gate := make(chan struct{}, 256)
+	for range openStreams {
+		go func() {
+			gate <- struct{}{}
+			resp, err := open(ctx, client, "http://"+b.listen+"/v1/chat/completions", chatBody("slow-model", streamTokens))
+			<-gate
+			results <- err
+			if err == nil {
+				defer func() { _ = resp.Body.Close() }()
+				_, _ = io.Copy(io.Discard, resp.Body)
+			}
+		}()
+	}
+	failed := 0
+	var first error
+	for range openStreams {
+		if err := <-results; err != nil {
+			failed++
+			first = err
+		}
+	}
+	after := residentBytes(b.router.PID())
+	figure("streams opened", float64(openStreams-failed), "")
+	figure("router memory for each open stream", float64(after-before)/openStreams/1024, "KiB")
+	if failed > 0 {
+		return fmt.Errorf("%d of %d streams were not opened, the last with: %w", failed, openStreams, first)
+	}
+	return nil
+}
+
+// cpuTime returns the processor time of a process that this program started.
+func cpuTime(pid int) time.Duration {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	const userField, systemField = 11, 12
+	user, _ := strconv.ParseInt(fields[userField], 10, 64)
+	system, _ := strconv.ParseInt(fields[systemField], 10, 64)
+	return time.Duration(user+system) * clockTick
+}
+
+// residentBytes returns the resident memory of a process that this program started.
+func residentBytes(pid int) int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(strings.Fields(string(data))[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"strings"
+
+	"github.com/cornelhold/cornelhold/internal/procs"
 )
 
 const (
@@ -19,9 +20,8 @@
 
 // demo holds the addresses and processes of one run.
 type demo struct {
-	bin, dir  string
-	keepLogs  bool
-	processes []*process
+	runner   *procs.Runner
+	keepLogs bool
 
 	logAddr, listAddr, standinAdmin string
 	engines, plains                 []string
@@ -39,17 +39,17 @@
 }
 
 func newDemo(bin string) (*demo, error) {
-	dir, err := os.MkdirTemp("", "cornelhold-demo-")
+	runner, err := procs.NewRunner(bin)
 	if err != nil {
 		return nil, err
 	}
-	d := &demo{bin: bin, dir: dir}
+	d := &demo{runner: runner}
 	return d, d.assignAddresses()
 }
 
 func (d *demo) assignAddresses() error {
-	var ports addresses
-	defer ports.release()
+	var ports procs.Addresses
+	defer ports.Release()
 	single := []*string{&d.logAddr, &d.listAddr, &d.standinAdmin}
 	d.engines = make([]string, engineCount)
 	d.plains = make([]string, plainCount)
@@ -66,14 +66,7 @@
 		r.dataCentre = dataCentres[i%len(dataCentres)]
 		single = append(single, &r.listen, &r.admin, &r.peer)
 	}
-	for _, address := range single {
-		next, err := ports.next()
-		if err != nil {
-			return err
-		}
-		*address = next
-	}
-	return nil
+	return ports.Assign(single...)
 }
 
 func (d *demo) steps() []step {
@@ -86,7 +79,8 @@
 }
 
 func (d *demo) startStandins(ctx context.Context) error {
-	return d.start(ctx, "cornelhold-standin", "standin", d.standinSettings(), d.standinAdmin)
+	_, err := d.runner.Start(ctx, "cornelhold-standin", "standin", d.standinSettings(), d.standinAdmin)
+	return err
 }
 
 func (d *demo) standinSettings() string {
@@ -105,7 +99,7 @@
 
 func (d *demo) startRouters(ctx context.Context) error {
 	for _, r := range d.routers {
-		if err := d.start(ctx, "cornelhold-router", r.name, d.routerSettings(r), r.admin); err != nil {
+		if _, err := d.runner.Start(ctx, "cornelhold-router", r.name, d.routerSettings(r), r.admin); err != nil {
 			return err
 		}
 	}
--- a/demo/ticket.go
+++ b/demo/ticket.go
@@ -6,9 +6,9 @@
 	"encoding/hex"
 	"fmt"
 	"net/http"
-	"os"
 	"os/exec"
-	"path/filepath"
+
+	"github.com/cornelhold/cornelhold/internal/procs"
 )
 
 // firstTicket configures the services and the team of the demo.
@@ -51,16 +51,16 @@
 }
 
 func (d *demo) fileFirstTicket(ctx context.Context) error {
-	path := filepath.Join(d.dir, "ticket-1.yaml")
-	if err := os.WriteFile(path, []byte(firstTicket()), 0o600); err != nil {
+	path, err := d.runner.Write("ticket-1.yaml", firstTicket())
+	if err != nil {
 		return err
 	}
 	if _, err := d.cornelctl(ctx, "ticket", "file", path, "--author", "mika"); err != nil {
 		return err
 	}
 	for _, r := range d.routers {
-		err := waitFor(ctx, startLimit, r.name+" to be ready", func() bool {
-			return status("http://"+r.admin+"/readyz") == http.StatusOK
+		err := procs.WaitFor(ctx, procs.StartLimit, r.name+" to be ready", func() bool {
+			return procs.Status("http://"+r.admin+"/readyz") == http.StatusOK
 		})
 		if err != nil {
 			return err
@@ -72,7 +72,7 @@
 // cornelctl runs the operators' client, prints its output and returns its exit code.
 func (d *demo) cornelctl(ctx context.Context, args ...string) (int, error) {
 	args = append([]string{"--log", "http://" + d.logAddr}, args...)
-	cmd := exec.CommandContext(ctx, filepath.Join(d.bin, "cornelctl"), args...) //nolint:gosec // built by make
+	cmd := exec.CommandContext(ctx, d.runner.Program("cornelctl"), args...) //nolint:gosec // built by make
 	output, err := cmd.CombinedOutput()
 	say("   cornelctl %s %s: %s", args[2], args[3], firstLine(output))
 	return cmd.ProcessState.ExitCode(), err
--- /dev/null
+++ b/internal/procs/procs.go
@@ -0,0 +1,197 @@
+// Package procs starts the project's own programs as processes on loopback for
+// the demo, benchmarks and tests. The programs themselves start no processes.
+package procs
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("procs")
+
+const (
+	// StartLimit bounds how long a process may take to answer on its admin address.
+	StartLimit = 10 * time.Second
+	// StopLimit bounds how long a process may take to stop after SIGTERM.
+	StopLimit    = 10 * time.Second
+	pollInterval = 20 * time.Millisecond
+)
+
+// Runner starts programs and stops all of them.
+type Runner struct {
+	bin       string
+	dir       string
+	processes []*Process
+}
+
+// Process is one started program.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// NewRunner returns a runner for the programs in bin. It works in a new
+// temporary directory.
+func NewRunner(bin string) (*Runner, error) {
+	dir, err := os.MkdirTemp("", "cornelhold-")
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &Runner{bin: bin, dir: dir}, nil
+}
+
+// Dir is the working directory: settings files and process output.
+func (r *Runner) Dir() string { return r.dir }
+
+// Program returns the path of a program.
+func (r *Runner) Program(name string) string { return filepath.Join(r.bin, name) }
+
+// Write writes a file into the working directory and returns its path.
+func (r *Runner) Write(name, content string) (string, error) {
+	path := filepath.Join(r.dir, name)
+	return path, Error.Wrap(os.WriteFile(path, []byte(content), 0o600))
+}
+
+// Start runs a program with the given settings and waits until it answers on
+// its admin address.
+func (r *Runner) Start(ctx context.Context, program, name, settings, admin string) (*Process, error) {
+	path, err := r.Write(name+".yaml", settings)
+	if err != nil {
+		return nil, err
+	}
+	output, err := os.Create(filepath.Join(r.dir, name+".log")) //nolint:gosec // a name given by our own tools
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	defer func() { _ = output.Close() }()
+	cmd := exec.Command(r.Program(program), "--config", path) //nolint:gosec // built by make
+	cmd.Stdout, cmd.Stderr = output, output
+	if err := cmd.Start(); err != nil {
+		return nil, Error.New("cannot start %s: %w; run make build first", program, err)
+	}
+	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
+	go p.wait()
+	r.processes = append(r.processes, p)
+	return p, WaitFor(ctx, StartLimit, "process "+name+" to answer", func() bool {
+		return Status("http://"+admin+"/healthz") == http.StatusOK
+	})
+}
+
+func (p *Process) wait() {
+	p.err = p.cmd.Wait()
+	close(p.done)
+}
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Terminate sends SIGTERM and waits until the process has ended.
+func (p *Process) Terminate() error {
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(StopLimit):
+		p.Kill()
+		return Error.New("process %s did not stop within %s", p.Name, StopLimit)
+	}
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(signal syscall.Signal) { _ = p.cmd.Process.Signal(signal) }
+
+// Kill ends the process without notice and waits until it is gone.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Stop ends all processes. It removes the working directory unless keep is set.
+func (r *Runner) Stop(keep bool) {
+	for _, p := range r.processes {
+		_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	for _, p := range r.processes {
+		_ = p.Terminate()
+	}
+	if !keep {
+		_ = os.RemoveAll(r.dir)
+	}
+}
+
+// WaitFor polls a condition until it holds or the limit has passed.
+func WaitFor(ctx context.Context, limit time.Duration, what string, condition func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			return Error.New("timed out after %s waiting for %s", limit, what)
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// Status returns the HTTP status of a GET, or 0 if there was no response.
+func Status(url string) int {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get(url)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Addresses hands out free loopback addresses. Release frees the ports for the
+// processes once all addresses are assigned.
+type Addresses struct {
+	held []net.Listener
+}
+
+// Next returns an address that no other call returns before Release.
+func (a *Addresses) Next() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	a.held = append(a.held, l)
+	return l.Addr().String(), nil
+}
+
+// Assign fills each target with a free address.
+func (a *Addresses) Assign(targets ...*string) error {
+	for _, target := range targets {
+		next, err := a.Next()
+		if err != nil {
+			return err
+		}
+		*target = next
+	}
+	return nil
+}
+
+// Release frees the ports.
+func (a *Addresses) Release() {
+	for _, l := range a.held {
+		_ = l.Close()
+	}
+	a.held = nil
+}
