--- a/demo/ticket.go
+++ b/demo/ticket.go
@@ -72,7 +72,7 @@
 // cornelctl runs the operators' client, prints its output and returns its exit code.
 func (d *demo) cornelctl(ctx context.Context, args ...string) (int, error) {
 	args = append([]string{"--log", "http://" + d.logAddr}, args...)
-	cmd := exec.CommandContext(ctx, d.runner.Program("cornelctl"), args...) //nolint:gosec // built by make
+	cmd := exec.CommandContext(ctx, d.runner.Program("cornelctl"), args...)
 	output, err := cmd.CombinedOutput()
 	say("   cornelctl %s %s: %s", args[2], args[3], firstLine(output))
 	return cmd.ProcessState.ExitCode(), err
--- a/internal/procs/procs.go
+++ b/internal/procs/procs.go
@@ -70,12 +70,12 @@
 	if err != nil {
 		return nil, err
 	}
-	output, err := os.Create(filepath.Join(r.dir, name+".log")) //nolint:gosec // a name given by our own tools
+	output, err := os.Create(filepath.Join(r.dir, name+".log"))
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
 	defer func() { _ = output.Close() }()
-	cmd := exec.Command(r.Program(program), "--config", path) //nolint:gosec // built by make
+	cmd := exec.Command(r.Program(program), "--config", path)
 	cmd.Stdout, cmd.Stderr = output, output
 	if err := cmd.Start(); err != nil {
 		return nil, Error.New("cannot start %s: %w; run make build first", program, err)
