Classify broken engine streams and give the stand-in engine faults

Cause: every broken stream looked the same, so a crashed endpoint could not be told from a cut or silent connection, and a stand-in that never fails shows nothing.

Change: engine.Client takes a silence bound (3 s by default), probes over a new connection, cancels on the endpoint and exports KV caches. The stand-in has an incarnation, a bounded prefix cache, slots with priorities, cancel, resume, KV export and import, and faults over PUT /faults: delay, cut, freeze, crash on a marker, late, duplicated and crossed frames. Handoff messages carry the taker, a peek flag and the instance that took a request over; peer has the handoff client and server.

--- a/internal/core/request/frames.go
+++ b/internal/core/request/frames.go
@@ -91,7 +91,6 @@
 	delete(m.active, number)
 	m.phase = phaseEnded
 	return []Action{
-		CancelAttempt{Attempt: number},
 		ReportEnded{Attempt: number - m.earlier, Outcome: dispatch.AttemptCompleted, Generated: a.taken, Final: true},
 		Publish{},
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -18,114 +20,252 @@
 // Error is the class of errors of endpoint calls.
 var Error = errs.Class("endpoint")
 
+// errSilent is the cause that ends a stream without any byte.
+var errSilent = Error.New("no byte arrived within the silence bound")
+
 const (
 	// dialTimeout bounds the time to connect to an endpoint.
 	dialTimeout = time.Second
 	// SilenceBound is how long a stream may stay without any byte. Engines
 	// send a heartbeat comment every second.
 	SilenceBound = 3 * time.Second
+	// probeTimeout bounds the check whether new connections work.
+	probeTimeout = time.Second
+	// cancelTimeout bounds the request that cancels a stream.
+	cancelTimeout = time.Second
+	// exportTimeout bounds the export of one KV cache, which waits for the
+	// exports before it.
+	exportTimeout = 30 * time.Second
 	// maxEventBytes bounds one server-sent event.
 	maxEventBytes  = 1 << 20
+	maxReplyBytes  = 64 << 10
 	maxIdlePerHost = 64
 	idleTimeout    = 30 * time.Second
 )
 
 // Client opens completions on model engines.
 type Client struct {
-	http *http.Client
+	http    *http.Client
+	fresh   *http.Client
+	silence time.Duration
 }
 
-// NewClient returns an engine client.
-func NewClient() *Client {
+// NewClient returns an engine client with the default silence bound.
+func NewClient() *Client { return NewClientWithBound(SilenceBound) }
+
+// NewClientWithBound returns an engine client that abandons a stream after the
+// given time without any byte.
+func NewClientWithBound(silence time.Duration) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleTimeout,
-	}}}
-}
-
-// Stream runs one attempt and passes each frame to emit until the answer is
-// whole, ctx ends or the attempt fails. The returned failure is nil only if
-// the last frame was emitted or ctx ended.
-func (c *Client) Stream(ctx context.Context, address string, body CompletionRequest, emit func(request.Frame)) *request.AttemptFailed {
-	attempt := fleet.AttemptNumber(body.Attempt)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silence := time.AfterFunc(SilenceBound, cancel)
-	defer silence.Stop()
+	return &Client{
+		silence: silence,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: maxIdlePerHost,
+			IdleConnTimeout:     idleTimeout,
+		}},
+		// Probes, cancels and exports use new connections, since the existing
+		// ones may be silent.
+		fresh: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}},
+	}
+}
+
+// attemptStream is one running attempt.
+type attemptStream struct {
+	client      *Client
+	address     string
+	attempt     fleet.AttemptNumber
+	incarnation string
+	// finished: the frame with the finish reason was emitted.
+	finished bool
+	silence  *time.Timer
+	emit     func(request.Frame)
+}
 
-	resp, err := c.open(ctx, address, body)
+// Stream runs one attempt and passes each frame to emit until the endpoint
+// closes the stream, ctx ends or the attempt fails. It returns nil if ctx
+// ended, request.StreamEnded if the endpoint closed the stream properly, and
+// request.AttemptFailed otherwise.
+func (c *Client) Stream(ctx context.Context, address string, body CompletionRequest, emit func(request.Frame)) request.Message {
+	s := &attemptStream{client: c, address: address, attempt: fleet.AttemptNumber(body.Attempt), emit: emit}
+	streamCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	s.silence = time.AfterFunc(c.silence, func() { cancel(errSilent) })
+	defer s.silence.Stop()
+	result := s.run(streamCtx, body)
+	if ctx.Err() != nil && !s.finished {
+		c.cancel(context.WithoutCancel(ctx), address, StreamRef{RequestID: body.RequestID, Attempt: body.Attempt})
+		return nil
+	}
+	if result == nil || s.finished {
+		return request.StreamEnded{Attempt: s.attempt}
+	}
+	if result.Failure == request.FailureBroken {
+		if errors.Is(context.Cause(streamCtx), errSilent) {
+			result.Failure, result.Detail = request.FailureSilent, errSilent.Error()
+		}
+		if c.crashed(ctx, address, s.incarnation) {
+			result.Failure = request.FailureCrash
+		}
+	}
+	result.Incarnation = s.incarnation
+	return *result
+}
+
+// run returns nil if the endpoint closed the stream properly.
+func (s *attemptStream) run(ctx context.Context, body CompletionRequest) *request.AttemptFailed {
+	resp, err := s.client.open(ctx, s.address, body)
 	if err != nil {
-		return sendFailure(attempt, err)
+		return s.sendFailure(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	s.incarnation = resp.Header.Get(IncarnationHeader)
 	if resp.StatusCode != http.StatusOK {
-		return statusFailure(attempt, resp)
+		return s.statusFailure(resp)
 	}
-	return readFrames(resp, attempt, silence, emit)
+	return s.readFrames(resp)
 }
 
 func (c *Client) open(ctx context.Context, address string, body CompletionRequest) (*http.Response, error) {
+	req, err := newRequest(ctx, http.MethodPost, "http://"+address+"/v1/completions", body)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Accept", "text/event-stream")
+	return c.http.Do(req)
+}
+
+func newRequest(ctx context.Context, method, url string, body any) (*http.Request, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/completions", bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("Accept", "text/event-stream")
-	return c.http.Do(req)
+	return req, nil
 }
 
-func readFrames(resp *http.Response, attempt fleet.AttemptNumber, silence *time.Timer, emit func(request.Frame)) *request.AttemptFailed {
+func (s *attemptStream) readFrames(resp *http.Response) *request.AttemptFailed {
 	scanner := bufio.NewScanner(resp.Body)
 	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	for scanner.Scan() {
-		silence.Reset(SilenceBound)
+		// Time spent in emit is the router's own and does not count as silence.
+		s.silence.Stop()
 		data, ok := bytes.CutPrefix(scanner.Bytes(), []byte("data: "))
-		if !ok {
-			continue
-		}
-		if bytes.Equal(data, []byte("[DONE]")) {
+		if ok && bytes.Equal(data, []byte("[DONE]")) {
 			return nil
 		}
-		var chunk CompletionChunk
-		if err := json.Unmarshal(data, &chunk); err != nil {
-			return &request.AttemptFailed{Attempt: attempt, Failure: request.FailureBroken, Detail: "malformed frame: " + err.Error()}
+		if ok {
+			if s.finished {
+				return s.broken("a frame arrived after the last one")
+			}
+			var chunk CompletionChunk
+			if err := json.Unmarshal(data, &chunk); err != nil {
+				return s.broken("malformed frame: " + err.Error())
+			}
+			s.emitChunk(chunk)
 		}
-		emitChunk(attempt, chunk, emit)
+		s.silence.Reset(s.client.silence)
 	}
-	detail := "the stream ended before the answer was whole"
 	if err := scanner.Err(); err != nil {
-		detail = err.Error()
+		return s.broken(err.Error())
 	}
-	return &request.AttemptFailed{Attempt: attempt, Failure: request.FailureBroken, Detail: detail}
+	return s.broken("the stream ended before the answer was whole")
 }
 
-func emitChunk(stream fleet.AttemptNumber, chunk CompletionChunk, emit func(request.Frame)) {
+func (s *attemptStream) emitChunk(chunk CompletionChunk) {
 	for _, choice := range chunk.Choices {
-		emit(request.Frame{
-			Stream:  stream,
+		s.emit(request.Frame{
+			Stream:  s.attempt,
 			Request: fleet.RequestID(chunk.RequestID),
 			Attempt: fleet.AttemptNumber(chunk.Attempt),
 			Index:   choice.Index,
 			Text:    choice.Text,
 			Finish:  choice.FinishReason,
 		})
+		s.finished = s.finished || choice.FinishReason != ""
 	}
 }
 
-func sendFailure(attempt fleet.AttemptNumber, err error) *request.AttemptFailed {
-	return &request.AttemptFailed{Attempt: attempt, Failure: request.FailureBroken, Detail: err.Error()}
+func (s *attemptStream) broken(detail string) *request.AttemptFailed {
+	return &request.AttemptFailed{Attempt: s.attempt, Failure: request.FailureBroken, Detail: detail}
 }
 
-func statusFailure(attempt fleet.AttemptNumber, resp *http.Response) *request.AttemptFailed {
+// sendFailure tells a connection that was never made from one that broke.
+func (s *attemptStream) sendFailure(err error) *request.AttemptFailed {
+	failed := s.broken(err.Error())
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		failed.Failure = request.FailureUnreachable
+	}
+	return failed
+}
+
+func (s *attemptStream) statusFailure(resp *http.Response) *request.AttemptFailed {
 	failure := request.FailureError
 	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
 		failure = request.FailureRejected
 	}
-	return &request.AttemptFailed{Attempt: attempt, Failure: failure, Detail: "status " + resp.Status}
+	return &request.AttemptFailed{Attempt: s.attempt, Failure: failure, Detail: "status " + resp.Status}
+}
+
+// crashed reports whether the endpoint process that had the given incarnation
+// is gone: a new connection is refused or reaches another incarnation. A probe
+// without an answer proves nothing, so the endpoint is not blamed for it.
+func (c *Client) crashed(ctx context.Context, address, incarnation string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var status Status
+	err := c.call(ctx, http.MethodGet, "http://"+address+StatusPath, nil, &status)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	return incarnation != "" && status.Incarnation != "" && status.Incarnation != incarnation
+}
+
+// cancel stops a stream on the endpoint. Closing the connection is not enough
+// if the connection is silent.
+func (c *Client) cancel(ctx context.Context, address string, ref StreamRef) {
+	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
+	defer stop()
+	_ = c.call(ctx, http.MethodPost, "http://"+address+CancelPath, ref, nil)
+}
+
+// Export stops a stream on the endpoint and exports its KV cache. It returns
+// the URL of the cache, or an error if the successor must recompute.
+func (c *Client) Export(ctx context.Context, address string, ref StreamRef) (string, error) {
+	ctx, stop := context.WithTimeout(ctx, exportTimeout)
+	defer stop()
+	var exported Exported
+	if err := c.call(ctx, http.MethodPost, "http://"+address+ExportPath, ref, &exported); err != nil {
+		return "", err
+	}
+	return "http://" + address + exported.Path, nil
+}
+
+// call sends a request over a new connection and decodes the JSON reply into
+// out, unless out is nil.
+func (c *Client) call(ctx context.Context, method, url string, body, out any) error {
+	req, err := newRequest(ctx, method, url, body)
+	if err != nil {
+		return err
+	}
+	resp, err := c.fresh.Do(req)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return Error.New("%s %s: status %s", method, url, resp.Status)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxReplyBytes)).Decode(out); err != nil {
+		return Error.New("%s %s: malformed reply: %w", method, url, err)
+	}
+	return nil
 }
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -19,6 +19,44 @@
 	// Resume is the text that an earlier attempt produced, in NextIndex tokens.
 	Resume    string `json:"resume,omitempty"`
 	NextIndex int    `json:"next_index,omitempty"`
+	// ImportFrom is the URL of an exported KV cache that covers prompt and
+	// resume text; an engine that can't import it recomputes.
+	ImportFrom string `json:"import_from,omitempty"`
+}
+
+// Paths and headers of the engine interface beside completions.
+const (
+	// IncarnationHeader carries the identity of the engine process.
+	IncarnationHeader = "X-Engine-Incarnation"
+	StatusPath        = "/v1/status"
+	CancelPath        = "/v1/cancel"
+	ExportPath        = "/v1/kv/export"
+	KVPath            = "/v1/kv/"
+)
+
+// Status is the answer to GET /v1/status.
+type Status struct {
+	// Incarnation changes whenever the engine process restarts.
+	Incarnation string `json:"incarnation"`
+	// Running and Waiting count streams.
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	// PrefilledTokens counts the prompt tokens processed since the start that
+	// were neither cached nor imported.
+	PrefilledTokens int `json:"prefilled_tokens"`
+}
+
+// StreamRef is the body of POST /v1/cancel and POST /v1/kv/export.
+type StreamRef struct {
+	RequestID string `json:"request_id"`
+	Attempt   uint32 `json:"attempt"`
+}
+
+// Exported is the answer to POST /v1/kv/export. The stream has stopped.
+type Exported struct {
+	// Path is where the KV cache can be fetched once.
+	Path   string `json:"path"`
+	Tokens int    `json:"tokens"`
 }
 
 // CompletionChunk is one server-sent event of a completion.
--- /dev/null
+++ b/internal/peer/handoff.go
@@ -0,0 +1,182 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
+	"github.com/cornelhold/cornelhold/gen/cornelhold/v1/cornelholdv1connect"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/request"
+)
+
+const (
+	// handoffDialTimeout bounds the time to connect to a peer, handoffTimeout a
+	// whole call. A leaving router has only seconds to try another peer.
+	handoffDialTimeout = 500 * time.Millisecond
+	handoffTimeout     = 2 * time.Second
+)
+
+// OpenRequest is an open request as routers hand it to each other.
+type OpenRequest struct {
+	ID        fleet.RequestID
+	Team      fleet.TeamName
+	Service   fleet.ServiceName
+	Class     fleet.Class
+	Adapter   string
+	Model     string
+	Prompt    string
+	MaxTokens int
+	// Wait is the time left until the request must be granted; 0 means no bound.
+	Wait   time.Duration
+	Record request.Record
+}
+
+// Taken is the answer to Take.
+type Taken struct {
+	// Request is nil if the callee does not hold the request.
+	Request *OpenRequest
+	// MovedTo names the instance that took the request over earlier.
+	MovedTo fleet.InstanceID
+}
+
+// TakeCall asks for an open request of a team. Peek leaves it where it is.
+type TakeCall struct {
+	ID    fleet.RequestID
+	Team  fleet.TeamName
+	Taker fleet.InstanceID
+	Peek  bool
+}
+
+// HandoffHandler is implemented by the router.
+type HandoffHandler interface {
+	// Offer stores a request of a leaving router and reports whether it did.
+	Offer(ctx context.Context, r OpenRequest) bool
+	// Take gives a request to the router that its caller reconnected to.
+	Take(ctx context.Context, call TakeCall) Taken
+}
+
+// HandoffService serves the handler to other own instances.
+func HandoffService(h HandoffHandler) Service {
+	return func(mux *http.ServeMux) {
+		mux.Handle(cornelholdv1connect.NewHandoffHandler(&handoffServer{handler: h}))
+	}
+}
+
+type handoffServer struct {
+	handler HandoffHandler
+}
+
+// Offer implements the generated interface.
+func (s *handoffServer) Offer(ctx context.Context, req *connect.Request[cornelholdv1.OfferRequest]) (*connect.Response[cornelholdv1.OfferResponse], error) {
+	accepted := req.Msg.GetRecord() != nil && s.handler.Offer(ctx, fromRecord(req.Msg.GetRecord()))
+	return connect.NewResponse(&cornelholdv1.OfferResponse{Accepted: accepted}), nil
+}
+
+// Take implements the generated interface.
+func (s *handoffServer) Take(ctx context.Context, req *connect.Request[cornelholdv1.TakeRequest]) (*connect.Response[cornelholdv1.TakeResponse], error) {
+	taken := s.handler.Take(ctx, TakeCall{
+		ID: fleet.RequestID(req.Msg.GetRequestId()), Team: fleet.TeamName(req.Msg.GetTeam()),
+		Taker: fleet.InstanceID(req.Msg.GetTaker()), Peek: req.Msg.GetPeek(),
+	})
+	resp := &cornelholdv1.TakeResponse{MovedTo: string(taken.MovedTo)}
+	if taken.Request != nil {
+		resp.Found = true
+		resp.Record = toRecord(*taken.Request)
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// HandoffClient calls the handoff service of other own instances.
+type HandoffClient struct {
+	http *http.Client
+}
+
+// NewHandoffClient returns a client whose calls are bounded by 2 s each.
+func NewHandoffClient() *HandoffClient {
+	dialer := &net.Dialer{Timeout: handoffDialTimeout}
+	return &HandoffClient{http: &http.Client{
+		Timeout:   handoffTimeout,
+		Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout},
+	}}
+}
+
+// Offer hands a request to the peer at the address. An error of class Error
+// means that the peer may not hold it and another one must be tried.
+func (c *HandoffClient) Offer(ctx context.Context, address string, r OpenRequest) error {
+	resp, err := c.service(address).Offer(ctx, connect.NewRequest(&cornelholdv1.OfferRequest{Record: toRecord(r)}))
+	if err != nil {
+		return Error.New("peer %s did not answer an offer: %w; another peer is tried", address, err)
+	}
+	if !resp.Msg.GetAccepted() {
+		return Error.New("peer %s declined an offer; another peer is tried", address)
+	}
+	return nil
+}
+
+// Take asks the peer at the address for a request.
+func (c *HandoffClient) Take(ctx context.Context, address string, call TakeCall) (Taken, error) {
+	resp, err := c.service(address).Take(ctx, connect.NewRequest(&cornelholdv1.TakeRequest{
+		RequestId: string(call.ID), Team: string(call.Team), Taker: string(call.Taker), Peek: call.Peek,
+	}))
+	if err != nil {
+		return Taken{}, Error.New("peer %s did not answer a take: %w; another peer is asked", address, err)
+	}
+	taken := Taken{MovedTo: fleet.InstanceID(resp.Msg.GetMovedTo())}
+	if resp.Msg.GetFound() && resp.Msg.GetRecord() != nil {
+		r := fromRecord(resp.Msg.GetRecord())
+		taken.Request = &r
+	}
+	return taken, nil
+}
+
+func (c *HandoffClient) service(address string) cornelholdv1connect.HandoffClient {
+	return cornelholdv1connect.NewHandoffClient(c.http, "http://"+address)
+}
+
+func toRecord(r OpenRequest) *cornelholdv1.RequestRecord {
+	record := &cornelholdv1.RequestRecord{
+		RequestId: string(r.ID), Team: string(r.Team), Service: string(r.Service), Adapter: r.Adapter,
+		Prompt: r.Prompt, MaxTokens: int32(r.MaxTokens), RequestClass: int32(r.Class), Model: r.Model,
+		Frames: r.Record.Frames, Finish: r.Record.Finish, Streamed: r.Record.Streamed,
+		Attempts: uint32(r.Record.Attempts), Crashes: uint32(r.Record.Crashes), DeadlineLeftMs: r.Wait.Milliseconds(),
+	}
+	if refusal := r.Record.Refusal; refusal != nil {
+		record.RefusalKind = string(refusal.Kind)
+		record.RefusalRun = refusal.Run.String()
+		record.RefusalRemedy = refusal.Remedy
+	}
+	return record
+}
+
+func fromRecord(r *cornelholdv1.RequestRecord) OpenRequest {
+	open := OpenRequest{
+		ID: fleet.RequestID(r.GetRequestId()), Team: fleet.TeamName(r.GetTeam()),
+		Service: fleet.ServiceName(r.GetService()), Class: fleet.Class(r.GetRequestClass()),
+		Adapter: r.GetAdapter(), Model: r.GetModel(), Prompt: r.GetPrompt(), MaxTokens: int(r.GetMaxTokens()),
+		Wait: time.Duration(r.GetDeadlineLeftMs()) * time.Millisecond,
+		Record: request.Record{
+			Streamed: r.GetStreamed(), Frames: r.GetFrames(), Finish: r.GetFinish(),
+			Attempts: fleet.AttemptNumber(r.GetAttempts()), Crashes: int(r.GetCrashes()),
+		},
+	}
+	if r.GetRefusalKind() != "" {
+		open.Record.Refusal = &fleet.Refusal{
+			Kind: fleet.RefusalKind(r.GetRefusalKind()), Run: parseRun(r.GetRefusalRun()), Remedy: r.GetRefusalRemedy(),
+		}
+	}
+	return open
+}
+
+func parseRun(name string) fleet.RunState {
+	for _, run := range []fleet.RunState{fleet.RunNotRun, fleet.RunRan} {
+		if run.String() == name {
+			return run
+		}
+	}
+	return fleet.RunUnknown
+}
--- a/internal/router/requesttask.go
+++ b/internal/router/requesttask.go
@@ -108,8 +108,8 @@
 	}
 	go func() {
 		emit := func(f request.Frame) { _ = t.mailbox.Send(attemptCtx, coreMessage{message: f}) }
-		if failed := t.engine.Stream(attemptCtx, a.Endpoint.Address, body, emit); failed != nil {
-			_ = t.mailbox.Send(attemptCtx, coreMessage{message: *failed})
+		if result := t.engine.Stream(attemptCtx, a.Endpoint.Address, body, emit); result != nil {
+			_ = t.mailbox.Send(attemptCtx, coreMessage{message: result})
 		}
 	}()
 }
--- a/internal/standin/modelengine/engine.go
+++ b/internal/standin/modelengine/engine.go
@@ -1,6 +1,9 @@
 // Package modelengine is a stand-in of a model engine. Its answer is a
 // deterministic function of the prompt, so that a test can check a resumed
 // answer token by token.
+//
+// The state task owns slots, cache, exports and faults; each HTTP handler owns
+// its stream; the server task owns the listener and restarts after a crash.
 package modelengine
 
 import (
@@ -8,40 +11,130 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/zeebo/errs"
 
 	"github.com/cornelhold/cornelhold/internal/engine"
+	"github.com/cornelhold/cornelhold/internal/task"
 )
 
+// Error is the class of errors of the stand-in.
+var Error = errs.Class("model engine stand-in")
+
 const (
 	maxBodyBytes      = 8 << 20
 	heartbeatInterval = time.Second
+	headerTimeout     = 5 * time.Second
+	importTimeout     = 2 * time.Second
+	// listenRetry separates attempts to take back the address after a crash.
+	listenRetry = 20 * time.Millisecond
 )
 
 // Settings configures the stand-in.
 type Settings struct {
 	// TokenInterval is the time between two tokens.
 	TokenInterval time.Duration `yaml:"token_interval" validate:"min=0"`
-	// PrefillPerToken is the time to process one prompt token.
+	// PrefillPerToken is the time to process one prompt token that is not cached.
 	PrefillPerToken time.Duration `yaml:"prefill_per_token" validate:"min=0"`
+	// ExportPerToken is the time to export the KV cache of one token; 0 means
+	// that the engine can't export.
+	ExportPerToken time.Duration `yaml:"export_per_token" validate:"min=0"`
+	// Slots is how many streams run at once; 0 means 64.
+	Slots int `yaml:"slots" validate:"min=0"`
+	// CacheTokens is the size of the prefix cache; 0 means 1 Mi tokens.
+	CacheTokens int `yaml:"cache_tokens" validate:"min=0"`
 }
 
 // Engine serves completions.
 type Engine struct {
 	settings Settings
+	state    *state
+	client   *http.Client
+}
+
+// New returns an engine stand-in. It serves once Run or Serve is running.
+func New(settings Settings) *Engine {
+	return &Engine{settings: settings, state: newState(settings), client: &http.Client{Timeout: importTimeout}}
+}
+
+// Run owns the engine's state until ctx ends.
+func (e *Engine) Run(ctx context.Context) error { return e.state.Run(ctx) }
+
+// Serve runs the engine on an address until ctx ends. After a crash it returns
+// with a new incarnation if the fault says so.
+func (e *Engine) Serve(ctx context.Context, address string) error {
+	group := task.NewGroup(ctx)
+	group.Go("state", e.Run)
+	group.Go("server", func(ctx context.Context) error { return e.serve(ctx, address) })
+	return group.Wait()
+}
+
+func (e *Engine) serve(ctx context.Context, address string) error {
+	for ctx.Err() == nil {
+		listener, err := listen(ctx, address)
+		if err != nil {
+			return err
+		}
+		server := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: headerTimeout}
+		done := make(chan error, 1)
+		go func() { done <- server.Serve(listener) }()
+		select {
+		case <-ctx.Done():
+			_ = server.Close()
+			return nil
+		case err := <-done:
+			return err
+		case crash := <-e.state.crashed:
+			_ = server.Close()
+			if crash.RestartMillis == 0 {
+				<-ctx.Done()
+				return nil
+			}
+			_ = e.state.mailbox.Send(ctx, restartMessage{})
+			pause(ctx, time.Duration(crash.RestartMillis)*time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// listen takes the address, which a crashed server may still hold for a moment.
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	for try := 0; ; try++ {
+		listener, err := config.Listen(ctx, "tcp", address)
+		if err == nil {
+			return listener, nil
+		}
+		if try == 50 || ctx.Err() != nil {
+			return nil, Error.New("cannot listen on %s: %w; free the port or change the setting", address, err)
+		}
+		pause(ctx, listenRetry)
+	}
 }
 
-// New returns an engine stand-in.
-func New(settings Settings) *Engine { return &Engine{settings: settings} }
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
 
 // Handler returns the HTTP interface of the engine.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", e.handleCompletion)
+	mux.HandleFunc("GET "+engine.StatusPath, e.handleStatus)
+	mux.HandleFunc("POST "+engine.CancelPath, e.handleCancel)
+	mux.HandleFunc("POST "+engine.ExportPath, e.handleExport)
+	mux.HandleFunc("GET "+engine.KVPath+"{id}", e.handleImport)
+	mux.HandleFunc("PUT /faults", e.handleFaults)
 	return mux
 }
 
@@ -59,65 +152,84 @@
 	return b.String()
 }
 
-func (e *Engine) handleCompletion(w http.ResponseWriter, r *http.Request) {
-	var body engine.CompletionRequest
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&body); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+func (e *Engine) handleStatus(w http.ResponseWriter, r *http.Request) {
+	reply := make(chan engine.Status, 1)
+	if status, ok := ask(r.Context(), e, statusMessage{reply: reply}, reply); ok {
+		writeJSON(w, status)
+	}
+}
+
+func (e *Engine) handleCancel(w http.ResponseWriter, r *http.Request) {
+	if ref, ok := decode[engine.StreamRef](w, r); ok {
+		_ = e.state.mailbox.Send(r.Context(), cancelMessage{key: keyOf(ref)})
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func (e *Engine) handleExport(w http.ResponseWriter, r *http.Request) {
+	ref, ok := decode[engine.StreamRef](w, r)
+	if !ok {
 		return
 	}
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.WriteHeader(http.StatusOK)
-	out := &eventWriter{w: w, flusher: w.(http.Flusher)}
-	if !out.wait(r.Context(), e.settings.PrefillPerToken*time.Duration(len(body.Prompt)/4)) {
+	reply := make(chan exportReply, 1)
+	export, ok := ask(r.Context(), e, exportMessage{key: keyOf(ref), reply: reply}, reply)
+	if !ok || export.tokens == 0 {
+		http.Error(w, "the stream does not run here or the engine can't export", http.StatusConflict)
 		return
 	}
-	for i := body.NextIndex; i < body.MaxTokens; i++ {
-		if !out.wait(r.Context(), e.settings.TokenInterval) {
-			return
-		}
-		out.chunk(body, i)
+	pause(r.Context(), export.wait)
+	writeJSON(w, engine.Exported{Path: engine.KVPath + export.id, Tokens: export.tokens})
+}
+
+func (e *Engine) handleImport(w http.ResponseWriter, r *http.Request) {
+	reply := make(chan kvEntry, 1)
+	entry, ok := ask(r.Context(), e, importMessage{id: r.PathValue("id"), reply: reply}, reply)
+	if !ok || entry.Tokens == 0 {
+		http.NotFound(w, r)
+		return
 	}
-	out.done()
+	writeJSON(w, entry)
 }
 
-type eventWriter struct {
-	w       io.Writer
-	flusher http.Flusher
+func (e *Engine) handleFaults(w http.ResponseWriter, r *http.Request) {
+	faults, ok := decode[Faults](w, r)
+	if !ok {
+		return
+	}
+	done := make(chan struct{})
+	if _, ok := ask(r.Context(), e, faultsMessage{faults: faults, reply: done}, done); ok || r.Context().Err() == nil {
+		w.WriteHeader(http.StatusNoContent)
+	}
 }
 
-// wait pauses for d and writes heartbeats meanwhile. It reports false when the
-// caller left.
-func (o *eventWriter) wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	heartbeat := time.NewTicker(heartbeatInterval)
-	defer heartbeat.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-timer.C:
-			return true
-		case <-heartbeat.C:
-			_, _ = io.WriteString(o.w, ": heartbeat\n\n")
-			o.flusher.Flush()
-		}
+func keyOf(ref engine.StreamRef) streamKey {
+	return streamKey{request: ref.RequestID, attempt: ref.Attempt}
+}
+
+// ask posts a message to the state task and waits for the reply.
+func ask[T any](ctx context.Context, e *Engine, msg any, reply <-chan T) (T, bool) {
+	var zero T
+	if e.state.mailbox.Send(ctx, msg) != nil {
+		return zero, false
+	}
+	select {
+	case value, ok := <-reply:
+		return value, ok
+	case <-ctx.Done():
+		return zero, false
 	}
 }
 
-func (o *eventWriter) chunk(body engine.CompletionRequest, index int) {
-	choice := engine.CompletionChoice{Index: index, Text: Token(body.Prompt, index)}
-	if index == body.MaxTokens-1 {
-		choice.FinishReason = "length"
+func decode[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
+	var body T
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return body, false
 	}
-	data, _ := json.Marshal(engine.CompletionChunk{
-		RequestID: body.RequestID, Attempt: body.Attempt, Choices: []engine.CompletionChoice{choice},
-	})
-	_, _ = fmt.Fprintf(o.w, "data: %s\n\n", data)
-	o.flusher.Flush()
+	return body, true
 }
 
-func (o *eventWriter) done() {
-	_, _ = io.WriteString(o.w, "data: [DONE]\n\n")
-	o.flusher.Flush()
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
 }
--- /dev/null
+++ b/internal/standin/modelengine/state.go
@@ -0,0 +1,300 @@
+package modelengine
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/engine"
+	"github.com/cornelhold/cornelhold/internal/task"
+)
+
+const (
+	mailboxCapacity = 1024
+	bytesPerToken   = 4
+	defaultSlots    = 64
+)
+
+// Faults are switched on by PUT /faults. The zero value means none.
+type Faults struct {
+	// Streams is how many of the next streams get the stream faults; 0 means all.
+	Streams int `json:"streams"`
+	// DelayMillis is added before every token.
+	DelayMillis int64 `json:"delay_ms"`
+	// CutAfter closes the connection after that many tokens; 0 means never.
+	CutAfter int `json:"cut_after"`
+	// FreezeAfter stops writing anything after that many tokens and keeps the
+	// connection open; 0 means never.
+	FreezeAfter int `json:"freeze_after"`
+	// Late sends every second token after its successor.
+	Late bool `json:"late"`
+	// Duplicate sends every token twice.
+	Duplicate bool `json:"duplicate"`
+	// Crossed adds frames of other streams and of an earlier attempt.
+	Crossed bool `json:"crossed"`
+	// CrashMarker crashes the engine when a prompt that contains it has got
+	// CrashAfter tokens. All streams break and the listener closes.
+	CrashMarker string `json:"crash_marker"`
+	CrashAfter  int    `json:"crash_after"`
+	// RestartMillis is the time until the engine returns with a new incarnation
+	// after a crash; 0 means that it does not return.
+	RestartMillis int64 `json:"restart_ms"`
+}
+
+// streamKey identifies a running stream.
+type streamKey struct {
+	request string
+	attempt uint32
+}
+
+type stream struct {
+	key      streamKey
+	body     engine.CompletionRequest
+	priority int
+	arrival  uint64
+	running  bool
+	faults   Faults
+	// tokens is the number of tokens that the stream has sent.
+	tokens int
+	// stop is closed to end the stream.
+	stop  chan struct{}
+	start chan startReply
+}
+
+type startReply struct {
+	cached int
+	faults Faults
+}
+
+// Messages to the state task.
+type (
+	startMessage struct {
+		stream *stream
+	}
+	prefillMessage struct {
+		tokens int
+	}
+	tokenMessage struct {
+		stream *stream
+		// reply receives the key of another running stream, if any.
+		reply chan streamKey
+	}
+	endMessage struct {
+		stream *stream
+	}
+	cancelMessage struct {
+		key streamKey
+	}
+	exportMessage struct {
+		key   streamKey
+		reply chan exportReply
+	}
+	importMessage struct {
+		id    string
+		reply chan kvEntry
+	}
+	faultsMessage struct {
+		faults Faults
+		reply  chan struct{}
+	}
+	statusMessage struct {
+		reply chan engine.Status
+	}
+	restartMessage struct{}
+)
+
+type exportReply struct {
+	id string
+	// tokens is the size of the cache; 0 means that the stream is unknown.
+	tokens int
+	// wait is the time until earlier exports and this one are done.
+	wait time.Duration
+}
+
+type kvEntry struct {
+	Tokens int `json:"tokens"`
+}
+
+// state is owned by the state task.
+type state struct {
+	settings    Settings
+	clock       task.Clock
+	mailbox     task.Mailbox[any]
+	crashed     chan Faults
+	incarnation int
+	arrivals    uint64
+	streams     map[streamKey]*stream
+	cache       *prefixCache
+	exports     map[string]kvEntry
+	exportBusy  time.Duration
+	faults      Faults
+	faulty      int
+	prefilled   int
+}
+
+func newState(s Settings) *state {
+	st := &state{
+		settings: s, clock: task.NewClock(), mailbox: task.NewMailbox[any](mailboxCapacity),
+		crashed: make(chan Faults, 1), faulty: -1,
+	}
+	st.reset()
+	return st
+}
+
+func (s *state) reset() {
+	s.incarnation++
+	s.streams = make(map[streamKey]*stream)
+	s.exports = make(map[string]kvEntry)
+	s.cache = newPrefixCache(s.settings.CacheTokens)
+	s.exportBusy = 0
+}
+
+// Run owns the state until ctx ends.
+func (s *state) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case msg := <-s.mailbox.Receive():
+			s.handle(msg)
+		}
+	}
+}
+
+func (s *state) handle(msg any) {
+	switch msg := msg.(type) {
+	case startMessage:
+		s.arrivals++
+		msg.stream.arrival = s.arrivals
+		s.streams[msg.stream.key] = msg.stream
+		s.admit()
+	case prefillMessage:
+		s.prefilled += msg.tokens
+	case tokenMessage:
+		msg.reply <- s.other(msg.stream.key)
+		s.token(msg.stream)
+	case endMessage:
+		s.end(msg.stream)
+	case cancelMessage:
+		if st, ok := s.streams[msg.key]; ok {
+			close(st.stop)
+			s.end(st)
+		}
+	case exportMessage:
+		msg.reply <- s.export(msg.key)
+	case importMessage:
+		msg.reply <- s.exports[msg.id]
+		delete(s.exports, msg.id)
+	case faultsMessage:
+		s.faults = msg.faults
+		s.faulty = msg.faults.Streams
+		if s.faulty == 0 {
+			s.faulty = -1
+		}
+		close(msg.reply)
+	case statusMessage:
+		msg.reply <- s.status()
+	case restartMessage:
+		s.reset()
+	}
+}
+
+func (s *state) status() engine.Status {
+	running := 0
+	for _, st := range s.streams {
+		if st.running {
+			running++
+		}
+	}
+	return engine.Status{
+		Incarnation: fmt.Sprint(s.incarnation), Running: running, Waiting: len(s.streams) - running,
+		PrefilledTokens: s.prefilled,
+	}
+}
+
+// admit starts waiting streams in the order of priority and arrival.
+func (s *state) admit() {
+	slots := s.settings.Slots
+	if slots == 0 {
+		slots = defaultSlots
+	}
+	var waiting []*stream
+	for _, st := range s.streams {
+		if st.running {
+			slots--
+		} else {
+			waiting = append(waiting, st)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *stream) int {
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.arrival, b.arrival))
+	})
+	for _, st := range waiting[:min(max(slots, 0), len(waiting))] {
+		st.running = true
+		if s.faulty != 0 {
+			st.faults = s.faults
+			s.faulty--
+		}
+		cached := s.cache.find(st.body.Prompt + st.body.Resume)
+		st.start <- startReply{cached: cached, faults: st.faults}
+	}
+}
+
+func (s *state) token(st *stream) {
+	st.tokens++
+	f := s.faults
+	if f.CrashMarker == "" || !strings.Contains(st.body.Prompt, f.CrashMarker) || st.tokens < f.CrashAfter {
+		return
+	}
+	select {
+	case s.crashed <- f:
+	default:
+	}
+}
+
+func (s *state) end(st *stream) {
+	if s.streams[st.key] != st {
+		return
+	}
+	delete(s.streams, st.key)
+	s.cache.store(st.context())
+	s.admit()
+}
+
+func (s *state) export(key streamKey) exportReply {
+	st, ok := s.streams[key]
+	if !ok || s.settings.ExportPerToken <= 0 {
+		return exportReply{}
+	}
+	tokens := len(st.context()) / bytesPerToken
+	now := s.clock.Now()
+	s.exportBusy = max(s.exportBusy, now) + time.Duration(tokens)*s.settings.ExportPerToken
+	id := fmt.Sprintf("%s-%d", key.request, key.attempt)
+	s.exports[id] = kvEntry{Tokens: tokens}
+	close(st.stop)
+	s.end(st)
+	return exportReply{id: id, tokens: tokens, wait: s.exportBusy - now}
+}
+
+func (s *state) other(key streamKey) streamKey {
+	for k := range s.streams {
+		if k != key {
+			return k
+		}
+	}
+	return streamKey{}
+}
+
+// context returns the text that the stream's KV cache covers.
+func (st *stream) context() string {
+	var b strings.Builder
+	b.WriteString(st.body.Prompt)
+	b.WriteString(st.body.Resume)
+	for i := range st.tokens {
+		b.WriteString(Token(st.body.Prompt, st.body.NextIndex+i))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/standin/modelengine/stream.go
@@ -0,0 +1,191 @@
+package modelengine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/engine"
+)
+
+func (e *Engine) handleCompletion(w http.ResponseWriter, r *http.Request) {
+	body, ok := decode[engine.CompletionRequest](w, r)
+	if !ok {
+		return
+	}
+	status := make(chan engine.Status, 1)
+	current, ok := ask(r.Context(), e, statusMessage{reply: status}, status)
+	if !ok {
+		return
+	}
+	st := &stream{
+		key: streamKey{request: body.RequestID, attempt: body.Attempt}, body: body, priority: body.Priority,
+		stop: make(chan struct{}), start: make(chan startReply, 1),
+	}
+	if e.state.mailbox.Send(r.Context(), startMessage{stream: st}) != nil {
+		return
+	}
+	// The state task must learn of the end even when the caller is gone.
+	defer func() { _ = e.state.mailbox.Send(context.WithoutCancel(r.Context()), endMessage{stream: st}) }()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(engine.IncarnationHeader, current.Incarnation)
+	w.WriteHeader(http.StatusOK)
+	out := &eventWriter{w: w, flusher: w.(http.Flusher), stop: st.stop}
+	out.flusher.Flush()
+	if start, ok := out.waitStart(r.Context(), st.start); ok {
+		e.run(r.Context(), out, st, start)
+	}
+}
+
+// run generates the tokens of a started stream and applies its faults.
+func (e *Engine) run(ctx context.Context, out *eventWriter, st *stream, start startReply) {
+	body, faults := st.body, start.faults
+	cached := max(start.cached, e.importKV(ctx, body.ImportFrom))
+	uncached := max(len(body.Prompt+body.Resume)/bytesPerToken-cached, 0)
+	if e.state.mailbox.Send(ctx, prefillMessage{tokens: uncached}) != nil {
+		return
+	}
+	if !out.wait(ctx, e.settings.PrefillPerToken*time.Duration(uncached)) {
+		return
+	}
+	interval := e.settings.TokenInterval + time.Duration(faults.DelayMillis)*time.Millisecond
+	reply := make(chan streamKey, 1)
+	for i := body.NextIndex; i < body.MaxTokens; i++ {
+		if !out.wait(ctx, interval) {
+			return
+		}
+		other, ok := ask(ctx, e, tokenMessage{stream: st, reply: reply}, reply)
+		if !ok {
+			return
+		}
+		out.token(body, i, cached, faults, other)
+		sent := i - body.NextIndex + 1
+		if faults.CutAfter == sent {
+			panic(http.ErrAbortHandler)
+		}
+		if faults.FreezeAfter == sent {
+			<-ctx.Done()
+			return
+		}
+	}
+	out.finish(body)
+}
+
+// importKV fetches an exported KV cache and returns its size in tokens, 0 if
+// it is not available.
+func (e *Engine) importKV(ctx context.Context, source string) int {
+	if source == "" {
+		return 0
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, source, nil)
+	if err != nil {
+		return 0
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var entry kvEntry
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&entry) != nil {
+		return 0
+	}
+	return entry.Tokens
+}
+
+type eventWriter struct {
+	w       io.Writer
+	flusher http.Flusher
+	stop    <-chan struct{}
+	// held is a late chunk that is written after its successor.
+	held []byte
+}
+
+// wait pauses for d and writes heartbeats meanwhile. It reports false when the
+// caller left or the stream was stopped.
+func (o *eventWriter) wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	_, ok := waitFor(ctx, o, timer.C)
+	return ok
+}
+
+func (o *eventWriter) waitStart(ctx context.Context, start <-chan startReply) (startReply, bool) {
+	return waitFor(ctx, o, start)
+}
+
+func waitFor[T any](ctx context.Context, o *eventWriter, ready <-chan T) (T, bool) {
+	heartbeat := time.NewTicker(heartbeatInterval)
+	defer heartbeat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return *new(T), false
+		case <-o.stop:
+			return *new(T), false
+		case value := <-ready:
+			return value, true
+		case <-heartbeat.C:
+			_, _ = io.WriteString(o.w, ": heartbeat\n\n")
+			o.flusher.Flush()
+		}
+	}
+}
+
+// token writes one token and the faulty frames around it.
+func (o *eventWriter) token(body engine.CompletionRequest, index, cached int, faults Faults, other streamKey) {
+	choice := engine.CompletionChoice{Index: index, Text: Token(body.Prompt, index)}
+	last := index == body.MaxTokens-1
+	if last {
+		choice.FinishReason = "length"
+	}
+	chunk := engine.CompletionChunk{RequestID: body.RequestID, Attempt: body.Attempt, Choices: []engine.CompletionChoice{choice}}
+	if index == body.NextIndex {
+		chunk.CachedTokens = cached
+	}
+	if faults.Crossed {
+		crossed := engine.CompletionChunk{RequestID: other.request, Attempt: other.attempt, Choices: []engine.CompletionChoice{{Index: index, Text: "crossed "}}}
+		o.write(encode(crossed))
+		crossed.RequestID, crossed.Attempt = body.RequestID, body.Attempt-1
+		o.write(encode(crossed))
+	}
+	data := encode(chunk)
+	if faults.Late && o.held == nil && !last {
+		o.held = data
+		return
+	}
+	o.write(data)
+	if faults.Duplicate {
+		o.write(data)
+	}
+	if o.held != nil {
+		o.write(o.held)
+		o.held = nil
+	}
+}
+
+func encode(chunk engine.CompletionChunk) []byte {
+	data, _ := json.Marshal(chunk)
+	return data
+}
+
+func (o *eventWriter) write(data []byte) {
+	_, _ = fmt.Fprintf(o.w, "data: %s\n\n", data)
+	o.flusher.Flush()
+}
+
+// finish ends the stream. A resumed stream without tokens left has not sent a
+// finish reason yet.
+func (o *eventWriter) finish(body engine.CompletionRequest) {
+	if body.NextIndex >= body.MaxTokens {
+		o.write(encode(engine.CompletionChunk{
+			RequestID: body.RequestID, Attempt: body.Attempt,
+			Choices: []engine.CompletionChoice{{Index: body.NextIndex, FinishReason: "length"}},
+		}))
+	}
+	_, _ = io.WriteString(o.w, "data: [DONE]\n\n")
+	o.flusher.Flush()
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -69,7 +69,9 @@
 		group.Go("instances server", serve(s.Instances.Listen, list.Handler()))
 	}
 	for _, e := range s.Engines {
-		group.Go("engine server", serve(e.Listen, modelengine.New(e.Engine).Handler()))
+		group.Go("engine", func(ctx context.Context) error {
+			return modelengine.New(e.Engine).Serve(ctx, e.Listen)
+		})
 	}
 	env.Ready.Set("")
 	return group.Wait()
