Measure dispatch decisions on fixed-seed traces in virtual time

Cause: routing and admission are about to change and nothing measures them. Change: internal/policybench runs six scenarios for each of the two users through eight dispatchers and small endpoint models, beside four baselines. make bench prints one line a figure and writes .bin/policy.json. Bounds come from the latency targets of the design page and from the baselines of the same run.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN   := .bin
 PROGRAMS := cornelhold-router cornelctl cornelhold-standin
 
-.PHONY: all build test unit lint fmt generate
+.PHONY: all build test unit lint fmt generate bench
 
 all: build
 
@@ -29,3 +29,8 @@
 	go build -modfile=tools/protoc/go.mod -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
 	go build -modfile=tools/protoc/go.mod -o $(BIN)/protoc-gen-connect-go connectrpc.com/connect/cmd/protoc-gen-connect-go
 	PATH="$(CURDIR)/$(BIN):$$PATH" go tool -modfile=tools/buf/go.mod buf generate
+
+# bench prints the policy figures, which are fixed by the commit.
+bench:
+	@mkdir -p $(BIN)
+	go run ./cmd/cornelhold-policybench -json $(BIN)/policy.json
--- /dev/null
+++ b/internal/policybench/policybench_test.go
@@ -0,0 +1,30 @@
+package policybench
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestFiguresRepeat guards against figures that depend on map order or on the
+// machine: two runs of one scenario must agree exactly.
+func TestFiguresRepeat(t *testing.T) {
+	is := is.New(t)
+	u := rusev()
+	first := breakdown("", summarize(simulate(u, Reclaim, newUnderTest)))
+	second := breakdown("", summarize(simulate(u, Reclaim, newUnderTest)))
+	is.True(slices.Equal(first, second)) // same figures in both runs
+}
+
+// TestCacheKeepsItsLimit guards the model of the prefix cache: a cache without
+// limit would hide recomputation.
+func TestCacheKeepsItsLimit(t *testing.T) {
+	is := is.New(t)
+	c := newPrefixCache(4)
+	blocks := chain(nil, 7, 6)
+	c.insert(blocks)
+	is.Equal(len(c.entries), 4)
+	is.Equal(c.match(blocks), 0)           // the first blocks were evicted
+	is.Equal(c.match(chain(nil, 8, 2)), 0) // other prefixes do not match
+}
--- /dev/null
+++ b/internal/policybench/simulation.go
@@ -0,0 +1,325 @@
+package policybench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/dispatch"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/reclaim"
+)
+
+const (
+	// routers is the number of own instances; each sees its own requests only.
+	routers = 8
+	// nearDelay and farDelay are one-way delays within and between data centres.
+	nearDelay = time.Millisecond
+	farDelay  = 5 * time.Millisecond
+	// reportInterval and reportLag describe load reports.
+	reportInterval = 250 * time.Millisecond
+	reportLag      = 150 * time.Millisecond
+	// cacheLag is how late cache events arrive; one in cacheLoss is lost.
+	cacheLag  = time.Second
+	cacheLoss = 10
+	// reclaimAt is when the first data centre is reclaimed, reclaimNotice the
+	// notice, listLag the lag of the instance list and replaceAfter the time
+	// until replacements in other data centres are live.
+	reclaimAt     = 30 * time.Second
+	reclaimNotice = 5 * time.Second
+	listLag       = 2 * time.Second
+	replaceAfter  = 25 * time.Second
+	// slowAt and slowFactor describe the slow endpoint.
+	slowAt     = 15 * time.Second
+	slowFactor = 4
+)
+
+// progress is what happened to one call.
+type progress struct {
+	call      *call
+	first     time.Duration
+	end       time.Duration
+	refusal   fleet.RefusalKind
+	attempts  int
+	generated int
+	jobs      map[fleet.AttemptNumber]*job
+	done      bool
+}
+
+type simulation struct {
+	timeline
+	user     *user
+	random   *rand.Rand
+	policies []Policy
+	nodes    []*node
+	byID     map[fleet.EndpointID]*node
+	progress map[fleet.RequestID]*progress
+	order    []*progress
+	version  uint64
+	// seen holds the prefix blocks that some endpoint has processed.
+	seen         map[uint64]struct{}
+	promptTokens int
+	recomputed   int
+}
+
+func dispatchEndpoint(u *user, number, place int) dispatch.Endpoint {
+	return dispatch.Endpoint{
+		ID: fleet.EndpointID(fmt.Sprintf("model-%02d", number)), Service: u.model,
+		DataCentre: u.centres[place%len(u.centres)], Class: "gpu", Slots: modelSlots,
+		Reclaimable: (number/len(u.centres))%3 != 0,
+	}
+}
+
+// simulate runs one scenario of a user against a policy.
+func simulate(u *user, scenario Scenario, build func(u *user, router int) Policy) *simulation {
+	s := &simulation{
+		user: u, random: rand.New(rand.NewPCG(u.seed, 2)), nodes: u.nodes(),
+		byID: map[fleet.EndpointID]*node{}, progress: map[fleet.RequestID]*progress{}, seen: map[uint64]struct{}{},
+	}
+	for _, n := range s.nodes {
+		s.byID[n.endpoint.ID] = n
+	}
+	for i := range routers {
+		s.policies = append(s.policies, build(u, i))
+	}
+	s.broadcast(dispatch.Configure{Spec: u.spec()})
+	s.publishList()
+	for _, c := range u.generate(scenario) {
+		s.at(c.at, func() { s.submit(c) })
+	}
+	s.report()
+	s.disturb(scenario)
+	s.run(traceLength + drainLength)
+	return s
+}
+
+func (s *simulation) centre(router int) fleet.DataCentre {
+	return s.user.centres[router%len(s.user.centres)]
+}
+
+func (s *simulation) broadcast(msg dispatch.Message) {
+	for router := range s.policies {
+		s.step(router, msg)
+	}
+}
+
+func (s *simulation) publishList() {
+	s.version++
+	list := dispatch.Endpoints{Version: s.version}
+	for _, n := range s.nodes {
+		if !n.dead {
+			list.List = append(list.List, n.endpoint)
+		}
+	}
+	s.broadcast(list)
+}
+
+func (s *simulation) submit(c *call) {
+	p := &progress{call: c, jobs: map[fleet.AttemptNumber]*job{}}
+	s.progress[c.id] = p
+	s.order = append(s.order, p)
+	msg := dispatch.Submit{
+		Request: c.id, Team: c.team, Service: c.to, Class: c.class, MaxTokens: c.tokens, Idempotent: c.idempotent,
+		Prompt: dispatch.Prompt{Blocks: c.blocks, Tokens: c.promptTokens}, Wait: c.wait,
+	}
+	if len(c.blocks) == 0 {
+		msg.Operation = c.kind
+	}
+	s.step(s.random.IntN(routers), msg)
+}
+
+func (s *simulation) step(router int, msg dispatch.Message) {
+	for _, action := range s.policies[router].Step(s.now, msg) {
+		s.perform(router, action)
+	}
+}
+
+func (s *simulation) perform(router int, action dispatch.Action) {
+	switch a := action.(type) {
+	case dispatch.Grant:
+		s.grant(router, a)
+	case dispatch.Refuse:
+		p := s.progress[a.Request]
+		p.refusal = a.Refusal.Kind
+		p.done = true
+	case dispatch.Wake:
+		s.at(a.At, func() { s.step(router, dispatch.Tick{}) })
+	case dispatch.Relocate:
+		if a.Method != reclaim.MethodFinish {
+			s.relocate(router, a)
+		}
+	}
+}
+
+func (s *simulation) grant(router int, a dispatch.Grant) {
+	p := s.progress[a.Request]
+	p.attempts++
+	j := &job{call: p.call, router: router, attempt: a.Attempt, resumed: p.generated}
+	p.jobs[a.Attempt] = j
+	n := s.byID[a.Endpoint.ID]
+	delay := farDelay
+	if n.endpoint.DataCentre == s.centre(router) {
+		delay = nearDelay
+	}
+	s.after(delay, func() {
+		if j.cancelled {
+			return
+		}
+		if n.dead {
+			s.broken(j, dispatch.AttemptBroken)
+			return
+		}
+		n.enqueue(s, j)
+	})
+}
+
+func (s *simulation) relocate(router int, a dispatch.Relocate) {
+	p := s.progress[a.Request]
+	if j, ok := p.jobs[a.Attempt]; ok && j.router == router {
+		s.after(0, func() {
+			if !j.cancelled && !p.done {
+				s.broken(j, dispatch.AttemptCancelled)
+			}
+		})
+	}
+}
+
+// broken ends a job and asks for another attempt, as request.Machine does.
+func (s *simulation) broken(j *job, outcome dispatch.AttemptOutcome) {
+	p := s.progress[j.call.id]
+	j.cancelled = true
+	delete(p.jobs, j.attempt)
+	if p.done {
+		return
+	}
+	p.generated = j.resumed + j.generated
+	final := !j.call.idempotent
+	ended := dispatch.Ended{Request: j.call.id, Attempt: j.attempt, Outcome: outcome, Generated: p.generated, Final: final}
+	s.step(j.router, ended)
+	switch {
+	case final:
+		p.refusal, p.done = fleet.RefusedOutcomeUnknown, true
+	case len(p.jobs) == 0:
+		avoid := fleet.EndpointID("")
+		if j.node != nil {
+			avoid = j.node.endpoint.ID
+		}
+		s.step(j.router, dispatch.Retry{Request: j.call.id, Generated: p.generated, Avoid: avoid})
+	}
+}
+
+func (s *simulation) firstToken(j *job) {
+	p := s.progress[j.call.id]
+	if p.first == 0 {
+		p.first = s.now
+	}
+	s.step(j.router, dispatch.FirstToken{Request: j.call.id, Attempt: j.attempt})
+}
+
+func (s *simulation) finished(j *job) {
+	p := s.progress[j.call.id]
+	j.cancelled = true
+	if p.done {
+		return
+	}
+	p.done = true
+	p.end = s.now
+	for _, other := range p.jobs {
+		other.cancelled = true
+	}
+	s.step(j.router, dispatch.Ended{
+		Request: j.call.id, Attempt: j.attempt, Outcome: dispatch.AttemptCompleted,
+		Generated: j.resumed + j.generated, Final: true,
+	})
+}
+
+// countPrefill counts the tokens that an endpoint processes although some
+// endpoint has processed them before.
+func (s *simulation) countPrefill(j *job, cached int) {
+	again := j.placed || j.attempt > 1
+	if !again {
+		s.promptTokens += j.call.promptTokens
+	}
+	for _, block := range j.call.blocks[cached:] {
+		if _, ok := s.seen[block]; ok {
+			s.recomputed += blockTokens
+		}
+		s.seen[block] = struct{}{}
+	}
+	s.recomputed += j.resumed + j.generated
+}
+
+// report sends load reports and cache events of all nodes, late and with gaps.
+func (s *simulation) report() {
+	for _, n := range s.nodes {
+		if n.dead {
+			continue
+		}
+		n.dropCancelled()
+		load := loadReport(n)
+		s.after(reportLag, func() { s.broadcast(load) })
+		s.cacheEvent(n)
+	}
+	if s.now < traceLength+drainLength {
+		s.after(reportInterval, s.report)
+	}
+}
+
+func loadReport(n *node) dispatch.LoadReport {
+	report := dispatch.LoadReport{
+		Endpoint: n.endpoint.ID, Running: len(n.running), Waiting: len(n.queue), Age: reportLag,
+	}
+	return report
+}
+
+func (s *simulation) cacheEvent(n *node) {
+	stored, evicted := n.cache.drain()
+	if len(stored)+len(evicted) == 0 {
+		return
+	}
+	n.sequence++
+	if s.random.IntN(cacheLoss) == 0 {
+		return
+	}
+	event := dispatch.CacheEvent{Endpoint: n.endpoint.ID, Sequence: n.sequence, Stored: stored, Evicted: evicted}
+	s.after(cacheLag, func() { s.broadcast(event) })
+}
+
+func (s *simulation) disturb(scenario Scenario) {
+	switch scenario {
+	case Slow:
+		s.at(slowAt, func() { s.nodes[1].slow = slowFactor })
+	case Reclaim:
+		s.at(reclaimAt, s.reclaim)
+	}
+}
+
+// reclaim takes away the first data centre and starts replacements later.
+func (s *simulation) reclaim() {
+	lost := 0
+	for _, n := range s.nodes {
+		if n.endpoint.DataCentre != s.user.centres[0] {
+			continue
+		}
+		lost++
+		n.endpoint.Leaving = true
+		s.broadcast(dispatch.Notice{Endpoint: n.endpoint.ID, Remaining: reclaimNotice})
+		s.after(reclaimNotice, func() {
+			for _, j := range n.kill() {
+				s.broken(j, dispatch.AttemptBroken)
+			}
+		})
+	}
+	s.after(listLag, s.publishList)
+	s.after(reclaimNotice+listLag, s.publishList)
+	s.after(replaceAfter, func() { s.replace(lost - 1) })
+}
+
+func (s *simulation) replace(count int) {
+	for i := range count {
+		n := s.user.modelNode(100+i, 1+i%2)
+		s.nodes = append(s.nodes, n)
+		s.byID[n.endpoint.ID] = n
+	}
+	s.publishList()
+}
--- /dev/null
+++ b/internal/policybench/users.go
@@ -0,0 +1,185 @@
+package policybench
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/config"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+// Latency targets of the design page and of the stock check.
+const (
+	firstTokenTarget    = 630 * time.Millisecond
+	betweenTokensTarget = 70 * time.Millisecond
+	stockTarget         = 150 * time.Millisecond
+	orderTarget         = time.Second
+)
+
+const (
+	reclaimablePrice = 1.0
+	onDemandPrice    = 2.5
+	plainPrice       = 0.1
+)
+
+type team struct {
+	name  fleet.TeamName
+	share float64
+}
+
+// user is one of the two users of the design page.
+type user struct {
+	name      string
+	seed      uint64
+	models    int
+	model     fleet.ServiceName
+	shop      fleet.ServiceName
+	centres   []fleet.DataCentre
+	teams     []team
+	floodTeam int
+	mixes     []mix
+}
+
+func users() []*user { return []*user{hizakura(), rusev()} }
+
+func fiveTeams() []team {
+	return []team{{"north", 0.4}, {"south", 0.3}, {"east", 0.12}, {"west", 0.1}, {"centre", 0.08}}
+}
+
+func hizakura() *user {
+	u := &user{
+		name: "hizakura", seed: 11, models: 9, model: "dial-advisor", shop: "bench-desk",
+		centres: []fleet.DataCentre{"kyushu-a", "kyushu-b", "kyushu-c"}, teams: fiveTeams(), floodTeam: 0,
+	}
+	u.mixes = []mix{
+		{kindQuote, 20, func(g *generator, c *call) { g.quote(c, u) }},
+		{kindStock, 40, func(g *generator, c *call) { g.plain(c, u.shop, 40*time.Millisecond, true) }},
+		{kindWorkOrder, 4, func(g *generator, c *call) { g.plain(c, u.shop, 100*time.Millisecond, false) }},
+	}
+	return u
+}
+
+// quote has a common system prompt, a catalogue of one of 40 watch families
+// and a customer part; every second quote continues an earlier one.
+func (g *generator) quote(c *call, u *user) {
+	if len(g.recent) > 0 && g.random.IntN(2) == 0 {
+		earlier := g.recent[g.random.IntN(len(g.recent))]
+		g.model(c, u.model, chain(earlier, g.serial, 2), 110)
+		return
+	}
+	family := g.zipf(40)
+	blocks := chain(nil, 1, 6)
+	blocks = chain(blocks, 100+uint64(family), 14)
+	blocks = chain(blocks, 1<<20+g.serial, 4)
+	g.model(c, u.model, blocks, 110)
+	g.recent = append(g.recent, blocks)
+	if len(g.recent) > 60 {
+		g.recent = g.recent[1:]
+	}
+}
+
+// zipf returns a rank below n; lower ranks are more frequent.
+func (g *generator) zipf(n int) int {
+	x := g.random.Float64()
+	return int(x * x * float64(n))
+}
+
+func rusev() *user {
+	u := &user{
+		name: "rusev", seed: 12, models: 12, model: "lettering-model", shop: "shop-floor",
+		centres: []fleet.DataCentre{"plovdiv-a", "plovdiv-b", "stara-zagora"}, teams: fiveTeams(), floodTeam: 0,
+	}
+	u.mixes = []mix{
+		{kindLayout, 7, func(g *generator, c *call) { g.layout(c, u) }},
+		{kindRewording, 16, func(g *generator, c *call) { g.rewording(c, u) }},
+		{kindProof, 3, func(g *generator, c *call) { g.proof(c, u) }},
+		{kindCutOrder, 4, func(g *generator, c *call) { g.plain(c, u.shop, 100*time.Millisecond, false) }},
+	}
+	return u
+}
+
+// planogram returns the prefix that all layouts and rewordings of one of 150
+// planograms share.
+func (g *generator) planogram() []uint64 {
+	p := g.zipf(150)
+	return chain(chain(nil, 1, 4), 1000+uint64(p), 24+p%24)
+}
+
+func (g *generator) layout(c *call, u *user) {
+	g.model(c, u.model, chain(g.planogram(), 1<<20+g.serial, 3), 360)
+	c.class = fleet.ClassStandard
+}
+
+func (g *generator) rewording(c *call, u *user) {
+	g.model(c, u.model, chain(g.planogram()[:20], 1<<20+g.serial, 1), 40)
+}
+
+func (g *generator) proof(c *call, u *user) {
+	template := chain(chain(nil, 1, 4), 5000+uint64(g.random.IntN(6)), 12)
+	g.model(c, u.model, chain(template, 1<<20+g.serial, 4), 300)
+	c.class = fleet.ClassBatch
+	c.wait = traceLength + drainLength
+}
+
+// nodes returns the fleet: two of three replicas are reclaimable.
+func (u *user) nodes() []*node {
+	var nodes []*node
+	for i := range u.models {
+		nodes = append(nodes, u.modelNode(i, i))
+	}
+	for i := range u.centres {
+		n := u.modelNode(1000+i, i)
+		n.endpoint.ID = fleet.EndpointID(fmt.Sprintf("plain-%d", i))
+		n.endpoint.Service = u.shop
+		n.endpoint.Slots = plainSlots
+		n.endpoint.Reclaimable = false
+		n.plain = true
+		n.price = plainPrice
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
+func (u *user) modelNode(number, place int) *node {
+	n := &node{slow: 1, price: reclaimablePrice, cache: newPrefixCache(cacheBlocks), endpoint: dispatchEndpoint(u, number, place)}
+	if !n.endpoint.Reclaimable {
+		n.price = onDemandPrice
+	}
+	return n
+}
+
+// spec returns the configuration that the machines under test are given.
+func (u *user) spec() *config.Spec {
+	s := &config.Spec{
+		Number: 1, Models: map[string]*config.Model{},
+		Services: map[fleet.ServiceName]*config.Service{
+			u.model: {
+				Name: u.model, Kind: config.ServiceModel, FirstToken: firstTokenTarget,
+				BetweenTokens: betweenTokensTarget, Deadline: 5 * time.Second,
+			},
+			u.shop: {Name: u.shop, Kind: config.ServicePlain, Deadline: 5 * time.Second, Operations: map[string]*config.Operation{
+				kindStock:     {Name: kindStock, Idempotent: true, Latency: stockTarget},
+				kindWorkOrder: {Name: kindWorkOrder, Latency: orderTarget},
+				kindCutOrder:  {Name: kindCutOrder, Latency: orderTarget},
+			}},
+		},
+		Teams:       map[fleet.TeamName]*config.Team{},
+		DataCentres: map[fleet.DataCentre]*config.DataCentre{},
+	}
+	for _, t := range u.teams {
+		s.Teams[t.name] = &config.Team{Name: t.name, Weight: int(t.share * 100)}
+	}
+	for _, dc := range u.centres {
+		distances := map[fleet.DataCentre]time.Duration{}
+		for _, other := range u.centres {
+			if other != dc {
+				distances[other] = farDelay
+			}
+		}
+		s.DataCentres[dc] = &config.DataCentre{
+			Name: dc, Region: fleet.Region(u.name), Distances: distances,
+			Prices: map[fleet.InstanceClass]config.Price{"gpu": {Reclaimable: reclaimablePrice, OnDemand: onDemandPrice}},
+		}
+	}
+	return s
+}
