Compose routing, admission and budgets in the dispatcher

Cause: the dispatcher chose the endpoint with the fewest own attempts, knew no queue, no limit and no budget, and forgot a leaving flag when an endpoint disappeared from the list and came back. Change: core/route, core/admit and core/budget; dispatch composes them. Team limits, weighted fair queues with deadlines, prefix affinity by rendezvous hashing and cache hints, lag-corrected load, ejection, hedges of idempotent plain calls, one budget for retries and hedges. Messages gain optional fields.

--- /dev/null
+++ b/internal/core/admit/queue.go
@@ -0,0 +1,283 @@
+// Package admit decides which requests may wait and which one is served next:
+// limits of teams, and queues by class and team, weighted fair among teams and
+// bounded in length and by deadline. Interactive requests come before standard
+// and batch ones.
+package admit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+const (
+	// FlowBound is the largest number of fresh requests of one team and class.
+	FlowBound = 256
+	// LateBound is the largest number of late requests of one team and class.
+	// Late requests are served only when the team has no fresh one.
+	LateBound = 8
+)
+
+// Order tells which team's queue is served next within a class.
+type Order uint8
+
+// Orders.
+const (
+	// OrderFair: weighted fair queueing by start tags.
+	OrderFair Order = iota
+	// OrderOldest: the queue whose head has waited longest.
+	OrderOldest
+	// OrderLongest: the queue with most requests.
+	OrderLongest
+)
+
+// Entry is a waiting request.
+type Entry struct {
+	Request fleet.RequestID
+	Team    fleet.TeamName
+	Class   fleet.Class
+	// Arrived, FreshUntil and Deadline are monotonic times. A request that waits
+	// longer than FreshUntil misses its latency target and becomes late.
+	Arrived    time.Duration
+	FreshUntil time.Duration
+	Deadline   time.Duration
+	// Force lets an accepted request, which must run again, pass the bound.
+	Force bool
+}
+
+// flow is the queue of one team within a class. fresh is sorted by FreshUntil,
+// late by Deadline.
+type flow struct {
+	team   fleet.TeamName
+	fresh  []Entry
+	late   []Entry
+	weight float64
+	finish float64
+}
+
+func (f *flow) size() int { return len(f.fresh) + len(f.late) }
+
+func (f *flow) head() Entry {
+	if len(f.fresh) > 0 {
+		return f.fresh[0]
+	}
+	return f.late[0]
+}
+
+// class holds the flows of one class; active are those with entries.
+type class struct {
+	flows   map[fleet.TeamName]*flow
+	active  []*flow
+	virtual float64
+}
+
+// Queue holds the waiting requests of endpoints that can serve one another's
+// requests.
+type Queue struct {
+	order   Order
+	weights map[fleet.TeamName]int
+	classes [fleet.ClassCount]class
+	size    int
+}
+
+// NewQueue returns an empty queue with equal weights.
+func NewQueue(order Order) *Queue {
+	q := &Queue{order: order}
+	for i := range q.classes {
+		q.classes[i].flows = make(map[fleet.TeamName]*flow)
+	}
+	return q
+}
+
+// SetWeights replaces the weights of teams; a team without weight has 1.
+func (q *Queue) SetWeights(weights map[fleet.TeamName]int) {
+	q.weights = weights
+	for c := range q.classes {
+		for team, f := range q.classes[c].flows {
+			f.weight = q.weight(team)
+		}
+	}
+}
+
+func (q *Queue) weight(team fleet.TeamName) float64 { return float64(max(q.weights[team], 1)) }
+
+// Len is the number of waiting requests.
+func (q *Queue) Len() int { return q.size }
+
+// Push adds a request. It reports false when the team's queue is full.
+func (q *Queue) Push(e Entry) bool {
+	c := &q.classes[e.Class]
+	f, ok := c.flows[e.Team]
+	if !ok {
+		f = &flow{team: e.Team, weight: q.weight(e.Team)}
+		c.flows[e.Team] = f
+	}
+	if len(f.fresh) >= FlowBound && !e.Force {
+		return false
+	}
+	if f.size() == 0 {
+		c.active = append(c.active, f)
+	}
+	f.fresh = insert(f.fresh, e, func(e Entry) time.Duration { return e.FreshUntil })
+	q.size++
+	return true
+}
+
+func insert(list []Entry, e Entry, key func(Entry) time.Duration) []Entry {
+	i := len(list)
+	for i > 0 && key(list[i-1]) > key(e) {
+		i--
+	}
+	return slices.Insert(list, i, e)
+}
+
+// Next returns the request to serve next without removing it.
+func (q *Queue) Next() (Entry, bool) {
+	for i := range q.classes {
+		if f := q.nextFlow(&q.classes[i]); f != nil {
+			return f.head(), true
+		}
+	}
+	return Entry{}, false
+}
+
+// Pop removes and returns the request to serve next.
+func (q *Queue) Pop() (Entry, bool) {
+	for i := range q.classes {
+		c := &q.classes[i]
+		f := q.nextFlow(c)
+		if f == nil {
+			continue
+		}
+		e := f.head()
+		start := max(c.virtual, f.finish)
+		c.virtual = start
+		f.finish = start + 1/f.weight
+		if len(f.fresh) > 0 {
+			f.fresh = slices.Delete(f.fresh, 0, 1)
+		} else {
+			f.late = slices.Delete(f.late, 0, 1)
+		}
+		q.shrunk(c, f, 1)
+		return e, true
+	}
+	return Entry{}, false
+}
+
+func (q *Queue) nextFlow(c *class) *flow {
+	var best *flow
+	for _, f := range c.active {
+		if best == nil || q.before(c, f, best) {
+			best = f
+		}
+	}
+	return best
+}
+
+func (q *Queue) before(c *class, a, b *flow) bool {
+	switch q.order {
+	case OrderOldest:
+		return a.head().Arrived < b.head().Arrived
+	case OrderLongest:
+		return a.size() > b.size()
+	default:
+		return max(c.virtual, a.finish) < max(c.virtual, b.finish)
+	}
+}
+
+// shrunk accounts for entries that left a flow.
+func (q *Queue) shrunk(c *class, f *flow, count int) {
+	q.size -= count
+	if f.size() == 0 {
+		c.active = slices.DeleteFunc(c.active, func(other *flow) bool { return other == f })
+	}
+}
+
+// Remove takes a request out of the queue.
+func (q *Queue) Remove(team fleet.TeamName, in fleet.Class, id fleet.RequestID) {
+	c := &q.classes[in]
+	f, ok := c.flows[team]
+	if !ok || f.size() == 0 {
+		return
+	}
+	before := f.size()
+	is := func(e Entry) bool { return e.Request == id }
+	f.fresh = slices.DeleteFunc(f.fresh, is)
+	f.late = slices.DeleteFunc(f.late, is)
+	if removed := before - f.size(); removed > 0 {
+		q.shrunk(c, f, removed)
+	}
+}
+
+// Expire removes and returns the requests that can't be served any more: those
+// past their deadline, and late ones that the bound leaves no room for.
+func (q *Queue) Expire(now time.Duration) []Entry {
+	var out []Entry
+	for i := range q.classes {
+		c := &q.classes[i]
+		for _, f := range slices.Clone(c.active) {
+			expired := f.expire(now)
+			if len(expired) > 0 {
+				out = append(out, expired...)
+				q.shrunk(c, f, len(expired))
+			}
+		}
+	}
+	return out
+}
+
+func (f *flow) expire(now time.Duration) []Entry {
+	var out []Entry
+	for len(f.fresh) > 0 && f.fresh[0].FreshUntil <= now {
+		e := f.fresh[0]
+		f.fresh = slices.Delete(f.fresh, 0, 1)
+		switch {
+		case e.Deadline <= now, len(f.late) >= LateBound && !e.Force:
+			out = append(out, e)
+		default:
+			f.late = insert(f.late, e, func(e Entry) time.Duration { return e.Deadline })
+		}
+	}
+	for len(f.late) > 0 && f.late[0].Deadline <= now {
+		out = append(out, f.late[0])
+		f.late = slices.Delete(f.late, 0, 1)
+	}
+	return out
+}
+
+// NextExpiry is the next time at which Expire has something to do.
+func (q *Queue) NextExpiry() (at time.Duration, ok bool) {
+	for i := range q.classes {
+		for _, f := range q.classes[i].active {
+			if len(f.fresh) > 0 && (!ok || f.fresh[0].FreshUntil < at) {
+				at, ok = f.fresh[0].FreshUntil, true
+			}
+			if len(f.late) > 0 && (!ok || f.late[0].Deadline < at) {
+				at, ok = f.late[0].Deadline, true
+			}
+		}
+	}
+	return at, ok
+}
+
+// Ahead is the number of requests that are served before a new one of the
+// team, if every team keeps its queue: the team's own requests divided by its
+// share among the teams that wait, and all requests of higher classes.
+func (q *Queue) Ahead(team fleet.TeamName, in fleet.Class) float64 {
+	ahead := 0.0
+	for i := range q.classes[:in] {
+		for _, f := range q.classes[i].active {
+			ahead += float64(len(f.fresh))
+		}
+	}
+	own, total := 0.0, q.weight(team)
+	for _, f := range q.classes[in].active {
+		if f.team == team {
+			own = float64(len(f.fresh))
+			continue
+		}
+		total += f.weight
+	}
+	return ahead + own*total/q.weight(team)
+}
--- /dev/null
+++ b/internal/core/dispatch/endpoints.go
@@ -0,0 +1,125 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/reclaim"
+	"github.com/cornelhold/cornelhold/internal/core/route"
+)
+
+func (m *Machine) replaceEndpoints(now time.Duration, msg Endpoints) []Action {
+	for _, e := range msg.List {
+		if e.Leaving {
+			m.departed.add(e.ID)
+		}
+	}
+	if msg.Version >= m.version {
+		m.version = msg.Version
+		m.endpoints = make(map[fleet.EndpointID]Endpoint, len(msg.List))
+		for _, e := range msg.List {
+			m.endpoints[e.ID] = e
+		}
+	}
+	return m.refreshEndpoints(now)
+}
+
+// refreshEndpoints passes the endpoints to the tables of their services.
+func (m *Machine) refreshEndpoints(now time.Duration) []Action {
+	lists := make(map[fleet.ServiceName][]route.Endpoint)
+	ids := lo.Keys(m.endpoints)
+	slices.Sort(ids)
+	for _, id := range ids {
+		e := m.endpoints[id]
+		e.Leaving = e.Leaving || m.departed.has(id)
+		m.endpoints[id] = e
+		m.ensureService(e.Service)
+		lists[e.Service] = append(lists[e.Service], m.routed(e))
+	}
+	var actions []Action
+	for _, name := range m.names {
+		svc := m.services[name]
+		svc.table.Replace(withRelativePrices(lists[name]))
+		actions = append(actions, m.pump(now, svc)...)
+	}
+	return actions
+}
+
+// routed converts an endpoint; Price is the absolute price for now.
+func (m *Machine) routed(e Endpoint) route.Endpoint {
+	out := route.Endpoint{
+		ID: e.ID, Role: e.Role, Model: e.Model, Adapters: e.Adapters, Slots: e.Slots, Leaving: e.Leaving,
+	}
+	if m.spec == nil {
+		return out
+	}
+	if own, ok := m.spec.DataCentres[m.options.DataCentre]; ok {
+		out.Distance = own.Distances[e.DataCentre]
+	}
+	if dc, ok := m.spec.DataCentres[e.DataCentre]; ok {
+		price := dc.Prices[e.Class]
+		out.Price = price.OnDemand
+		if e.Reclaimable {
+			out.Price = price.Reclaimable
+		}
+	}
+	return out
+}
+
+// withRelativePrices divides prices by the lowest known one; an unknown price
+// counts as the lowest.
+func withRelativePrices(list []route.Endpoint) []route.Endpoint {
+	lowest := 0.0
+	for _, e := range list {
+		if e.Price > 0 && (lowest == 0 || e.Price < lowest) {
+			lowest = e.Price
+		}
+	}
+	for i := range list {
+		if list[i].Price <= 0 {
+			list[i].Price = 1
+			continue
+		}
+		list[i].Price /= lowest
+	}
+	return list
+}
+
+func (m *Machine) notice(msg Notice) []Action {
+	m.departed.add(msg.Endpoint)
+	if _, done := m.noticed[msg.Endpoint]; done {
+		return nil
+	}
+	e, ok := m.endpoints[msg.Endpoint]
+	if !ok {
+		return nil
+	}
+	m.noticed[msg.Endpoint] = struct{}{}
+	e.Leaving = true
+	m.endpoints[msg.Endpoint] = e
+	m.services[e.Service].table.Leave(msg.Endpoint)
+	return m.relocate(msg)
+}
+
+// relocate plans the moves of all streams on a leaving endpoint.
+func (m *Machine) relocate(msg Notice) []Action {
+	var streams []reclaim.Stream
+	for id, r := range m.outstanding {
+		if !r.runsOn(msg.Endpoint) || !r.submit.Idempotent {
+			continue
+		}
+		streams = append(streams, reclaim.Stream{
+			Request: id, Class: r.submit.Class, PromptTokens: r.submit.Prompt.Tokens, Remaining: r.submit.MaxTokens,
+		})
+	}
+	slices.SortFunc(streams, func(a, b reclaim.Stream) int { return cmp.Compare(a.Request, b.Request) })
+	moves := reclaim.Plan(streams, msg.Remaining, reclaim.Rates{TokenInterval: assumedTokenInterval})
+	return lo.Map(moves, func(move reclaim.Move, _ int) Action {
+		r := m.outstanding[move.Request]
+		return Relocate{Request: move.Request, Attempt: r.on(msg.Endpoint), Method: move.Method}
+	})
+}
--- /dev/null
+++ b/internal/core/dispatch/hedge.go
@@ -0,0 +1,116 @@
+package dispatch
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/budget"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+const (
+	// hedgePercentile of a call's own latency is the hedge delay: at most one
+	// call in twenty is hedged.
+	hedgePercentile = 95
+	// minHedgeDelay keeps very fast calls from being hedged by jitter.
+	minHedgeDelay = 5 * time.Millisecond
+)
+
+// hedgeTimer asks for a hedge of an attempt that is still the only one.
+type hedgeTimer struct {
+	at      time.Duration
+	request fleet.RequestID
+	attempt fleet.AttemptNumber
+}
+
+// hedgeTimers is a heap by time. Entries of ended requests are dropped when
+// their time comes.
+type hedgeTimers []hedgeTimer
+
+func (h hedgeTimers) Len() int           { return len(h) }
+func (h hedgeTimers) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h hedgeTimers) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *hedgeTimers) Push(x any) { *h = append(*h, x.(hedgeTimer)) }
+
+// Pop implements heap.Interface.
+func (h *hedgeTimers) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+func (h hedgeTimers) next() (at time.Duration, ok bool) {
+	if len(h) == 0 {
+		return 0, false
+	}
+	return h[0].at, true
+}
+
+func (s *service) record(operation string, took time.Duration) {
+	l, ok := s.latency[operation]
+	if !ok {
+		if _, configured := s.spec.Operations[operation]; !configured {
+			return
+		}
+		l = budget.NewLatency()
+		s.latency[operation] = l
+	}
+	l.Record(took)
+}
+
+// hedgeDelay is taken from the histogram of the call, and from its latency
+// target until the histogram has enough samples. It reports false for calls
+// that are not hedged: streams, calls that may not be repeated, calls without
+// a latency target.
+func (s *service) hedgeDelay(submit Submit) (time.Duration, bool) {
+	op, ok := s.spec.Operations[submit.Operation]
+	if !ok || !submit.Idempotent || !op.Idempotent || op.Latency == 0 {
+		return 0, false
+	}
+	if l, ok := s.latency[submit.Operation]; ok {
+		if delay, known := l.Quantile(hedgePercentile); known {
+			return max(delay, minHedgeDelay), true
+		}
+	}
+	return op.Latency / 2, true
+}
+
+func (m *Machine) armHedge(now time.Duration, r *requestState) {
+	if r.attempts != 1 || r.service.spec == nil {
+		return
+	}
+	if delay, ok := r.service.hedgeDelay(r.submit); ok {
+		heap.Push(&m.hedges, hedgeTimer{at: now + delay, request: r.submit.Request, attempt: r.attempts})
+	}
+}
+
+// hedge grants second attempts to calls that take longer than usual.
+func (m *Machine) hedge(now time.Duration) []Action {
+	var actions []Action
+	for len(m.hedges) > 0 && m.hedges[0].at <= now {
+		timer := heap.Pop(&m.hedges).(hedgeTimer)
+		r, ok := m.outstanding[timer.request]
+		if !ok || len(r.running) != 1 || r.running[0].number != timer.attempt {
+			continue
+		}
+		if grant, ok := m.grantHedge(now, r); ok {
+			actions = append(actions, grant)
+		}
+	}
+	return actions
+}
+
+func (m *Machine) grantHedge(now time.Duration, r *requestState) (Action, bool) {
+	request := r.routed()
+	request.Avoid = r.running[0].endpoint
+	choice, ok := r.service.table.Choose(now, &request)
+	if !ok || !r.service.budget.Spend() {
+		return nil, false
+	}
+	r.cause = budget.CauseSlow
+	grant := m.grant(now, r, choice, &request).(Grant)
+	grant.Hedge = true
+	return grant, true
+}
--- a/internal/core/dispatch/machine.go
+++ b/internal/core/dispatch/machine.go
@@ -1,193 +1,191 @@
 package dispatch
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
-	"github.com/samber/lo"
-
+	"github.com/cornelhold/cornelhold/internal/core/admit"
 	"github.com/cornelhold/cornelhold/internal/core/config"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
-	"github.com/cornelhold/cornelhold/internal/core/reclaim"
 )
 
-// RetryAfterNoEndpoint is the delay suggested to callers when a service has no
-// live endpoint; replacement instances take seconds to appear in the list.
-const RetryAfterNoEndpoint = 2 * time.Second
-
-// assumedTokenInterval is the time between tokens that reclaim plans assume.
-const assumedTokenInterval = 70 * time.Millisecond
-
-// Machine is the dispatcher. Invariant: the number of outstanding attempts of
-// an endpoint equals the number of granted attempts that have not ended.
+// Machine is the dispatcher. Invariants: the number of outstanding attempts of
+// an endpoint equals the number of granted attempts that have not ended; each
+// submission is granted or refused once, by its deadline; a leaving endpoint
+// is granted nothing.
 type Machine struct {
-	spec        *config.Spec
-	version     uint64
-	endpoints   map[fleet.EndpointID]*endpointState
+	options   Options
+	spec      *config.Spec
+	routers   int
+	version   uint64
+	endpoints map[fleet.EndpointID]Endpoint
+	departed  *departed
+	// noticed holds the endpoints whose reclaim notice has been acted on.
+	noticed  map[fleet.EndpointID]struct{}
+	services map[fleet.ServiceName]*service
+	// names lists the services in order, for repeatable results.
+	names       []fleet.ServiceName
+	limiter     *admit.Limiter
 	outstanding map[fleet.RequestID]*requestState
-}
-
-type endpointState struct {
-	Endpoint
-	outstanding int
-	// noticed is set once the reclaim notice has been acted on.
-	noticed bool
-}
-
-type requestState struct {
-	submit   Submit
-	attempts fleet.AttemptNumber
-	endpoint fleet.EndpointID
-	running  bool
+	hedges      hedgeTimers
+	// armed is the time of the last Wake; 0 when a Tick has arrived since.
+	armed time.Duration
 }
 
 // New returns a dispatcher without configuration: it refuses every request
 // until Configure arrives.
-func New() *Machine {
+func New() *Machine { return NewWith(Options{}) }
+
+// NewWith returns a dispatcher without configuration.
+func NewWith(options Options) *Machine {
 	return &Machine{
-		endpoints:   make(map[fleet.EndpointID]*endpointState),
+		options:     options,
+		routers:     1,
+		endpoints:   make(map[fleet.EndpointID]Endpoint),
+		departed:    newDeparted(),
+		noticed:     make(map[fleet.EndpointID]struct{}),
+		services:    make(map[fleet.ServiceName]*service),
+		limiter:     admit.NewLimiter(),
 		outstanding: make(map[fleet.RequestID]*requestState),
 	}
 }
 
 // Step applies one message at monotonic time now and returns what to do.
-func (m *Machine) Step(_ time.Duration, msg Message) []Action {
+func (m *Machine) Step(now time.Duration, msg Message) []Action {
+	var actions []Action
 	switch msg := msg.(type) {
 	case Submit:
-		return m.submit(msg)
+		actions = m.submit(now, msg)
 	case Retry:
-		return m.retry(msg)
+		actions = m.retry(now, msg)
+	case FirstToken:
+		m.firstToken(now, msg)
 	case Ended:
-		m.end(msg)
+		actions = m.end(now, msg)
 	case Cancel:
-		m.release(msg.Request)
-		delete(m.outstanding, msg.Request)
+		actions = m.cancel(now, msg)
+	case LoadReport:
+		actions = m.report(now, msg)
+	case CacheEvent:
+		m.cached(msg)
 	case Endpoints:
-		m.replaceEndpoints(msg)
+		actions = m.replaceEndpoints(now, msg)
 	case Notice:
-		return m.notice(msg)
+		actions = m.notice(msg)
 	case Configure:
-		m.spec = msg.Spec
-	}
-	return nil
-}
-
-func (m *Machine) submit(s Submit) []Action {
-	if m.spec == nil {
-		return refuse(s.Request, fleet.Refuse(fleet.RefusedNotReady, RetryAfterNoEndpoint,
-			"no configuration is active yet; retry through the load balancer"))
-	}
-	if _, ok := m.spec.Services[s.Service]; !ok {
-		return refuse(s.Request, fleet.Refuse(fleet.RefusedUnknownService, 0,
-			"service "+string(s.Service)+" is not configured; check the name or file a ticket that adds it"))
+		actions = m.configure(now, msg)
+	case Tick:
+		m.armed = 0
+		actions = m.tick(now)
 	}
-	r := &requestState{submit: s}
-	m.outstanding[s.Request] = r
-	return m.grant(r, "")
+	return m.wake(now, actions)
 }
 
-func (m *Machine) retry(msg Retry) []Action {
-	r, ok := m.outstanding[msg.Request]
-	if !ok {
-		return nil
+// tick acts on the deadlines that have passed.
+func (m *Machine) tick(now time.Duration) []Action {
+	actions := m.hedge(now)
+	for _, name := range m.names {
+		actions = append(actions, m.pump(now, m.services[name])...)
 	}
-	m.release(msg.Request)
-	return m.grant(r, msg.Avoid)
-}
-
-func (m *Machine) grant(r *requestState, avoid fleet.EndpointID) []Action {
-	e := m.choose(r.submit.Service, avoid)
-	if e == nil {
-		delete(m.outstanding, r.submit.Request)
-		return refuse(r.submit.Request, fleet.Refuse(fleet.RefusedNoEndpoint, RetryAfterNoEndpoint,
-			"service "+string(r.submit.Service)+" has no live endpoint; retry after the stated delay"))
-	}
-	r.attempts++
-	r.endpoint = e.ID
-	r.running = true
-	e.outstanding++
-	return []Action{Grant{Request: r.submit.Request, Attempt: r.attempts, Endpoint: e.Endpoint}}
+	return actions
 }
 
-// choose returns the live endpoint with the fewest outstanding attempts.
-func (m *Machine) choose(service fleet.ServiceName, avoid fleet.EndpointID) *endpointState {
-	var best *endpointState
-	for _, e := range m.endpoints {
-		if e.Service != service || e.Leaving || e.ID == avoid {
-			continue
-		}
-		if best == nil || e.outstanding < best.outstanding ||
-			(e.outstanding == best.outstanding && e.ID < best.ID) {
-			best = e
+// wake asks for a Tick at the next deadline when it has changed.
+func (m *Machine) wake(now time.Duration, actions []Action) []Action {
+	at, ok := m.hedges.next()
+	for _, name := range m.names {
+		if expiry, waits := m.services[name].nextExpiry(); waits && (!ok || expiry < at) {
+			at, ok = expiry, true
 		}
 	}
-	return best
+	if !ok || (m.armed != 0 && m.armed <= at) {
+		return actions
+	}
+	m.armed = max(at, now)
+	return append(actions, Wake{At: m.armed})
 }
 
-func (m *Machine) end(msg Ended) {
-	m.release(msg.Request)
-	if msg.Final {
-		delete(m.outstanding, msg.Request)
+func (m *Machine) submit(now time.Duration, s Submit) []Action {
+	if m.spec == nil {
+		return refuse(s, fleet.Refuse(fleet.RefusedNotReady, RetryAfterNoEndpoint,
+			"no configuration is active yet; retry through the load balancer"))
+	}
+	svc, ok := m.services[s.Service]
+	if !ok || svc.spec == nil {
+		return refuse(s, fleet.Refuse(fleet.RefusedUnknownService, 0,
+			"service "+string(s.Service)+" is not configured; check the name or file a ticket that adds it"))
+	}
+	if svc.table.Live() == 0 {
+		return refuse(s, fleet.Refuse(fleet.RefusedNoEndpoint, RetryAfterNoEndpoint,
+			"service "+string(s.Service)+" has no live endpoint; retry after the stated delay"))
+	}
+	lane := svc.lane(s.Model, s.Adapter)
+	if lane == nil {
+		return refuse(s, fleet.Refuse(fleet.RefusedInvalid, 0,
+			"adapter "+s.Adapter+" is not configured; check the name or file a ticket that adds it"))
 	}
+	if retryAfter, ok := m.limiter.Acquire(now, s.Team); !ok {
+		return refuse(s, fleet.Refuse(fleet.RefusedTeamLimit, max(retryAfter, minRetryAfter),
+			"team "+string(s.Team)+" has reached its limit; retry after the stated delay"))
+	}
+	return m.enqueue(now, svc, lane, s)
 }
 
-func (m *Machine) release(id fleet.RequestID) {
-	r, ok := m.outstanding[id]
-	if !ok || !r.running {
-		return
+func (m *Machine) enqueue(now time.Duration, svc *service, l *lane, s Submit) []Action {
+	r := &requestState{submit: s, service: svc, lane: l, since: now}
+	entry := svc.entry(now, s)
+	if retryAfter, hopeless := l.hopeless(now, entry); hopeless {
+		m.limiter.Release(s.Team)
+		return refuse(s, overloaded(retryAfter))
 	}
-	r.running = false
-	if e, ok := m.endpoints[r.endpoint]; ok {
-		e.outstanding--
+	if !l.queue.Push(entry) {
+		m.limiter.Release(s.Team)
+		return refuse(s, overloaded(entry.Deadline-now))
 	}
+	m.outstanding[s.Request] = r
+	return m.pump(now, svc)
 }
 
-func (m *Machine) replaceEndpoints(msg Endpoints) {
-	if msg.Version < m.version {
-		return
-	}
-	m.version = msg.Version
-	next := make(map[fleet.EndpointID]*endpointState, len(msg.List))
-	for _, e := range msg.List {
-		state := &endpointState{Endpoint: e}
-		if old, ok := m.endpoints[e.ID]; ok {
-			state.outstanding = old.outstanding
-			state.noticed = old.noticed
-			state.Leaving = e.Leaving || old.Leaving
-		}
-		next[e.ID] = state
-	}
-	m.endpoints = next
+func overloaded(retryAfter time.Duration) *fleet.Refusal {
+	return fleet.Refuse(fleet.RefusedOverload, max(retryAfter, minRetryAfter),
+		"the service is overloaded and the request would wait past its deadline; retry after the stated delay")
 }
 
-func (m *Machine) notice(msg Notice) []Action {
+func refuse(s Submit, r *fleet.Refusal) []Action {
+	return []Action{Refuse{Request: s.Request, Refusal: r, Team: s.Team, Class: s.Class}}
+}
+
+func (m *Machine) report(now time.Duration, msg LoadReport) []Action {
 	e, ok := m.endpoints[msg.Endpoint]
-	if !ok || e.noticed {
+	if !ok {
 		return nil
 	}
-	e.Leaving = true
-	e.noticed = true
-	return m.relocate(msg)
+	svc := m.services[e.Service]
+	svc.table.Report(now-msg.Age, msg.Endpoint, msg.Running+msg.Waiting, msg.Batch)
+	return m.pump(now, svc)
 }
 
-// relocate plans the moves of all streams on a leaving endpoint.
-func (m *Machine) relocate(msg Notice) []Action {
-	var streams []reclaim.Stream
-	for id, r := range m.outstanding {
-		if r.running && r.endpoint == msg.Endpoint {
-			streams = append(streams, reclaim.Stream{
-				Request: id, Class: r.submit.Class, PromptTokens: r.submit.Prompt.Tokens, Remaining: r.submit.MaxTokens,
-			})
-		}
+func (m *Machine) cached(msg CacheEvent) {
+	if e, ok := m.endpoints[msg.Endpoint]; ok {
+		m.services[e.Service].table.Cached(msg.Endpoint, msg.Stored, msg.Evicted)
 	}
-	slices.SortFunc(streams, func(a, b reclaim.Stream) int { return cmp.Compare(a.Request, b.Request) })
-	moves := reclaim.Plan(streams, msg.Remaining, reclaim.Rates{TokenInterval: assumedTokenInterval})
-	return lo.Map(moves, func(move reclaim.Move, _ int) Action {
-		return Relocate{Request: move.Request, Attempt: m.outstanding[move.Request].attempts, Method: move.Method}
-	})
 }
 
-func refuse(id fleet.RequestID, r *fleet.Refusal) []Action {
-	return []Action{Refuse{Request: id, Refusal: r}}
+func (m *Machine) configure(now time.Duration, msg Configure) []Action {
+	m.spec = msg.Spec
+	if msg.Routers > 0 {
+		m.routers = msg.Routers
+	}
+	weights := make(map[fleet.TeamName]int, len(msg.Spec.Teams))
+	for name, t := range msg.Spec.Teams {
+		weights[name] = t.Weight
+		limit := admit.Limit{PerSecond: t.RequestsPerSecond, InFlight: t.MaxInFlight}
+		m.limiter.Set(now, name, limit.Share(m.routers))
+	}
+	for name := range msg.Spec.Services {
+		m.ensureService(name)
+	}
+	for name, svc := range m.services {
+		svc.configure(msg.Spec.Services[name], weights)
+	}
+	return m.refreshEndpoints(now)
 }
--- a/internal/core/dispatch/messages.go
+++ b/internal/core/dispatch/messages.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/cornelhold/cornelhold/internal/core/budget"
 	"github.com/cornelhold/cornelhold/internal/core/config"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/reclaim"
@@ -101,6 +102,8 @@
 	// Running and Waiting count requests.
 	Running int
 	Waiting int
+	// Batch is the part of Running and Waiting that is of class batch.
+	Batch int
 	// Age is how old the report is on arrival.
 	Age time.Duration
 }
@@ -123,7 +126,11 @@
 	Class       fleet.InstanceClass
 	Reclaimable bool
 	Role        string
-	Leaving     bool
+	// Model and Adapters restrict what the endpoint serves; empty means
+	// whatever its service is asked for.
+	Model    string
+	Adapters []string
+	Leaving  bool
 	// Slots is how many requests the endpoint runs at once.
 	Slots int
 }
@@ -144,6 +151,9 @@
 // Configure replaces the active configuration.
 type Configure struct {
 	Spec *config.Spec
+	// Routers is the number of routers among which the limits of teams are
+	// divided; 0 keeps the number given before, at first 1.
+	Routers int
 }
 
 // Tick lets the machine act on deadlines that have passed.
@@ -168,12 +178,20 @@
 	Endpoint Endpoint
 	// Hedge marks an additional attempt beside a running one.
 	Hedge bool
+	// Cause tells why the attempt is not the first; empty for a first attempt.
+	Cause budget.Cause
+	Team  fleet.TeamName
+	Class fleet.Class
+	// Waited is the time from submission or retry to the grant.
+	Waited time.Duration
 }
 
 // Refuse ends a request that was not granted.
 type Refuse struct {
 	Request fleet.RequestID
 	Refusal *fleet.Refusal
+	Team    fleet.TeamName
+	Class   fleet.Class
 }
 
 // Wake asks for a Tick at the given monotonic time.
--- /dev/null
+++ b/internal/core/dispatch/options.go
@@ -0,0 +1,38 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/admit"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+// Options configure a machine. The zero value is valid.
+type Options struct {
+	// DataCentre is where the router runs. Without it all endpoints are
+	// equally distant.
+	DataCentre fleet.DataCentre
+	// Seed spreads requests without a prompt differently in each router.
+	Seed uint64
+	// Order tells which team's queue is served next within a class.
+	Order admit.Order
+}
+
+const (
+	// RetryAfterNoEndpoint is the delay suggested to callers when a service has
+	// no live endpoint; replacement instances take seconds to appear in the list.
+	RetryAfterNoEndpoint = 2 * time.Second
+	// RetryAfterTeamLimit is suggested when a team has too many requests in flight.
+	RetryAfterTeamLimit = time.Second
+	// minRetryAfter is the shortest delay suggested to a caller.
+	minRetryAfter = 200 * time.Millisecond
+	// defaultWait bounds the wait of requests to services without a deadline.
+	defaultWait = 5 * time.Second
+	// freshShare is the part of the latency target that a request may spend in
+	// the queue; the rest is left for the first token.
+	freshShare = 0.4
+	// blockTokens is the estimated number of tokens in one prefix block.
+	blockTokens = 64
+	// assumedTokenInterval is the time between tokens that reclaim plans assume.
+	assumedTokenInterval = 70 * time.Millisecond
+)
--- /dev/null
+++ b/internal/core/route/choose.go
@@ -0,0 +1,150 @@
+package route
+
+import (
+	"math"
+	"time"
+)
+
+// Choose returns the endpoint with the lowest cost for the request. It reports
+// false when no endpoint can take the request now. It allocates nothing.
+func (t *Table) Choose(now time.Duration, r *Request) (Choice, bool) {
+	t.choices++
+	key, hashed := r.key()
+	if !hashed {
+		key = mix(t.seed ^ t.choices)
+	}
+	if c, ok := t.chooseFrom(now, r, &t.near, key, hashed); ok {
+		return c, true
+	}
+	if c, ok := t.chooseFrom(now, r, &t.far, key, hashed); ok {
+		return c, true
+	}
+	return t.lastResort(r)
+}
+
+// lastResort returns the endpoint that the request avoids, when it is the only
+// one that is left for a request that must run.
+func (t *Table) lastResort(r *Request) (Choice, bool) {
+	s, ok := t.byID[r.Avoid]
+	if !ok || !r.Force || !s.serves(r) {
+		return Choice{}, false
+	}
+	return Choice{ID: s.ID, Missing: r.missing(0), slot: s.ref.slot}, true
+}
+
+func (t *Table) chooseFrom(now time.Duration, r *Request, from *ring, key uint64, hashed bool) (Choice, bool) {
+	if len(from.endpoints) == 0 {
+		return Choice{}, false
+	}
+	var set candidates
+	t.match(r, from, &set)
+	from.collect(key, &set)
+	home := t.home(&set, key)
+	best, bestCost := (*state)(nil), time.Duration(math.MaxInt64)
+	for pass := range 2 {
+		for _, slot := range set.slots[:set.count] {
+			s := t.slots[slot]
+			// The second pass takes ejected endpoints rather than none.
+			if s == nil || !s.serves(r) || s.ID == r.Avoid || (pass == 0 && s.speed.ejectedUntil > now) {
+				continue
+			}
+			if !r.Force && s.loadFor(r.Class) >= s.slots() {
+				continue
+			}
+			cost := t.cost(now, r, s, hashed && slot == home, mix(key^s.hash))
+			if cost < bestCost {
+				best, bestCost = s, cost
+			}
+		}
+		if best != nil {
+			return Choice{ID: best.ID, Missing: r.missing(t.matched(best)), slot: best.ref.slot}, true
+		}
+	}
+	return Choice{}, false
+}
+
+// match finds how many leading blocks the known holders have cached and adds
+// the holders of the deepest blocks to the candidates.
+func (t *Table) match(r *Request, from *ring, set *candidates) {
+	small := len(from.endpoints) <= maxCandidates
+	found := 0
+	for i := len(r.Blocks) - 1; i >= 0 && found < maxHolders; i-- {
+		h := t.hints.find(r.Blocks[i])
+		if h == nil {
+			continue
+		}
+		for _, ref := range h.refs[:h.count] {
+			s := t.slots[ref.slot]
+			if s == nil || s.ref != ref || s.matchedIn == t.choices {
+				continue
+			}
+			s.matched, s.matchedIn = i+1, t.choices
+			found++
+			if !small && set.count < maxHolders && s.Distance <= nearBound {
+				set.add(ref.slot)
+			}
+		}
+	}
+}
+
+func (t *Table) matched(s *state) int {
+	if s.matchedIn != t.choices {
+		return 0
+	}
+	return s.matched
+}
+
+// home is the candidate with the highest rendezvous hash. Routers that do not
+// know yet where a prefix is cached agree on it.
+func (t *Table) home(set *candidates, key uint64) int32 {
+	home, highest := int32(-1), uint64(0)
+	for _, slot := range set.slots[:set.count] {
+		s := t.slots[slot]
+		if s == nil || s.Leaving {
+			continue
+		}
+		if weight := mix(key ^ s.hash); weight >= highest {
+			home, highest = slot, weight
+		}
+	}
+	return home
+}
+
+// cost estimates the time that the request and others lose on the endpoint.
+// The spread, below one microsecond, breaks ties differently for each key.
+func (t *Table) cost(now time.Duration, r *Request, s *state, home bool, spread uint64) time.Duration {
+	matched := t.matched(s)
+	missing := r.missing(matched)
+	cost := max(s.readyAt-now, 0) + time.Duration(missing)*prefillPerToken
+	recomputable := missing
+	if home {
+		// The home is expected to have what other routers sent it.
+		recomputable = r.missing(max(matched, min(len(r.Blocks), affinityBlocks)))
+	}
+	cost += time.Duration(recomputable) * recomputePerToken
+	cost += loadCost(s.load(), s.slots())
+	cost += 2*s.Distance + time.Duration((s.Price-1)*float64(priceWeight))
+	cost += time.Duration((s.speed.slowness(t.typical.value) - 1) * float64(slowWeight))
+	if r.misfits(s, missing) {
+		cost += roleWeight
+	}
+	return cost + time.Duration(spread&0x3ff)
+}
+
+func loadCost(load, slots int) time.Duration {
+	share := float64(load) / float64(slots)
+	return time.Duration(share*share*float64(loadWeight)) + time.Duration(max(load-slots, 0))*overloadWeight
+}
+
+// misfits tells whether the endpoint's role is meant for other requests: long
+// prompts go to prefill endpoints, short ones to decode endpoints.
+func (r *Request) misfits(s *state, missing int) bool {
+	switch s.Role {
+	case RolePrefill:
+		return missing < longPrompt
+	case RoleDecode:
+		return missing >= longPrompt
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/core/route/endpoint.go
@@ -0,0 +1,149 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+// recentSends bounds the memory of requests sent since the last report.
+const recentSends = 64
+
+// reference names an endpoint in the cache hints. The generation tells apart
+// endpoints that used the same slot one after the other.
+type reference struct {
+	slot       int32
+	generation uint32
+}
+
+// state is what the table knows of one endpoint. Invariant: outstanding counts
+// the started attempts that have not ended, and batch those of class batch.
+type state struct {
+	Endpoint
+	ref  reference
+	hash uint64
+
+	outstanding int
+	batch       int
+
+	// reported counts requests and reportedBatch those of class batch as of
+	// reportedAt; sent and ended hold the times of own events since.
+	reported      int
+	reportedBatch int
+	reportedAt    time.Duration
+	sent          []time.Duration
+	ended         []time.Duration
+	// readyAt estimates when the prompts that wait now are processed.
+	readyAt time.Duration
+
+	speed speed
+
+	// matched and matchedIn hold the cached blocks found by one choice.
+	matched   int
+	matchedIn uint64
+}
+
+func newState(e Endpoint, ref reference) *state {
+	return &state{
+		Endpoint: e, ref: ref, hash: hashID(e.ID),
+		sent: make([]time.Duration, 0, recentSends), ended: make([]time.Duration, 0, recentSends),
+	}
+}
+
+// load is the last report plus own requests sent since, less those that ended.
+func (s *state) load() int {
+	return max(s.reported+len(s.sent)-len(s.ended), s.outstanding)
+}
+
+// loadFor is the load that stands in the way of a request of the class. Engines
+// preempt batch work, so it does not hold back other classes.
+func (s *state) loadFor(c fleet.Class) int {
+	if c == fleet.ClassBatch {
+		return s.load()
+	}
+	return s.load() - max(s.batch, s.reportedBatch)
+}
+
+func (s *state) slots() int {
+	if s.Slots <= 0 {
+		return DefaultSlots
+	}
+	return s.Slots
+}
+
+// serves tells whether the endpoint can run the request at all.
+func (s *state) serves(r *Request) bool {
+	if s.Leaving || (s.Model != "" && r.Model != "" && s.Model != r.Model) {
+		return false
+	}
+	return r.Adapter == "" || len(s.Adapters) == 0 || slices.Contains(s.Adapters, r.Adapter)
+}
+
+func (s *state) start(now time.Duration, class fleet.Class, missing int) {
+	s.outstanding++
+	if class == fleet.ClassBatch {
+		s.batch++
+	}
+	s.sent = remember(s.sent, now)
+	s.readyAt = max(s.readyAt, now) + time.Duration(missing)*prefillPerToken
+}
+
+// finish ends an attempt that started at the given time.
+func (s *state) finish(now, started time.Duration, class fleet.Class) {
+	s.outstanding--
+	if class == fleet.ClassBatch {
+		s.batch--
+	}
+	if started > s.reportedAt && len(s.sent) > 0 {
+		s.sent = s.sent[:len(s.sent)-1]
+		return
+	}
+	s.ended = remember(s.ended, now)
+}
+
+// remember adds a time; the oldest is forgotten when the memory is full.
+func remember(times []time.Duration, now time.Duration) []time.Duration {
+	if len(times) == recentSends {
+		times = times[:copy(times, times[1:])]
+	}
+	return append(times, now)
+}
+
+// report replaces the reported load as of time at. Older reports are ignored.
+func (s *state) report(at time.Duration, running, batch int) {
+	if at < s.reportedAt {
+		return
+	}
+	s.reported, s.reportedBatch, s.reportedAt = running, batch, at
+	s.sent = since(s.sent, at)
+	s.ended = since(s.ended, at)
+}
+
+// since drops the times up to at and keeps the memory of the slice.
+func since(times []time.Duration, at time.Duration) []time.Duration {
+	first := 0
+	for first < len(times) && times[first] <= at {
+		first++
+	}
+	return times[:copy(times, times[first:])]
+}
+
+// hashID is FNV-1a followed by the finalizer of splitmix64, which spreads
+// the hashes of similar names.
+func hashID(id fleet.EndpointID) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(id) {
+		h = (h ^ uint64(id[i])) * 1099511628211
+	}
+	return mix(h)
+}
+
+// mix is the finalizer of splitmix64 (Steele, Lea, Flood 2014).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/core/route/table.go
@@ -0,0 +1,152 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+type endpointID = fleet.EndpointID
+
+// Table holds the endpoints of one service. Invariants: an endpoint that is
+// leaving is never chosen; at most a third of the live endpoints is ejected.
+type Table struct {
+	seed    uint64
+	byID    map[endpointID]*state
+	slots   []*state
+	free    []int32
+	near    ring
+	far     ring
+	live    int
+	hints   hints
+	typical median
+	ejected []*state
+	choices uint64
+	// generations counts the endpoints that used a slot.
+	generations []uint32
+}
+
+// NewTable returns an empty table. The seed spreads requests without prefix
+// differently in each router.
+func NewTable(seed uint64) *Table {
+	return &Table{seed: seed, byID: make(map[endpointID]*state), hints: newHints()}
+}
+
+// Replace sets the list of endpoints and keeps what is known of those that stay.
+func (t *Table) Replace(list []Endpoint) {
+	next := make(map[endpointID]*state, len(list))
+	for _, e := range list {
+		s, ok := t.byID[e.ID]
+		if ok {
+			e.Leaving = e.Leaving || s.Leaving
+			s.Endpoint = e
+		} else {
+			s = t.allocate(e)
+		}
+		next[e.ID] = s
+	}
+	for id, s := range t.byID {
+		if _, stays := next[id]; !stays {
+			t.slots[s.ref.slot] = nil
+			t.free = append(t.free, s.ref.slot)
+		}
+	}
+	slices.Sort(t.free)
+	t.byID = next
+	t.rebuild()
+}
+
+func (t *Table) allocate(e Endpoint) *state {
+	if n := len(t.free); n > 0 {
+		slot := t.free[n-1]
+		t.free = t.free[:n-1]
+		t.generations[slot]++
+		t.slots[slot] = newState(e, reference{slot: slot, generation: t.generations[slot]})
+		return t.slots[slot]
+	}
+	slot := int32(len(t.slots))
+	s := newState(e, reference{slot: slot})
+	t.slots = append(t.slots, s)
+	t.generations = append(t.generations, 0)
+	return s
+}
+
+// rebuild makes the rings of near and far live endpoints.
+func (t *Table) rebuild() {
+	var near, far []*state
+	for _, s := range t.slots {
+		switch {
+		case s == nil || s.Leaving:
+		case s.Distance <= nearBound:
+			near = append(near, s)
+		default:
+			far = append(far, s)
+		}
+	}
+	byID := func(a, b *state) int { return cmp.Compare(a.ID, b.ID) }
+	slices.SortFunc(near, byID)
+	slices.SortFunc(far, byID)
+	t.near, t.far = newRing(near), newRing(far)
+	t.live = len(near) + len(far)
+}
+
+// Leave marks an endpoint as leaving. It gets no new work again.
+func (t *Table) Leave(id endpointID) {
+	if s, ok := t.byID[id]; ok && !s.Leaving {
+		s.Leaving = true
+		t.rebuild()
+	}
+}
+
+// Live is the number of endpoints that are not leaving.
+func (t *Table) Live() int { return t.live }
+
+// Outstanding is the number of attempts on the endpoint that have not ended.
+func (t *Table) Outstanding(id endpointID) int {
+	if s, ok := t.byID[id]; ok {
+		return s.outstanding
+	}
+	return 0
+}
+
+// Start counts an attempt on the chosen endpoint and remembers that the
+// endpoint will have the prompt cached.
+func (t *Table) Start(now time.Duration, c Choice, r *Request) {
+	s := t.byID[c.ID]
+	s.start(now, r.Class, c.Missing)
+	for _, block := range r.Blocks {
+		t.hints.add(block, s.ref)
+	}
+}
+
+// Finish ends an attempt that was started at the given time.
+func (t *Table) Finish(now time.Duration, id endpointID, started time.Duration, class fleet.Class) {
+	if s, ok := t.byID[id]; ok {
+		s.finish(now, started, class)
+	}
+}
+
+// Report replaces the reported load of an endpoint, measured at time at.
+// running includes requests that wait on the endpoint; batch counts those of
+// class batch among them.
+func (t *Table) Report(at time.Duration, id endpointID, running, batch int) {
+	if s, ok := t.byID[id]; ok {
+		s.report(at, running, batch)
+	}
+}
+
+// Cached refines the hints by an event of the endpoint's prefix cache.
+func (t *Table) Cached(id endpointID, stored, evicted []uint64) {
+	s, ok := t.byID[id]
+	if !ok {
+		return
+	}
+	for _, block := range stored {
+		t.hints.add(block, s.ref)
+	}
+	for _, block := range evicted {
+		t.hints.remove(block, s.ref)
+	}
+}
--- a/internal/policybench/undertest.go
+++ b/internal/policybench/undertest.go
@@ -3,4 +3,6 @@
 import "github.com/cornelhold/cornelhold/internal/core/dispatch"
 
 // newUnderTest returns the dispatcher of one router.
-func newUnderTest(_ *user, _ int) Policy { return dispatch.New() }
+func newUnderTest(u *user, router int) Policy {
+	return dispatch.NewWith(dispatch.Options{DataCentre: u.centres[router%len(u.centres)], Seed: uint64(router)})
+}
