--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
-# GOTOOL runs a tool pinned in tools/NAME/go.mod.
+# LINT runs the linter pinned in tools/lint.
 LINT  := go tool -modfile=tools/lint/go.mod golangci-lint
 BIN   := .bin
 
 
-.PHONY: all build test unit lint fmt generate
+.PHONY: all build test unit lint fmt generate bench
 
 all: build
 
@@ -40,3 +40,8 @@
 .PHONY: bench-router
 bench-router: build
 	go run ./bench $(BIN)
+
+# bench prints the policy figures, which are fixed by the commit.
+bench:
+	@mkdir -p $(BIN)
+	go run ./cmd/cornelhold-policybench -json $(BIN)/policy.json
--- /dev/null
+++ b/internal/policybench/undertest.go
@@ -0,0 +1,8 @@
+package policybench
+
+import "github.com/cornelhold/cornelhold/internal/core/dispatch"
+
+// newUnderTest returns the dispatcher of one router.
+func newUnderTest(u *user, router int) Policy {
+	return dispatch.NewWith(dispatch.Options{DataCentre: u.centres[router%len(u.centres)], Seed: uint64(router)})
+}
