--- /dev/null
+++ b/internal/core/lease/fold.go
@@ -0,0 +1,209 @@
+// Package lease decides which controller may order changes in a shard.
+//
+// A shard is one service in one data centre. Fold is a pure fold of the lease
+// stream: every reader of the same prefix agrees on the holder of each shard.
+// Machine is the state machine of one holder: it renews all shards of a node
+// with one log record and hands out permits that end before the lease does.
+package lease
+
+import (
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+const (
+	// Duration is the lifetime of a lease in log time after its last record.
+	Duration = 15 * time.Second
+	// SafetyMargin is how long before the end of its lease a holder stops to
+	// issue orders. It covers clock rate differences and slow sends.
+	SafetyMargin = 3 * time.Second
+	// MaxOrderDelay is the longest time that an order can be in flight.
+	MaxOrderDelay = 10 * time.Second
+)
+
+// Shard is the unit that a lease covers.
+type Shard struct {
+	Service    fleet.ServiceName
+	DataCentre fleet.DataCentre
+}
+
+// String returns service/data centre.
+func (s Shard) String() string { return string(s.Service) + "/" + string(s.DataCentre) }
+
+// Holder names a controller process. Incarnation differs for each process
+// start, so that two processes with the same instance name never share a lease.
+type Holder struct {
+	Instance    fleet.InstanceID
+	Incarnation string
+}
+
+// Fence is a fencing number: the offset of the accepted lease record.
+type Fence uint64
+
+// Kind tells what a record does.
+type Kind uint8
+
+// Kinds of records.
+const (
+	// KindHold acquires or renews the shards.
+	KindHold Kind = iota + 1
+	// KindRelease gives the shards up before they expire.
+	KindRelease
+)
+
+// Record is one record of the lease stream. It covers all shards of a node, so
+// that the number of appends depends on the nodes and not on the shards.
+type Record struct {
+	// ID is unique for each append.
+	ID     string
+	Holder Holder
+	Kind   Kind
+	// Shards are acquired or released.
+	Shards []Shard
+	// Renewed are shards that the holder holds since RenewedFrom or later, the
+	// log time of an accepted record. It lets a reader that starts in the
+	// middle of the stream know that the lease was live.
+	Renewed     []Shard
+	RenewedFrom time.Duration
+}
+
+// Entry is a record at its place in the stream.
+type Entry struct {
+	Offset uint64
+	// Time is the log service's append time since the Unix epoch.
+	Time   time.Duration
+	Record Record
+}
+
+// Lease is the last accepted lease of a shard.
+type Lease struct {
+	Holder   Holder
+	Fence    Fence
+	Granted  time.Duration
+	Released bool
+	// certain is false while a reader that started in the middle of the stream
+	// can't tell whether the record was accepted.
+	certain bool
+}
+
+// live tells whether the lease excludes other holders at the log time now.
+func (l Lease) live(now time.Duration) bool {
+	return !l.Released && now < l.Granted+Duration
+}
+
+// Change is the effect of one accepted record on one shard.
+type Change struct {
+	Shard Shard
+	Lease Lease
+	// Previous is the lease that was replaced; its holder is empty if there
+	// was none.
+	Previous Lease
+}
+
+// Fold holds the lease table. Invariant: the log time at which the holder of a
+// shard changes is at least Duration after the last accepted record of the
+// previous holder, unless that holder released the shard.
+type Fold struct {
+	leases map[Shard]Lease
+	now    time.Duration
+	// certainFrom is the log time from which an unknown shard is free: a lease
+	// that was live before the first entry has expired by then.
+	certainFrom time.Duration
+	started     bool
+	late        bool
+}
+
+// NewFold returns a fold without leases.
+func NewFold() *Fold { return &Fold{leases: make(map[Shard]Lease)} }
+
+// Lookup returns the last accepted lease of a shard. It reports false if there
+// is none, or if the fold started too late to know it.
+func (f *Fold) Lookup(s Shard) (Lease, bool) {
+	l, ok := f.leases[s]
+	return l, ok && l.certain
+}
+
+// Apply folds one entry and returns the accepted changes in the order of the
+// record's shards. A shard that another live lease covers is left out, and so
+// is one of which a fold that started late does not know the holder yet.
+func (f *Fold) Apply(e Entry) []Change {
+	f.now = max(f.now, e.Time)
+	if !f.started {
+		f.start(e)
+	}
+	var changes []Change
+	for _, shard := range e.Record.Shards {
+		if change, ok := f.apply(e, shard); ok {
+			changes = append(changes, change)
+		}
+	}
+	for _, shard := range e.Record.Renewed {
+		if change, ok := f.renew(e, shard); ok {
+			changes = append(changes, change)
+		}
+	}
+	return changes
+}
+
+func (f *Fold) start(e Entry) {
+	f.started = true
+	f.late = e.Offset > 0
+	if f.late {
+		f.certainFrom = f.now + Duration
+	}
+}
+
+// renew accepts a renewal of a lease that was certainly live; otherwise the
+// renewal counts as an acquisition.
+func (f *Fold) renew(e Entry, shard Shard) (Change, bool) {
+	if f.now >= e.Record.RenewedFrom+Duration {
+		return f.apply(e, shard)
+	}
+	if l, known := f.leases[shard]; known && l.certain {
+		return f.apply(e, shard)
+	}
+	return f.accept(shard, Lease{Holder: e.Record.Holder, Fence: Fence(e.Offset), Granted: f.now})
+}
+
+func (f *Fold) apply(e Entry, shard Shard) (Change, bool) {
+	previous, known := f.leases[shard]
+	certain := f.certain(shard)
+	own := known && previous.Holder == e.Record.Holder
+	next := Lease{Holder: e.Record.Holder, Fence: Fence(e.Offset), Granted: f.now}
+	switch e.Record.Kind {
+	case KindHold:
+		if !certain {
+			f.leases[shard] = next
+			return Change{}, false
+		}
+		if !own && known && previous.live(f.now) {
+			return Change{}, false
+		}
+	case KindRelease:
+		if !own || !certain || previous.Released {
+			return Change{}, false
+		}
+		next.Released = true
+	default:
+		return Change{}, false
+	}
+	return f.accept(shard, next)
+}
+
+func (f *Fold) accept(shard Shard, next Lease) (Change, bool) {
+	next.certain = true
+	previous := f.leases[shard]
+	f.leases[shard] = next
+	return Change{Shard: shard, Lease: next, Previous: previous}, true
+}
+
+// certain reports whether the state of a shard is known: its lease is, or
+// every lease that the shard may have had has expired.
+func (f *Fold) certain(shard Shard) bool {
+	l, known := f.leases[shard]
+	if known && l.certain {
+		return true
+	}
+	return f.now >= f.certainFrom && (!known || f.now >= l.Granted+Duration)
+}
