Decide in the core how a follower learns the configuration

Cause: the follower task folded whatever the long poll returned. Records read again after a push, expired offsets, peers with an older state and stale checkpoints had no rule, and a record that was out of turn could be accepted when it was folded a second time.

Change: config.Follower decides what to read next (tickets, checkpoints, peers), when to append a checkpoint and whom to relay to.

--- a/internal/core/config/fold.go
+++ b/internal/core/config/fold.go
@@ -15,8 +15,13 @@
 // Current returns the highest known snapshot. It is never nil.
 func (f *Fold) Current() *Snapshot { return f.current }
 
-// Apply folds the ticket record at the given offset of the ticket stream.
+// Apply folds the ticket record at the given offset of the ticket stream. A
+// record that the current snapshot covers is ignored: folded again after later
+// tickets, a record that was out of turn could be accepted.
 func (f *Fold) Apply(offset uint64, t Ticket) Verdict {
+	if offset < f.current.Offset {
+		return VerdictCovered
+	}
 	verdict := f.judge(t)
 	next := max(f.current.Offset, offset+1)
 	if verdict != VerdictAccepted {
@@ -32,10 +37,23 @@
 	return VerdictAccepted
 }
 
+// Skip passes over a malformed record at the given offset.
+func (f *Fold) Skip(offset uint64) Verdict {
+	if offset < f.current.Offset {
+		return VerdictCovered
+	}
+	f.current = f.current.withOffset(offset + 1)
+	return VerdictMalformed
+}
+
 // Adopt takes a snapshot from a checkpoint or a peer if its number is higher
-// than the current one. It reports whether the snapshot was taken.
+// than the current one, or if it is the same state and covers more records. It
+// reports whether the snapshot was taken.
 func (f *Fold) Adopt(s *Snapshot) bool {
-	if s.Number <= f.current.Number {
+	current := f.current
+	newer := s.Number > current.Number
+	further := s.Number == current.Number && s.TicketID == current.TicketID && s.Offset > current.Offset
+	if !newer && !further {
 		return false
 	}
 	f.current = s
@@ -44,6 +62,8 @@
 
 func (f *Fold) judge(t Ticket) Verdict {
 	switch {
+	case t.Number == 0:
+		return VerdictMalformed
 	case t.Number == f.current.Number+1:
 		return VerdictAccepted
 	case t.Number > f.current.Number+1:
--- /dev/null
+++ b/internal/core/config/follower.go
@@ -0,0 +1,481 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+const (
+	// LogRetryDelay separates reads while the log service fails.
+	LogRetryDelay = 200 * time.Millisecond
+	// RepairDelay is how long a follower waits for a push or its own read before
+	// it fetches a number that a peer announced.
+	RepairDelay = 500 * time.Millisecond
+	// PeerRetryDelay is how long a peer that failed or held nothing new is not
+	// asked again.
+	PeerRetryDelay = time.Second
+	// GapRetryDelay separates searches for a checkpoint that covers expired records.
+	GapRetryDelay = 5 * time.Second
+	// CheckpointRetryDelay separates attempts to append a checkpoint.
+	CheckpointRetryDelay = 10 * time.Second
+	// recentTickets bounds the accepted tickets kept for peers.
+	recentTickets = 128
+	// recentBytes bounds the object values of the tickets kept for peers.
+	recentBytes = 1 << 20
+)
+
+// Follower decides how one process learns the active configuration: what to
+// read from the log service, which peer to ask and whom to relay to.
+//
+// Invariants: the number of the current snapshot never decreases, and every
+// snapshot is the fold of a prefix of the ticket stream.
+type Follower struct {
+	self   Node
+	policy CheckpointPolicy
+	fold   *Fold
+	plan   Plan
+	peers  map[fleet.InstanceID]*peerState
+	recent []Record
+
+	started bool
+	// Outstanding reads, at most one of each kind.
+	readingTickets, readingCheckpoints, fetching, appending bool
+	// sought tells whether checkpoints were read since the start.
+	sought bool
+	// expiredFirst is the oldest offset held when the last read had expired.
+	expiredFirst uint64
+	logDown      bool
+	// Times before which a step is not repeated.
+	logRetryAt, gapRetryAt, checkpointRetryAt, fetchAt time.Duration
+
+	// wanted is the highest number that is known to exist.
+	wanted      Number
+	wantedSince time.Duration
+	// urgent skips the repair delay after a push that left a gap.
+	urgent bool
+
+	mark    *CheckpointMark
+	pending CheckpointMark
+
+	status FollowerStatus
+	wakeAt time.Duration
+	out    []FollowerAction
+	// accepted and verdicts collect the results of one step.
+	accepted []Record
+	verdicts []Verdict
+}
+
+type peerState struct {
+	node    Node
+	number  Number
+	retryAt time.Duration
+	// failed tells that the last request to the peer failed.
+	failed bool
+}
+
+// NewFollower returns a follower without a configuration.
+func NewFollower(self Node, policy CheckpointPolicy) *Follower {
+	return &Follower{
+		self: self, policy: policy, fold: NewFold(), plan: PlanFor(self, nil),
+		peers: make(map[fleet.InstanceID]*peerState),
+	}
+}
+
+// Current returns the active snapshot. It is never nil.
+func (f *Follower) Current() *Snapshot { return f.fold.Current() }
+
+// Plan returns the node's current part in the distribution.
+func (f *Follower) Plan() Plan { return f.plan }
+
+// Answer returns what a peer at the given number lacks.
+func (f *Follower) Answer(after Number, whole bool) Answer {
+	current := f.fold.Current()
+	answer := Answer{Number: current.Number}
+	missing := uint64(0)
+	if current.Number > after {
+		missing = uint64(current.Number - after)
+	}
+	switch {
+	case whole, missing > uint64(len(f.recent)):
+		answer.Snapshot = current
+	default:
+		answer.Tickets = slices.Clone(f.recent[len(f.recent)-int(missing):])
+	}
+	return answer
+}
+
+// Step handles one message at the given monotonic time.
+func (f *Follower) Step(now time.Duration, msg FollowerMessage) []FollowerAction {
+	f.out, f.accepted, f.verdicts = nil, nil, nil
+	before := f.fold.Current().Number
+	f.handle(now, msg)
+	f.emitResults(before)
+	if f.started {
+		f.readNext(now)
+		f.report()
+		f.arm(now)
+	}
+	return f.out
+}
+
+func (f *Follower) handle(now time.Duration, msg FollowerMessage) {
+	switch msg := msg.(type) {
+	case Start:
+		f.started = true
+	case Nodes:
+		f.setNodes(msg.List)
+	case PeerNumber:
+		f.notePeer(now, msg.Peer, msg.Number)
+	case PeerAnswered:
+		f.handleAnswer(now, msg)
+	case PeerFailed:
+		f.fetching = false
+		f.delayPeer(now, msg.Peer, true)
+	case Pushed:
+		f.foldAccepted(now, msg.Records)
+	default:
+		f.handleLog(now, msg)
+	}
+}
+
+func (f *Follower) handleLog(now time.Duration, msg FollowerMessage) {
+	switch msg := msg.(type) {
+	case TicketsRead:
+		f.readingTickets, f.logDown = false, false
+		f.foldLog(msg.Records)
+	case TicketsFailed:
+		f.readingTickets = false
+		f.logFailed(now)
+	case TicketsExpired:
+		f.readingTickets, f.logDown = false, false
+		f.expiredFirst = max(f.expiredFirst, msg.First)
+	case CheckpointsRead:
+		f.readingCheckpoints, f.logDown, f.sought = false, false, true
+		f.gapRetryAt = now + GapRetryDelay
+		if msg.Newest != nil {
+			f.adopt(msg.Newest)
+		}
+	case CheckpointsFailed:
+		f.readingCheckpoints = false
+		f.logFailed(now)
+	case CheckpointAppended:
+		f.appending = false
+		mark := f.pending
+		f.mark = &mark
+	case CheckpointFailed:
+		f.appending = false
+		f.checkpointRetryAt = now + CheckpointRetryDelay
+	}
+}
+
+func (f *Follower) logFailed(now time.Duration) {
+	f.logDown = true
+	f.logRetryAt = now + LogRetryDelay
+}
+
+// foldLog folds consecutive records of the ticket stream. It stops at a hole,
+// because an unread record may hold the next number.
+func (f *Follower) foldLog(records []Record) {
+	for _, r := range records {
+		if r.Offset > f.fold.Current().Offset {
+			f.expiredFirst = max(f.expiredFirst, r.Offset)
+			return
+		}
+		f.foldRecord(r)
+	}
+}
+
+// foldAccepted folds tickets that a peer has folded as accepted. They need not
+// be consecutive: an accepted ticket implies that no record between it and its
+// predecessor was accepted.
+func (f *Follower) foldAccepted(now time.Duration, records []Record) {
+	for _, r := range records {
+		if r.Ticket.Number > f.fold.Current().Number+1 {
+			f.want(now, r.Ticket.Number)
+			f.urgent = true
+			return
+		}
+		f.foldRecord(r)
+	}
+}
+
+func (f *Follower) foldRecord(r Record) {
+	var verdict Verdict
+	if r.Malformed {
+		verdict = f.fold.Skip(r.Offset)
+	} else {
+		verdict = f.fold.Apply(r.Offset, r.Ticket)
+	}
+	if verdict != VerdictCovered {
+		f.verdicts = append(f.verdicts, verdict)
+	}
+	if verdict == VerdictAccepted {
+		f.accepted = append(f.accepted, r)
+		f.remember(r)
+	}
+}
+
+func (f *Follower) remember(r Record) {
+	f.recent = append(f.recent, r)
+	bytes := 0
+	for i := len(f.recent) - 1; i >= 0; i-- {
+		for _, o := range f.recent[i].Ticket.Objects {
+			bytes += len(o.Value)
+		}
+		if bytes > recentBytes || len(f.recent)-i > recentTickets {
+			f.recent = slices.Clone(f.recent[i+1:])
+			return
+		}
+	}
+}
+
+func (f *Follower) adopt(s *Snapshot) {
+	jumps := s.Number > f.fold.Current().Number
+	if f.fold.Adopt(s) && jumps {
+		f.recent = nil
+	}
+}
+
+func (f *Follower) setNodes(list []Node) {
+	for _, n := range list {
+		if n.Instance == f.self.Instance {
+			f.self.Leaving = n.Leaving
+		}
+	}
+	plan := PlanFor(f.self, list)
+	if !plan.WritesCheckpoints {
+		f.mark = nil
+	}
+	f.plan = plan
+	f.logDown = f.logDown && plan.Reads
+	peers := make(map[fleet.InstanceID]*peerState, len(list))
+	for _, n := range list {
+		if n.Instance == f.self.Instance {
+			continue
+		}
+		state, known := f.peers[n.Instance]
+		if !known {
+			state = &peerState{}
+		}
+		state.node = n
+		peers[n.Instance] = state
+	}
+	f.peers = peers
+}
+
+func (f *Follower) notePeer(now time.Duration, id fleet.InstanceID, number Number) {
+	peer, known := f.peers[id]
+	if !known {
+		return
+	}
+	peer.number = max(peer.number, number)
+	f.want(now, number)
+}
+
+func (f *Follower) want(now time.Duration, number Number) {
+	if number <= f.wanted || number <= f.fold.Current().Number {
+		return
+	}
+	if f.wanted <= f.fold.Current().Number {
+		f.wantedSince = now
+	}
+	f.wanted = number
+}
+
+func (f *Follower) handleAnswer(now time.Duration, msg PeerAnswered) {
+	f.fetching, f.urgent = false, false
+	f.notePeer(now, msg.Peer, msg.Answer.Number)
+	before := f.fold.Current()
+	if msg.Answer.Snapshot != nil {
+		f.adopt(msg.Answer.Snapshot)
+	}
+	f.foldAccepted(now, msg.Answer.Tickets)
+	if f.fold.Current() == before {
+		// Without this delay, a fleet without a ticket would fetch all the time.
+		f.fetchAt = now + RepairDelay
+		f.delayPeer(now, msg.Peer, false)
+	}
+}
+
+func (f *Follower) delayPeer(now time.Duration, id fleet.InstanceID, failed bool) {
+	if peer, known := f.peers[id]; known {
+		peer.retryAt = now + PeerRetryDelay
+		peer.failed = failed
+	}
+}
+
+func (f *Follower) emitResults(before Number) {
+	if len(f.verdicts) > 0 {
+		f.emit(Folded{Verdicts: f.verdicts})
+	}
+	current := f.fold.Current()
+	if current.Number == before {
+		return
+	}
+	f.emit(Activate{Snapshot: current, Records: f.accepted})
+	if len(f.accepted) == 0 {
+		return
+	}
+	for _, to := range f.plan.RelayTo {
+		f.emit(Relay{To: to, Records: f.accepted})
+	}
+}
+
+func (f *Follower) readNext(now time.Duration) {
+	if f.followsLog() && now >= f.logRetryAt {
+		f.readLog(now)
+	}
+	f.fetchPeer(now)
+	f.writeCheckpoint(now)
+}
+
+// followsLog reports whether the node reads the log: by plan, or because it
+// knows nothing and no peer answers.
+func (f *Follower) followsLog() bool {
+	if f.plan.Reads {
+		return true
+	}
+	if f.fold.Current().Number > 0 {
+		return false
+	}
+	for _, peer := range f.peers {
+		if !peer.failed {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *Follower) gap() bool { return f.fold.Current().Offset < f.expiredFirst }
+
+func (f *Follower) readLog(now time.Duration) {
+	if f.readingTickets || f.readingCheckpoints {
+		return
+	}
+	switch {
+	case !f.sought, f.gap() && now >= f.gapRetryAt:
+		f.readingCheckpoints = true
+		f.emit(ReadCheckpoints{})
+	case !f.gap():
+		f.readingTickets = true
+		f.emit(ReadTickets{From: f.fold.Current().Offset})
+	}
+}
+
+func (f *Follower) behind(now time.Duration) bool {
+	return f.wanted > f.fold.Current().Number && (f.urgent || now >= f.wantedSince+RepairDelay)
+}
+
+func (f *Follower) needsPeer(now time.Duration) bool {
+	unknown := f.fold.Current().Number == 0 && (!f.plan.Reads || f.logDown)
+	return f.behind(now) || f.gap() || unknown
+}
+
+func (f *Follower) fetchPeer(now time.Duration) {
+	if f.fetching || now < f.fetchAt || !f.needsPeer(now) {
+		return
+	}
+	peer := f.choosePeer(now)
+	if peer == nil {
+		return
+	}
+	f.fetching = true
+	f.emit(FetchPeer{Peer: peer.node.Instance, After: f.fold.Current().Number, Whole: f.gap()})
+}
+
+// choosePeer prefers the highest number, then the same data centre, then an
+// order that differs for each asking node so that repairs spread.
+func (f *Follower) choosePeer(now time.Duration) *peerState {
+	var best *peerState
+	for _, peer := range f.peers {
+		if now < peer.retryAt {
+			continue
+		}
+		if best == nil || f.comparePeers(peer, best) < 0 {
+			best = peer
+		}
+	}
+	return best
+}
+
+func (f *Follower) comparePeers(a, b *peerState) int {
+	return cmp.Or(
+		cmp.Compare(b.number, a.number),
+		cmp.Compare(f.distance(a), f.distance(b)),
+		cmp.Compare(a.retryAt, b.retryAt),
+		cmp.Compare(f.order(a), f.order(b)),
+		cmp.Compare(a.node.Instance, b.node.Instance),
+	)
+}
+
+func (f *Follower) distance(p *peerState) int {
+	if p.node.DataCentre == f.self.DataCentre {
+		return 0
+	}
+	return 1
+}
+
+func (f *Follower) order(p *peerState) uint64 {
+	return xxhash.Sum64String(string(f.self.Instance) + "/" + string(p.node.Instance))
+}
+
+func (f *Follower) writeCheckpoint(now time.Duration) {
+	if !f.plan.WritesCheckpoints || f.appending || f.logDown || now < f.checkpointRetryAt {
+		return
+	}
+	current := f.fold.Current()
+	if !f.policy.Due(now, current, f.mark) {
+		return
+	}
+	f.appending = true
+	f.pending = CheckpointMark{Offset: current.Offset, At: now}
+	f.emit(AppendCheckpoint{Snapshot: current})
+}
+
+func (f *Follower) report() {
+	status := FollowerStatus{
+		Known: f.fold.Current().Number > 0, LogDown: f.logDown, Gap: f.gap(),
+	}
+	if status != f.status {
+		f.status = status
+		f.emit(Report{Status: status})
+	}
+}
+
+// arm requests a wake-up for the earliest pending time.
+func (f *Follower) arm(now time.Duration) {
+	next := time.Duration(-1)
+	consider := func(at time.Duration) {
+		if at > now && (next < 0 || at < next) {
+			next = at
+		}
+	}
+	consider(f.logRetryAt)
+	consider(f.checkpointRetryAt)
+	if f.gap() {
+		consider(f.gapRetryAt)
+	}
+	if f.wanted > f.fold.Current().Number {
+		consider(f.wantedSince + RepairDelay)
+	}
+	if f.plan.WritesCheckpoints && f.mark != nil {
+		consider(f.mark.At + f.policy.Age)
+	}
+	if f.gap() || f.wanted > f.fold.Current().Number || f.fold.Current().Number == 0 {
+		consider(f.fetchAt)
+		for _, peer := range f.peers {
+			consider(peer.retryAt)
+		}
+	}
+	if next >= 0 && next != f.wakeAt {
+		f.wakeAt = next
+		f.emit(WakeAt{At: next})
+	}
+}
+
+func (f *Follower) emit(a FollowerAction) { f.out = append(f.out, a) }
--- a/internal/core/config/ticket.go
+++ b/internal/core/config/ticket.go
@@ -59,8 +59,32 @@
 	VerdictGap
 	// VerdictDuplicate: the same ticket was already folded under its number.
 	VerdictDuplicate
+	// VerdictMalformed: the record is no ticket; readers skip it.
+	VerdictMalformed
+	// VerdictCovered: the snapshot already covers the record.
+	VerdictCovered
 )
 
+// String returns the name used in metrics and by the operators' client.
+func (v Verdict) String() string {
+	names := [...]string{"invalid", "accepted", "lost", "gap", "duplicate", "malformed", "covered"}
+	if int(v) >= len(names) {
+		return names[0]
+	}
+	return names[v]
+}
+
+// Record is one decoded record of the ticket stream.
+type Record struct {
+	// Offset is the position of the record in the ticket stream.
+	Offset uint64
+	// TimeMillis is the log service's append time, Unix milliseconds.
+	TimeMillis int64
+	Ticket     Ticket
+	// Malformed records hold no ticket.
+	Malformed bool
+}
+
 // Snapshot is the complete folded state at one number. A snapshot is immutable.
 type Snapshot struct {
 	Number Number
