Hand open requests over between routers and stop without cutting any off

Cause: a reclaimed router broke its streams, a stopped one reset connections in its accept queue, a request that crashes endpoints was rerun without end, and a caller could reconnect only where it had been.

Change: the drainer task reacts to a notice in the instance list or to POST /drain, the holder task keeps records from peers, and any router takes over a request of a reconnecting caller. Request ids carry the hash of the instance that accepted them. Callers without a stream get 303 to /v1/requests/{id}/result; GET /v1/requests/{id} tells the state. The quarantine task folds and appends crash evidence. SIGTERM passes through a lame duck phase, empties the accept queue and waits for open requests, without a bound unless shutdown_bound is set. Metrics per team and class. daemon.Env gains the admin mux.

--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -41,5 +41,17 @@
 		Path:        "/v1/requests/{id}/events",
 		Summary:     "Continue the stream of a request after Last-Event-ID",
 	}, a.requestEvents)
+	huma.Register(humaAPI, huma.Operation{
+		OperationID: "request-result",
+		Method:      http.MethodGet,
+		Path:        "/v1/requests/{id}/result",
+		Summary:     "Wait for the whole answer of a request",
+	}, a.requestResult)
+	huma.Register(humaAPI, huma.Operation{
+		OperationID: "request-status",
+		Method:      http.MethodGet,
+		Path:        "/v1/requests/{id}",
+		Summary:     "Tell how far a request is",
+	}, a.requestState)
 	return mux
 }
--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -64,12 +64,13 @@
 			writeProblem(ctx, refusal)
 			return
 		}
+		defer handle.Release()
 		ctx.SetHeader("X-Request-Id", string(handle.ID))
 		if in.Body.Stream {
-			streamEvents(ctx, handle, in.Body.Model, 0)
+			streamEvents(ctx, handle, 0)
 			return
 		}
-		writeWhole(ctx, handle, in.Body.Model)
+		writeWhole(ctx, handle)
 	}}, nil
 }
 
@@ -81,6 +82,8 @@
 		Adapter:   adapter,
 		Prompt:    promptOf(body.Messages),
 		MaxTokens: max(body.MaxTokens, body.MaxCompletionTokens),
+		Streamed:  body.Stream,
+		Model:     body.Model,
 	}
 	if s.MaxTokens == 0 {
 		s.MaxTokens = defaultMaxTokens
@@ -102,13 +105,17 @@
 	return b.String()
 }
 
-// writeWhole collects the answer and writes it as one JSON document.
-func writeWhole(ctx huma.Context, handle *router.Handle, model string) {
+// writeWhole collects the answer and writes it as one JSON document. If
+// another router takes the request over, the caller is sent to its result.
+func writeWhole(ctx huma.Context, handle *router.Handle) {
 	var text strings.Builder
 	for next := 0; ; {
 		frames, err := handle.Read(ctx.Context(), next)
 		if err != nil {
-			handle.Abandon()
+			return
+		}
+		if frames.Moved {
+			redirectToResult(ctx, handle)
 			return
 		}
 		for _, t := range frames.Texts {
@@ -122,15 +129,15 @@
 			writeProblem(ctx, frames.Refusal)
 			return
 		}
-		writeCompletion(ctx, handle, model, text.String(), frames.Finish)
+		writeCompletion(ctx, handle, text.String(), frames.Finish)
 		return
 	}
 }
 
-func writeCompletion(ctx huma.Context, handle *router.Handle, model, text, finish string) {
+func writeCompletion(ctx huma.Context, handle *router.Handle, text, finish string) {
 	ctx.SetHeader("Content-Type", "application/json")
 	_ = json.NewEncoder(ctx.BodyWriter()).Encode(chatChunk{
-		ID: string(handle.ID), Object: "chat.completion", Created: time.Now().Unix(), Model: model,
+		ID: string(handle.ID), Object: "chat.completion", Created: time.Now().Unix(), Model: handle.Model,
 		Choices: []chatChoice{{Message: &chatMessage{Role: "assistant", Content: text}, FinishReason: &finish}},
 	})
 }
--- a/internal/callerapi/events.go
+++ b/internal/callerapi/events.go
@@ -14,11 +14,14 @@
 	"github.com/cornelhold/cornelhold/internal/router"
 )
 
+// callerWriteTimeout is how long a caller may block a write; after it the
+// connection is closed, and the caller may reconnect.
+const callerWriteTimeout = 30 * time.Second
+
 type eventsInput struct {
 	Authorization string `header:"Authorization"`
 	LastEventID   string `header:"Last-Event-ID"`
 	ID            string `path:"id" maxLength:"100"`
-	Model         string `query:"model" maxLength:"200"`
 }
 
 // requestEvents continues the stream of a request. Event ids count frames from
@@ -40,7 +43,9 @@
 			writeProblem(ctx, refusal)
 			return
 		}
-		streamEvents(ctx, handle, in.Model, from)
+		defer handle.Release()
+		ctx.SetHeader("X-Request-Id", string(handle.ID))
+		streamEvents(ctx, handle, from)
 	}}, nil
 }
 
@@ -56,14 +61,20 @@
 }
 
 // streamEvents writes frames as server-sent events. A refusal before the first
-// frame becomes a problem response, a later one an error event.
-func streamEvents(ctx huma.Context, handle *router.Handle, model string, from int) {
+// frame becomes a problem response, a later one an error event. If another
+// router takes the request over, the connection is broken off, since a stream
+// that ends properly would look like a whole answer.
+func streamEvents(ctx huma.Context, handle *router.Handle, from int) {
+	defer limitWrite(ctx, time.Time{}) // the connection may serve another request
 	started := false
 	for next := from; ; {
 		frames, err := handle.Read(ctx.Context(), next)
 		if err != nil {
 			return
 		}
+		if frames.Moved && len(frames.Texts) == 0 {
+			panic(http.ErrAbortHandler)
+		}
 		if !started && frames.Refusal != nil && len(frames.Texts) == 0 {
 			writeProblem(ctx, frames.Refusal)
 			return
@@ -73,17 +84,10 @@
 			ctx.SetHeader("Content-Type", "text/event-stream")
 			ctx.SetHeader("Cache-Control", "no-store")
 		}
-		last := frames.Ended && frames.Refusal == nil
-		for i, text := range frames.Texts {
-			next++
-			finish := ""
-			if last && i == len(frames.Texts)-1 {
-				finish = frames.Finish
-			}
-			if !writeEvent(ctx, handle, model, next, text, finish) {
-				return
-			}
+		if !writeFrames(ctx, handle, frames, next) {
+			return
 		}
+		next += len(frames.Texts)
 		if frames.Ended {
 			endEvents(ctx, frames.Refusal)
 			return
@@ -91,18 +95,39 @@
 	}
 }
 
-func writeEvent(ctx huma.Context, handle *router.Handle, model string, id int, text, finish string) bool {
+// writeFrames writes frames that follow the given number of frames. The last
+// frame of a whole answer carries the finish reason; if it was read before the
+// answer ended, an event without text does.
+func writeFrames(ctx huma.Context, handle *router.Handle, frames router.Frames, before int) bool {
+	last := frames.Ended && frames.Refusal == nil
+	for i, text := range frames.Texts {
+		finish := ""
+		if last && i == len(frames.Texts)-1 {
+			finish = frames.Finish
+		}
+		if !writeEvent(ctx, handle, before+i+1, text, finish) {
+			return false
+		}
+	}
+	if last && len(frames.Texts) == 0 {
+		return writeEvent(ctx, handle, before, "", frames.Finish)
+	}
+	return true
+}
+
+func writeEvent(ctx huma.Context, handle *router.Handle, id int, text, finish string) bool {
 	choice := chatChoice{Delta: &chatMessage{Role: "assistant", Content: text}}
 	if finish != "" {
 		choice.FinishReason = &finish
 	}
 	data, err := json.Marshal(chatChunk{
-		ID: string(handle.ID), Object: "chat.completion.chunk", Created: time.Now().Unix(), Model: model,
+		ID: string(handle.ID), Object: "chat.completion.chunk", Created: time.Now().Unix(), Model: handle.Model,
 		Choices: []chatChoice{choice},
 	})
 	if err != nil {
 		return false
 	}
+	limitWrite(ctx, time.Now().Add(callerWriteTimeout))
 	_, err = fmt.Fprintf(ctx.BodyWriter(), "id: %d\ndata: %s\n\n", id, data)
 	flush(ctx)
 	return err == nil
@@ -123,3 +148,11 @@
 		f.Flush()
 	}
 }
+
+// limitWrite sets the deadline of the writes that follow, where the server
+// supports it. The zero time removes it.
+func limitWrite(ctx huma.Context, deadline time.Time) {
+	if w, ok := ctx.BodyWriter().(http.ResponseWriter); ok {
+		_ = http.NewResponseController(w).SetWriteDeadline(deadline)
+	}
+}
--- /dev/null
+++ b/internal/callerapi/result.go
@@ -0,0 +1,82 @@
+package callerapi
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/danielgtaylor/huma/v2"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/router"
+)
+
+type requestInput struct {
+	Authorization string `header:"Authorization"`
+	ID            string `path:"id" maxLength:"100"`
+}
+
+// requestStatus is the body of GET /v1/requests/{id}.
+type requestStatus struct {
+	ID string `json:"id"`
+	// State is running, completed or refused.
+	State string `json:"state"`
+	// Frames is the number of frames that can be read.
+	Frames int `json:"frames"`
+	// FinishReason is set once the answer is whole.
+	FinishReason string   `json:"finish_reason,omitempty"`
+	Problem      *Problem `json:"problem,omitempty"`
+}
+
+// requestResult waits for the whole answer of a request.
+func (a *api) requestResult(_ context.Context, in *requestInput) (*huma.StreamResponse, error) {
+	return &huma.StreamResponse{Body: func(ctx huma.Context) {
+		team, refusal := authenticate(a.active.Spec(), in.Authorization)
+		if refusal != nil {
+			writeProblem(ctx, refusal)
+			return
+		}
+		handle, refusal := a.router.Find(ctx.Context(), fleet.RequestID(in.ID), team.Name)
+		if refusal != nil {
+			writeProblem(ctx, refusal)
+			return
+		}
+		defer handle.Release()
+		ctx.SetHeader("X-Request-Id", string(handle.ID))
+		writeWhole(ctx, handle)
+	}}, nil
+}
+
+// requestState tells how far a request is, and changes nothing.
+func (a *api) requestState(_ context.Context, in *requestInput) (*huma.StreamResponse, error) {
+	return &huma.StreamResponse{Body: func(ctx huma.Context) {
+		team, refusal := authenticate(a.active.Spec(), in.Authorization)
+		if refusal != nil {
+			writeProblem(ctx, refusal)
+			return
+		}
+		record, refusal := a.router.Status(ctx.Context(), fleet.RequestID(in.ID), team.Name)
+		if refusal != nil {
+			writeProblem(ctx, refusal)
+			return
+		}
+		status := requestStatus{ID: in.ID, State: "running", Frames: len(record.Frames), FinishReason: record.Finish}
+		switch {
+		case record.Refusal != nil:
+			problem := problemOf(record.Refusal)
+			status.State, status.Problem = "refused", &problem
+		case record.Finish != "":
+			status.State = "completed"
+		}
+		ctx.SetHeader("Content-Type", "application/json")
+		_ = json.NewEncoder(ctx.BodyWriter()).Encode(status)
+	}}, nil
+}
+
+// redirectToResult sends a caller to the result address. The connection closes,
+// so that the load balancer chooses another router.
+func redirectToResult(ctx huma.Context, handle *router.Handle) {
+	ctx.SetHeader("Location", "/v1/requests/"+string(handle.ID)+"/result")
+	ctx.SetHeader("Connection", "close")
+	ctx.SetStatus(http.StatusSeeOther)
+}
--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -37,7 +37,6 @@
 	router  int
 	key     Key
 	attempt AttemptID
-	sent    bool
 }
 
 type pendingRead struct {
@@ -217,7 +216,7 @@
 	}
 }
 
-func (w *world) storeLate(t *rapid.T) {
+func (w *world) storeLate(*rapid.T) {
 	if len(w.late) == 0 || w.down {
 		return
 	}
--- a/internal/core/quarantine/fold.go
+++ b/internal/core/quarantine/fold.go
@@ -159,3 +159,15 @@
 	}
 	return false
 }
+
+// Add takes the local instance's own evidence before it is read back from the
+// log. Reading it back later changes nothing, because evidence about the same
+// event is joined.
+func (f *Fold) Add(logTime time.Duration, e Evidence) {
+	for _, fingerprint := range e.Cleared {
+		f.clear(fingerprint)
+	}
+	if len(e.Fingerprints) > 0 {
+		f.add(logTime, e)
+	}
+}
--- a/internal/core/request/frames.go
+++ b/internal/core/request/frames.go
@@ -91,7 +91,7 @@
 	delete(m.active, number)
 	m.phase = phaseEnded
 	return []Action{
-		ReportEnded{Attempt: number - m.earlier, Outcome: dispatch.AttemptCompleted, Generated: a.taken, Final: true},
+		ReportEnded{Attempt: number - m.earlier, Outcome: dispatch.AttemptCompleted, Generated: a.base + a.taken, Final: true},
 		Publish{},
 	}
 }
--- a/internal/core/request/machine.go
+++ b/internal/core/request/machine.go
@@ -22,7 +22,8 @@
 	// at the endpoint's speed and a slow caller is served from the record, so
 	// this is also the memory bound of a caller that reads slowly.
 	MaxRecordBytes = 4 << 20
-	// ReconnectGrace is how long a streamed request without a caller continues.
+	// ReconnectGrace is how long a streamed or restored request without a caller
+	// continues.
 	ReconnectGrace = 15 * time.Second
 	// RestoreGrace is the same after the record came from another router.
 	RestoreGrace = time.Minute
@@ -46,6 +47,8 @@
 	id       fleet.RequestID
 	accepted time.Duration
 	streamed bool
+	// restored requests have a caller who knows the request id.
+	restored bool
 	phase    phase
 
 	// earlier is the number of attempts that other routers made.
@@ -75,6 +78,8 @@
 // attempt is a running attempt.
 type attempt struct {
 	endpoint dispatch.Endpoint
+	// base is the length of the record when the attempt started.
+	base int
 	// taken counts the accepted frames.
 	taken     int
 	exporting bool
@@ -185,7 +190,7 @@
 		m.waiting = false
 	}
 	number := m.earlier + g.Attempt
-	m.active[number] = &attempt{endpoint: g.Endpoint, ahead: make(map[int]Frame)}
+	m.active[number] = &attempt{endpoint: g.Endpoint, base: len(m.frames), ahead: make(map[int]Frame)}
 	importFrom := m.importFrom
 	m.importFrom = ""
 	return []Action{OpenAttempt{
@@ -342,7 +347,7 @@
 	if cancel {
 		actions = append(actions, CancelAttempt{Attempt: number})
 	}
-	return append(actions, ReportEnded{Attempt: number - m.earlier, Outcome: outcome, Generated: a.taken})
+	return append(actions, ReportEnded{Attempt: number - m.earlier, Outcome: outcome, Generated: a.base + a.taken})
 }
 
 // cancelOthers ends all running attempts except the given one.
@@ -361,7 +366,7 @@
 	if m.callers > 0 || m.phase != phaseOpen {
 		return nil
 	}
-	if !m.streamed {
+	if !m.streamed && !m.restored {
 		return m.abandon()
 	}
 	m.reconnectBy = now + ReconnectGrace
--- a/internal/core/request/messages.go
+++ b/internal/core/request/messages.go
@@ -196,8 +196,9 @@
 
 // ReportEnded tells the dispatcher that an attempt ended.
 type ReportEnded struct {
-	Attempt   fleet.AttemptNumber
-	Outcome   dispatch.AttemptOutcome
+	Attempt fleet.AttemptNumber
+	Outcome dispatch.AttemptOutcome
+	// Generated is the length of the answer, as far as this attempt continued it.
 	Generated int
 	Final     bool
 }
--- a/internal/core/request/record.go
+++ b/internal/core/request/record.go
@@ -42,6 +42,7 @@
 func Restore(now time.Duration, id fleet.RequestID, r Record) (*Machine, []Action) {
 	m := New(now, id, r.Streamed)
 	m.callers = 0
+	m.restored = true
 	m.earlier = r.Attempts
 	m.crashes = r.Crashes
 	m.mayHaveRun = r.Attempts > 0
@@ -91,6 +92,7 @@
 		return nil
 	}
 	m.phase = phaseOpen
+	m.avoid = ""
 	switch {
 	case m.waiting || m.judging:
 		return nil
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return nil, Error.New("admin server cannot listen on %s: %w; free the port or change the admin setting", address, err)
 	}
-	mux := http.NewServeMux()
+	mux := env.Admin
 	mux.Handle("GET /metrics", promhttp.HandlerFor(env.Metrics, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = fmt.Fprintln(w, "ok")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -39,6 +40,8 @@
 	Log     log.Interface
 	Metrics *prometheus.Registry
 	Ready   *Readiness
+	// Admin serves the admin address; a program may add handlers to it.
+	Admin *http.ServeMux
 }
 
 // Main runs the program with the arguments of the process.
@@ -119,6 +122,7 @@
 		Log:     logger.WithField("program", p.Name),
 		Metrics: prometheus.NewRegistry(),
 		Ready:   NewReadiness(),
+		Admin:   http.NewServeMux(),
 	}
 	env.Metrics.MustRegister(
 		collectors.NewGoCollector(),
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -78,8 +78,10 @@
 	incarnation string
 	// finished: the frame with the finish reason was emitted.
 	finished bool
-	silence  *time.Timer
-	emit     func(request.Frame)
+	// extra counts the frames after it; late frames may follow the last one.
+	extra   int
+	silence *time.Timer
+	emit    func(request.Frame)
 }
 
 // Stream runs one attempt and passes each frame to emit until the endpoint
@@ -160,7 +162,10 @@
 		}
 		if ok {
 			if s.finished {
-				return s.broken("a frame arrived after the last one")
+				s.extra++
+			}
+			if s.extra > request.MaxAhead {
+				return s.broken("the endpoint sends frames after the last one")
 			}
 			var chunk CompletionChunk
 			if err := json.Unmarshal(data, &chunk); err != nil {
--- /dev/null
+++ b/internal/router/evidence.go
@@ -0,0 +1,142 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/zeebo/errs"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/quarantine"
+	"github.com/cornelhold/cornelhold/internal/platform"
+	"github.com/cornelhold/cornelhold/internal/task"
+)
+
+// evidenceError is the class of malformed records of the crash stream.
+var evidenceError = errs.Class("crash evidence")
+
+// evidenceBatch bounds the crash events of one append.
+const evidenceBatch = 64
+
+// evidenceRecord is the wire form of quarantine.Evidence. Appending it twice
+// has no further effect, so an append whose response was lost is repeated.
+type evidenceRecord struct {
+	Endpoint     string              `json:"endpoint,omitempty"`
+	Incarnation  string              `json:"incarnation,omitempty"`
+	Fingerprints []fleet.Fingerprint `json:"fingerprints,omitempty"`
+	Cleared      []fleet.Fingerprint `json:"cleared,omitempty"`
+}
+
+func decodeEvidence(data []byte) (quarantine.Evidence, error) {
+	var r evidenceRecord
+	if err := json.Unmarshal(data, &r); err != nil {
+		return quarantine.Evidence{}, evidenceError.Wrap(err)
+	}
+	return quarantine.Evidence{
+		Event:        quarantine.Event{Endpoint: fleet.EndpointID(r.Endpoint), Incarnation: r.Incarnation},
+		Fingerprints: r.Fingerprints, Cleared: r.Cleared,
+	}, nil
+}
+
+// evidenceWriter is the task that appends crash evidence.
+type evidenceWriter struct {
+	client *platform.LogClient
+	unsent task.Mailbox[quarantine.Evidence]
+}
+
+// Run appends until ctx ends.
+func (w *evidenceWriter) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case first := <-w.unsent.Receive():
+			for _, record := range merge(w.collect(first)) {
+				w.append(ctx, record)
+			}
+		}
+	}
+}
+
+// collect returns the evidence that waits already.
+func (w *evidenceWriter) collect(first quarantine.Evidence) []quarantine.Evidence {
+	batch := []quarantine.Evidence{first}
+	for len(batch) < evidenceBatch {
+		select {
+		case next := <-w.unsent.Receive():
+			batch = append(batch, next)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// merge joins neighbouring evidence about the same crash into one record.
+func merge(batch []quarantine.Evidence) []evidenceRecord {
+	var records []evidenceRecord
+	for _, e := range batch {
+		last := len(records) - 1
+		if last >= 0 && len(e.Cleared) == 0 && len(records[last].Cleared) == 0 &&
+			records[last].Endpoint == string(e.Event.Endpoint) && records[last].Incarnation == e.Event.Incarnation {
+			records[last].Fingerprints = append(records[last].Fingerprints, e.Fingerprints...)
+			continue
+		}
+		records = append(records, evidenceRecord{
+			Endpoint: string(e.Event.Endpoint), Incarnation: e.Event.Incarnation,
+			Fingerprints: e.Fingerprints, Cleared: e.Cleared,
+		})
+	}
+	return records
+}
+
+func (w *evidenceWriter) append(ctx context.Context, record evidenceRecord) {
+	for ctx.Err() == nil {
+		if _, err := w.client.Append(ctx, platform.StreamCrashes, record); err == nil {
+			return
+		}
+		pause(ctx, retryDelay)
+	}
+}
+
+// evidenceReader is the task that follows the crash stream.
+type evidenceReader struct {
+	client     *platform.LogClient
+	quarantine task.Mailbox[any]
+}
+
+// Run reads until ctx ends.
+func (r *evidenceReader) Run(ctx context.Context) error {
+	next := uint64(0)
+	replies := make(chan uint64, 1)
+	for ctx.Err() == nil {
+		batch, err := r.client.Read(ctx, platform.StreamCrashes, next, readLimit, longPoll)
+		if platform.ErrExpired.Has(err) {
+			// Expired evidence no longer counts.
+			batch = platform.Batch{First: firstHeld(err, next)}
+		} else if err != nil {
+			pause(ctx, retryDelay)
+			continue
+		}
+		if r.quarantine.Send(ctx, evidenceRecords{batch: batch, next: replies}) != nil {
+			return nil
+		}
+		select {
+		case next = <-replies:
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// firstHeld returns the oldest offset that the log service still holds. The
+// answer to an expired read carries it.
+func firstHeld(err error, next uint64) uint64 {
+	var refused *platform.RefusedError
+	var batch platform.Batch
+	if errors.As(err, &refused) && json.Unmarshal([]byte(refused.Message), &batch) == nil && batch.First > next {
+		return batch.First
+	}
+	return next + readLimit
+}
--- a/internal/router/messages.go
+++ b/internal/router/messages.go
@@ -2,11 +2,15 @@
 //
 // The dispatcher task owns dispatch.Machine. Each accepted request has a task
 // that owns request.Machine. The registry task maps request ids to request
-// tasks. The follower task owns the cursor in the ticket stream, the watcher
+// tasks. The holder task owns the records that other routers handed over, the
+// drainer task the time until this router is reclaimed, the quarantine task
+// the crash evidence. The follower task owns the cursor in the ticket stream, the watcher
 // task the version of the instance list. Tasks talk by messages only.
 package router
 
 import (
+	"time"
+
 	"github.com/cornelhold/cornelhold/internal/core/dispatch"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/request"
@@ -21,6 +25,10 @@
 	Adapter   string
 	Prompt    string
 	MaxTokens int
+	// Streamed tells whether the caller asked for a stream.
+	Streamed bool
+	// Model is the model name that the caller sent.
+	Model string
 }
 
 // requestMailbox receives the messages of one request task.
@@ -39,6 +47,21 @@
 	Ended   bool
 	Finish  string
 	Refusal *fleet.Refusal
+	// Moved tells that another router holds the request: the connection must
+	// end, and the caller continues through the load balancer.
+	Moved bool
+}
+
+// freezeRequest asks a request task for its record. A request that ends within
+// the budget, or whose answer was delivered, stays and has no record.
+type freezeRequest struct {
+	budget time.Duration
+	reply  chan *request.Record
+}
+
+// peekRequest asks a request task for a copy of its record.
+type peekRequest struct {
+	reply chan request.Record
 }
 
 // dispatcherMessage is a message to the dispatcher task. Sender is set on
@@ -54,9 +77,11 @@
 }
 
 type registerRequest struct {
-	id      fleet.RequestID
-	team    fleet.TeamName
-	mailbox requestMailbox
+	id         fleet.RequestID
+	submission Submission
+	mailbox    requestMailbox
+	// done is closed when the request task has ended.
+	done chan struct{}
 }
 
 type forgetRequest struct {
@@ -70,6 +95,11 @@
 }
 
 type findReply struct {
-	mailbox requestMailbox
-	found   bool
+	entry registerRequest
+	found bool
+}
+
+// listRequests asks the registry for all requests.
+type listRequests struct {
+	reply chan []registerRequest
 }
--- a/internal/router/registry.go
+++ b/internal/router/registry.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/task"
@@ -43,6 +45,8 @@
 	case findRequest:
 		// Another team's request is reported as absent, so that ids can't be probed.
 		entry, ok := r.entries[msg.id]
-		msg.reply <- findReply{mailbox: entry.mailbox, found: ok && entry.team == msg.team}
+		msg.reply <- findReply{entry: entry, found: ok && entry.submission.Team == msg.team}
+	case listRequests:
+		msg.reply <- slices.Collect(maps.Values(r.entries))
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,78 +2,105 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
-
-	"github.com/cornelhold/cornelhold/internal/core/dispatch"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/request"
 	"github.com/cornelhold/cornelhold/internal/engine"
+	"github.com/cornelhold/cornelhold/internal/peer"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
 
-// overloadRetryAfter is suggested to callers when the dispatcher's mailbox is full.
-const overloadRetryAfter = time.Second
+const (
+	// overloadRetryAfter is suggested to callers when the dispatcher's mailbox is full.
+	overloadRetryAfter = time.Second
+	// drainRetryAfter is the time in which load balancers stop sending to a
+	// router that is not ready.
+	drainRetryAfter = time.Second
+	// releaseTimeout bounds the message that a caller left.
+	releaseTimeout = time.Second
+)
 
 // Router accepts submissions from front ends.
 type Router struct {
+	self       fleet.InstanceID
+	dataCentre fleet.DataCentre
 	clock      task.Clock
 	active     *Active
 	dispatcher *dispatcher
 	registry   *registry
+	holder     *holder
+	quarantine *quarantineTask
+	directory  *peer.Directory
+	handoff    *peer.HandoffClient
 	engine     *engine.Client
+	metrics    *streamMetrics
 	tasks      *task.Group
+	// draining is set by the drainer task and read by submissions.
+	draining atomic.Bool
 }
 
-// Handle gives access to one accepted request.
+// Handle gives access to one accepted request. Its holder counts as an
+// attached caller until Release.
 type Handle struct {
-	ID      fleet.RequestID
+	ID fleet.RequestID
+	// Model is the model name that the caller sent.
+	Model   string
 	mailbox requestMailbox
+	done    chan struct{}
 }
 
 // Submit accepts a request or refuses it. A refusal is returned by the first
 // Read when the dispatcher decides it.
 func (r *Router) Submit(ctx context.Context, s Submission) (*Handle, *fleet.Refusal) {
-	id := fleet.RequestID(uuid.NewString())
-	t := &requestTask{
-		id: id, submission: s, clock: r.clock,
+	if r.draining.Load() {
+		return nil, draining()
+	}
+	id := newRequestID(r.self)
+	t := r.newTask(id, s, request.New(r.clock.Now(), id, s.Streamed))
+	if refusal := r.quarantine.Refusal(t.fingerprint); refusal != nil {
+		r.metrics.quarantined.WithLabelValues(string(s.Team)).Inc()
+		return nil, refusal
+	}
+	if refusal := r.start(ctx, t); refusal != nil {
+		return nil, refusal
+	}
+	return &Handle{ID: id, Model: s.Model, mailbox: t.mailbox, done: t.done}, nil
+}
+
+func (r *Router) newTask(id fleet.RequestID, s Submission, machine *request.Machine) *requestTask {
+	return &requestTask{
+		id: id, submission: s, fingerprint: fingerprintOf(s), clock: r.clock,
 		mailbox:    task.NewMailbox[any](requestCapacity),
-		machine:    request.New(r.clock.Now(), id, true),
+		done:       make(chan struct{}),
+		machine:    machine,
 		dispatcher: r.dispatcher.mailbox,
+		quarantine: r.quarantine.mailbox,
 		engine:     r.engine,
+		metrics:    r.metrics.forRequest(s),
 		cancel:     make(map[fleet.AttemptNumber]context.CancelFunc),
+		wake:       task.NewAlarm(),
 	}
-	submit := dispatch.Submit{
-		Request: id, Team: s.Team, Service: s.Service, Class: s.Class, Adapter: s.Adapter,
-		Prompt: DescribePrompt(s.Prompt), MaxTokens: s.MaxTokens, Idempotent: true,
-	}
-	register := registerRequest{id: id, team: s.Team, mailbox: t.mailbox}
+}
+
+// start registers a request, asks the dispatcher for an endpoint unless the
+// request has ended, and starts its task.
+func (r *Router) start(ctx context.Context, t *requestTask) *fleet.Refusal {
+	register := registerRequest{id: t.id, submission: t.submission, mailbox: t.mailbox, done: t.done}
 	if err := r.registry.mailbox.Send(ctx, register); err != nil {
-		return nil, overloaded()
+		return overloaded()
 	}
-	if !r.dispatcher.mailbox.TrySend(dispatcherMessage{message: submit, sender: &t.mailbox}) {
-		_ = r.registry.mailbox.Send(ctx, forgetRequest{id: id})
-		return nil, overloaded()
+	submit := dispatcherMessage{message: submitMessage(t.id, t.submission, t.fingerprint), sender: &t.mailbox}
+	if ended, _, _ := t.machine.Ended(); !ended && !r.dispatcher.mailbox.TrySend(submit) {
+		_ = r.registry.mailbox.Send(ctx, forgetRequest{id: t.id})
+		return overloaded()
 	}
 	r.tasks.Go("request", func(ctx context.Context) error {
 		t.Run(ctx)
-		return r.registry.mailbox.Send(ctx, forgetRequest{id: id})
+		return r.registry.mailbox.Send(ctx, forgetRequest{id: t.id})
 	})
-	return &Handle{ID: id, mailbox: t.mailbox}, nil
-}
-
-// Find returns the handle of a request that belongs to the team.
-func (r *Router) Find(ctx context.Context, id fleet.RequestID, team fleet.TeamName) (*Handle, *fleet.Refusal) {
-	reply := make(chan findReply, 1)
-	if err := r.registry.mailbox.Send(ctx, findRequest{id: id, team: team, reply: reply}); err != nil {
-		return nil, overloaded()
-	}
-	found := <-reply
-	if !found.found {
-		return nil, fleet.Refuse(fleet.RefusedNotFound, 0, "no such request is known for this team; check the id")
-	}
-	return &Handle{ID: id, mailbox: found.mailbox}, nil
+	return nil
 }
 
 // Read waits for frames from the given index on.
@@ -85,17 +112,70 @@
 	select {
 	case frames := <-reply:
 		return frames, nil
+	case <-h.done:
 	case <-ctx.Done():
 		return Frames{}, context.Cause(ctx)
 	}
+	select {
+	case frames := <-reply:
+		return frames, nil
+	default:
+		return Frames{Moved: true}, nil
+	}
+}
+
+// Release tells the request that the caller no longer reads.
+func (h *Handle) Release() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	select {
+	case <-h.done:
+	default:
+		_ = h.mailbox.Send(ctx, coreMessage{message: request.CallerGone{}})
+	}
+}
+
+// askTask posts a message with a reply channel and waits for the reply.
+func askTask[R any](ctx context.Context, mailbox task.Mailbox[any], message func(reply chan R) any) (R, bool) {
+	reply := make(chan R, 1)
+	var zero R
+	if mailbox.Send(ctx, message(reply)) != nil {
+		return zero, false
+	}
+	select {
+	case value := <-reply:
+		return value, true
+	case <-ctx.Done():
+		return zero, false
+	}
 }
 
-// Abandon tells the request that its caller left.
-func (h *Handle) Abandon() {
-	h.mailbox.TrySend(coreMessage{message: request.CallerGone{}})
+// askRequest is askTask for a request task, which may have ended.
+func askRequest[R any](ctx context.Context, entry registerRequest, message func(reply chan R) any) (R, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-entry.done:
+			cancel()
+		case <-stop:
+		}
+	}()
+	return askTask(ctx, entry.mailbox, message)
 }
 
 func overloaded() *fleet.Refusal {
 	return fleet.Refuse(fleet.RefusedOverload, overloadRetryAfter,
 		"the router is overloaded; retry after the stated delay")
 }
+
+func draining() *fleet.Refusal {
+	return fleet.Refuse(fleet.RefusedDraining, drainRetryAfter,
+		"this router is being reclaimed; retry through the load balancer")
+}
+
+func notFound() *fleet.Refusal {
+	return fleet.Refuse(fleet.RefusedNotFound, 0, "no such request is known for this team; check the id")
+}
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -2,15 +2,16 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/samber/do/v2"
 
 	"github.com/cornelhold/cornelhold/internal/core/config"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/daemon"
 	"github.com/cornelhold/cornelhold/internal/engine"
+	"github.com/cornelhold/cornelhold/internal/peer"
 	"github.com/cornelhold/cornelhold/internal/platform"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
@@ -24,21 +25,25 @@
 // FrontEnd builds the callers' interface on top of a router.
 type FrontEnd func(r *Router, active *Active) http.Handler
 
-// Run serves until ctx ends, then stops.
+// Run serves until ctx ends, then stops gracefully.
 func Run(ctx context.Context, env *daemon.Env, s *Settings, front FrontEnd) error {
+	tasksCtx, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopTasks()
 	injector := do.New()
 	do.ProvideValue(injector, s)
 	do.ProvideValue(injector, env)
 	do.ProvideValue(injector, task.NewClock())
-	do.ProvideValue(injector, task.NewGroup(context.WithoutCancel(ctx)))
+	do.ProvideValue(injector, task.NewGroup(tasksCtx))
 	do.ProvideValue(injector, &Active{})
 	provideTasks(injector)
+	provideStreams(injector)
 	r, err := do.Invoke[*Router](injector)
 	if err != nil {
 		return err
 	}
 	startTasks(injector, r)
-	return serve(ctx, s, front(r, r.active))
+	startStreams(injector, r)
+	return serve(ctx, env, s, r, front(r, r.active))
 }
 
 func provideTasks(injector do.Injector) {
@@ -46,19 +51,26 @@
 		return newDispatcher(do.MustInvoke[task.Clock](i)), nil
 	})
 	do.Provide(injector, func(do.Injector) (*registry, error) { return newRegistry(), nil })
-	do.Provide(injector, func(do.Injector) (*engine.Client, error) { return engine.NewClient(), nil })
 	do.Provide(injector, newFollower)
 	do.Provide(injector, newWatcher)
 	do.Provide(injector, newRouter)
 }
 
 func newRouter(i do.Injector) (*Router, error) {
+	s := do.MustInvoke[*Settings](i)
 	return &Router{
+		self:       fleet.InstanceID(s.Instance),
+		dataCentre: fleet.DataCentre(s.DataCentre),
 		clock:      do.MustInvoke[task.Clock](i),
 		active:     do.MustInvoke[*Active](i),
 		dispatcher: do.MustInvoke[*dispatcher](i),
 		registry:   do.MustInvoke[*registry](i),
+		holder:     do.MustInvoke[*holder](i),
+		quarantine: do.MustInvoke[*quarantineTask](i),
+		directory:  do.MustInvoke[*peer.Directory](i),
+		handoff:    do.MustInvoke[*peer.HandoffClient](i),
 		engine:     do.MustInvoke[*engine.Client](i),
+		metrics:    do.MustInvoke[*streamMetrics](i),
 		tasks:      do.MustInvoke[*task.Group](i),
 	}, nil
 }
@@ -79,6 +91,9 @@
 	return &watcher{
 		client:     platform.NewInstanceClient(do.MustInvoke[*Settings](i).Instances),
 		dispatcher: do.MustInvoke[*dispatcher](i).mailbox,
+		quarantine: do.MustInvoke[*quarantineTask](i).mailbox,
+		drainer:    do.MustInvoke[*drainer](i).mailbox,
+		self:       fleet.InstanceID(do.MustInvoke[*Settings](i).Instance),
 	}, nil
 }
 
@@ -88,20 +103,3 @@
 	r.tasks.Go("follower", do.MustInvoke[*follower](i).Run)
 	r.tasks.Go("watcher", do.MustInvoke[*watcher](i).Run)
 }
-
-func serve(ctx context.Context, s *Settings, handler http.Handler) error {
-	listener, err := net.Listen("tcp", s.Listen)
-	if err != nil {
-		return daemon.Error.New("cannot listen on %s: %w; free the port or change the listen setting", s.Listen, err)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
-	select {
-	case err := <-failed:
-		return err
-	case <-ctx.Done():
-	}
-	// Shutdown waits for open requests and closes idle keep-alive connections.
-	return server.Shutdown(context.WithoutCancel(ctx))
-}
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -1,5 +1,10 @@
 package router
 
+import "time"
+
+// DefaultLameDuck is the default of the lame_duck setting.
+const DefaultLameDuck = 2 * time.Second
+
 // Settings configures a router process.
 type Settings struct {
 	// Instance names this own instance.
@@ -15,6 +20,15 @@
 	PeerListen string `yaml:"peer_listen" validate:"required,hostname_port"`
 	// Peers are the own instances to contact at start.
 	Peers []PeerSettings `yaml:"peers" validate:"dive"`
+	// SilenceBound is how long an endpoint's stream may stay without any byte; 0
+	// means 3 s.
+	SilenceBound time.Duration `yaml:"silence_bound" validate:"min=0"`
+	// LameDuck is how long new connections are still accepted, and idle ones
+	// kept, after the signal to stop. Load balancers notice within it.
+	LameDuck time.Duration `yaml:"lame_duck" validate:"min=0"`
+	// ShutdownBound is the longest time to wait for open requests after the
+	// signal to stop; 0 means no bound, so that no request is cut off.
+	ShutdownBound time.Duration `yaml:"shutdown_bound" validate:"min=0"`
 	// Log and Instances are the base URLs of the platform's services.
 	Log       string `yaml:"log" validate:"required,http_url"`
 	Instances string `yaml:"instances" validate:"required,http_url"`
--- /dev/null
+++ b/internal/router/shutdown.go
@@ -0,0 +1,102 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/daemon"
+)
+
+const (
+	// acceptDrain is how long the listener still takes connections that wait in
+	// the accept queue; closing it earlier would reset them.
+	acceptDrain = 100 * time.Millisecond
+	// shutdownHandoff bounds the handoff of requests without a caller when the
+	// process stops.
+	shutdownHandoff = 5 * time.Second
+	// dialPatience is how long connections that have sent nothing yet are kept
+	// at the end of the shutdown.
+	dialPatience = 500 * time.Millisecond
+)
+
+// serve serves callers until ctx ends and then stops without cutting a request
+// off: while LameDuck lasts, new and idle connections are served and told to
+// close; then the accept queue is emptied, idle connections are closed, and
+// open requests end.
+func serve(ctx context.Context, env *daemon.Env, s *Settings, r *Router, handler http.Handler) error {
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return daemon.Error.New("cannot listen on %s: %w; free the port or change the listen setting", s.Listen, err)
+	}
+	var stopping atomic.Bool
+	server := &http.Server{
+		Handler: closeWhen(&stopping, handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(&drainingListener{Listener: listener, stopping: &stopping}) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	env.Log.Info("stopping: open requests are served to their end")
+	env.Ready.Set("stopping")
+	stopping.Store(true)
+	shutdownCtx, cancel := shutdownContext(context.WithoutCancel(ctx), s.ShutdownBound)
+	defer cancel()
+	pause(shutdownCtx, s.LameDuck)
+	if tcp, ok := listener.(*net.TCPListener); ok {
+		_ = tcp.SetDeadline(time.Now().Add(acceptDrain))
+	}
+	<-failed //nolint:errcheck // Serve reports that its listener is closed, as intended
+	// A connection that has just been accepted may still send its request.
+	pause(shutdownCtx, min(dialPatience, s.LameDuck))
+	err = server.Shutdown(shutdownCtx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = daemon.Error.New("open requests were cut off after shutdown_bound %s; raise or remove the bound", s.ShutdownBound)
+		_ = server.Close()
+	}
+	leaveCtx, leave := context.WithTimeout(context.WithoutCancel(ctx), shutdownHandoff)
+	defer leave()
+	r.draining.Store(true)
+	r.evacuate(leaveCtx, 0)
+	return err
+}
+
+func shutdownContext(ctx context.Context, bound time.Duration) (context.Context, context.CancelFunc) {
+	if bound <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, bound)
+}
+
+// closeWhen tells callers to close their connections after the response.
+func closeWhen(stopping *atomic.Bool, handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// drainingListener reports the end of the accept queue, which a deadline marks,
+// as a closed listener.
+type drainingListener struct {
+	net.Listener
+	stopping *atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (l *drainingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil && l.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, net.ErrClosed
+	}
+	return conn, err
+}
--- a/internal/router/watcher.go
+++ b/internal/router/watcher.go
@@ -8,6 +8,7 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/dispatch"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/quarantine"
 	"github.com/cornelhold/cornelhold/internal/platform"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
@@ -16,6 +17,9 @@
 type watcher struct {
 	client     *platform.InstanceClient
 	dispatcher task.Mailbox[dispatcherMessage]
+	quarantine task.Mailbox[any]
+	drainer    task.Mailbox[drainNotice]
+	self       fleet.InstanceID
 	version    uint64
 }
 
@@ -38,14 +42,28 @@
 	w.version = list.Version
 	endpoints := dispatch.Endpoints{Version: list.Version, List: lo.Map(list.Instances, toEndpoint)}
 	_ = w.dispatcher.Send(ctx, dispatcherMessage{message: endpoints})
+	_ = w.quarantine.Send(ctx, observedList{list: lo.Map(list.Instances, toObserved)})
 	for _, i := range list.Instances {
-		if i.State == platform.StateLeaving && i.ReclaimInMillis > 0 {
-			notice := dispatch.Notice{
-				Endpoint:  fleet.EndpointID(i.ID),
-				Remaining: time.Duration(i.ReclaimInMillis) * time.Millisecond,
-			}
-			_ = w.dispatcher.Send(ctx, dispatcherMessage{message: notice})
+		if i.State != platform.StateLeaving || i.ReclaimInMillis <= 0 {
+			continue
+		}
+		remaining := time.Duration(i.ReclaimInMillis) * time.Millisecond
+		if fleet.InstanceID(i.ID) == w.self {
+			_ = w.drainer.Send(ctx, drainNotice{remaining: remaining})
+			continue
+		}
+		notice := dispatch.Notice{
+			Endpoint:  fleet.EndpointID(i.ID),
+			Remaining: remaining,
 		}
+		_ = w.dispatcher.Send(ctx, dispatcherMessage{message: notice})
+	}
+}
+
+func toObserved(i platform.Instance, _ int) quarantine.Observed {
+	return quarantine.Observed{
+		Endpoint: fleet.EndpointID(i.ID), DataCentre: fleet.DataCentre(i.DataCentre),
+		Leaving: i.State == platform.StateLeaving,
 	}
 }
 
