Share the local fleet of processes between demo and benchmark

Cause: the demo and the router benchmark generated the same settings twice, and the stand-in engine's own slot limit of 64 capped the streams of the benchmark at 256.

Change: internal/localfleet starts stand-ins and routers; engine slots come from the same figure in the instance list and in the engine's settings.

--- a/bench/main.go
+++ b/bench/main.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return err
 	}
-	defer func() { b.runner.Stop(false) }()
+	defer func() { b.fleet.Stop(false) }()
 	if err := b.start(ctx); err != nil {
 		return err
 	}
--- a/bench/measure.go
+++ b/bench/measure.go
@@ -45,14 +45,14 @@
 		if err != nil {
 			return err
 		}
-		before := cpuTime(b.router.PID())
+		before := cpuTime(b.router.Process.PID())
 		start := time.Now()
 		through, err := latencies(ctx, b.throughRouter)
 		if err != nil {
 			return err
 		}
 		elapsed := time.Since(start)
-		cpu := cpuTime(b.router.PID()) - before
+		cpu := cpuTime(b.router.Process.PID()) - before
 		if round == rounds-1 {
 			printLatency(direct, through, elapsed, cpu)
 		}
@@ -106,11 +106,11 @@
 	body, _ := json.Marshal(engine.CompletionRequest{
 		Model: "m", Prompt: "user: hello\n", MaxTokens: tokens, Stream: true, RequestID: "r", Attempt: 1,
 	})
-	return firstToken(ctx, c, "http://"+b.engines[0]+"/v1/completions", string(body))
+	return firstToken(ctx, c, "http://"+b.fleet.Engines[0].Address+"/v1/completions", string(body))
 }
 
 func (b *bench) throughRouter(ctx context.Context, c *http.Client) (time.Duration, error) {
-	return firstToken(ctx, c, "http://"+b.listen+"/v1/chat/completions", chatBody("model", tokens))
+	return firstToken(ctx, c, "http://"+b.router.Listen+"/v1/chat/completions", chatBody("model", tokens))
 }
 
 func chatBody(service string, maxTokens int) string {
@@ -162,13 +162,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	client := &http.Client{Transport: &http.Transport{}}
-	before := residentBytes(b.router.PID())
+	before := residentBytes(b.router.Process.PID())
 	results := make(chan error, openStreams)
 	gate := make(chan struct{}, 256)
 	for range openStreams {
 		go func() {
 			gate <- struct{}{}
-			resp, err := open(ctx, client, "http://"+b.listen+"/v1/chat/completions", chatBody("slow-model", streamTokens))
+			resp, err := open(ctx, client, "http://"+b.router.Listen+"/v1/chat/completions", chatBody("slow-model", streamTokens))
 			<-gate
 			results <- err
 			if err == nil {
@@ -185,7 +185,7 @@
 			first = err
 		}
 	}
-	after := residentBytes(b.router.PID())
+	after := residentBytes(b.router.Process.PID())
 	figure("streams opened", float64(openStreams-failed), "")
 	figure("router memory for each open stream", float64(after-before)/openStreams/1024, "KiB")
 	if failed > 0 {
--- a/demo/caller.go
+++ b/demo/caller.go
@@ -29,7 +29,7 @@
 func (d *demo) openQuote(ctx context.Context, router int, question string, tokens int) (*http.Response, error) {
 	body := fmt.Sprintf(`{"model":"dial-advisor","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
 		tokens, question)
-	return post(ctx, "http://"+d.routers[router].listen+"/v1/chat/completions", body, nil)
+	return post(ctx, "http://"+d.fleet.Routers[router].Listen+"/v1/chat/completions", body, nil)
 }
 
 // expected returns the answer that the engine stand-in gives to a question.
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -3,34 +3,26 @@
 import (
 	"context"
 	"fmt"
-	"strings"
+	"time"
 
-	"github.com/cornelhold/cornelhold/internal/procs"
+	"github.com/cornelhold/cornelhold/internal/localfleet"
 )
 
 const (
 	routerCount = 3
 	engineCount = 3
-	plainCount  = 2
+	// tokenInterval is the engines' time between tokens.
+	tokenInterval = 20 * time.Millisecond
 	// teamKey is the API key of the demo's team; its hash is in the ticket.
 	teamKey = "demo-key"
 )
 
 var dataCentres = []string{"kyushu-a", "kyushu-b", "kyushu-c"}
 
-// demo holds the addresses and processes of one run.
+// demo holds the processes of one run.
 type demo struct {
-	runner   *procs.Runner
+	fleet    *localfleet.Fleet
 	keepLogs bool
-
-	logAddr, listAddr, standinAdmin string
-	engines, plains                 []string
-	routers                         []routerAddresses
-}
-
-type routerAddresses struct {
-	name, dataCentre    string
-	listen, admin, peer string
 }
 
 type step struct {
@@ -39,80 +31,28 @@
 }
 
 func newDemo(bin string) (*demo, error) {
-	runner, err := procs.NewRunner(bin)
-	if err != nil {
-		return nil, err
-	}
-	d := &demo{runner: runner}
-	return d, d.assignAddresses()
-}
-
-func (d *demo) assignAddresses() error {
-	var ports procs.Addresses
-	defer ports.Release()
-	single := []*string{&d.logAddr, &d.listAddr, &d.standinAdmin}
-	d.engines = make([]string, engineCount)
-	d.plains = make([]string, plainCount)
-	d.routers = make([]routerAddresses, routerCount)
-	for i := range d.engines {
-		single = append(single, &d.engines[i])
-	}
-	for i := range d.plains {
-		single = append(single, &d.plains[i])
+	var engines []*localfleet.Engine
+	for i := range engineCount {
+		engines = append(engines, &localfleet.Engine{
+			ID: fmt.Sprintf("engine-%d", i+1), Service: "dial-advisor",
+			DataCentre: dataCentres[i%len(dataCentres)], TokenInterval: tokenInterval, Slots: 8,
+		})
 	}
-	for i := range d.routers {
-		r := &d.routers[i]
-		r.name = fmt.Sprintf("router-%d", i+1)
-		r.dataCentre = dataCentres[i%len(dataCentres)]
-		single = append(single, &r.listen, &r.admin, &r.peer)
+	var routers []*localfleet.Router
+	for i := range routerCount {
+		routers = append(routers, &localfleet.Router{
+			Name: fmt.Sprintf("router-%d", i+1), DataCentre: dataCentres[i%len(dataCentres)],
+		})
 	}
-	return ports.Assign(single...)
+	fleet, err := localfleet.New(bin, "kyushu", engines, routers)
+	return &demo{fleet: fleet}, err
 }
 
 func (d *demo) steps() []step {
 	return []step{
-		{"start the stand-ins", d.startStandins},
-		{"start three routers", d.startRouters},
+		{"start the stand-ins", d.fleet.StartStandins},
+		{"start three routers", d.fleet.StartRouters},
 		{"file the first ticket", d.fileFirstTicket},
 		{"ask for a dial quote, streamed", d.streamQuote},
 	}
 }
-
-func (d *demo) startStandins(ctx context.Context) error {
-	_, err := d.runner.Start(ctx, "cornelhold-standin", "standin", d.standinSettings(), d.standinAdmin)
-	return err
-}
-
-func (d *demo) standinSettings() string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "admin: %s\nlog: {listen: %q}\ninstances:\n  listen: %q\n  list:\n", d.standinAdmin, d.logAddr, d.listAddr)
-	for i, address := range d.engines {
-		fmt.Fprintf(&b, "    - {id: engine-%d, service: dial-advisor, address: %q, data_centre: %s, class: gpu-small, slots: 8}\n",
-			i+1, address, dataCentres[i%len(dataCentres)])
-	}
-	b.WriteString("engines:\n")
-	for _, address := range d.engines {
-		fmt.Fprintf(&b, "  - {listen: %q, engine: {token_interval: 20ms}}\n", address)
-	}
-	return b.String()
-}
-
-func (d *demo) startRouters(ctx context.Context) error {
-	for _, r := range d.routers {
-		if _, err := d.runner.Start(ctx, "cornelhold-router", r.name, d.routerSettings(r), r.admin); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (d *demo) routerSettings(r routerAddresses) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "instance: %s\ndata_centre: %s\nregion: kyushu\nlisten: %q\nadmin: %q\npeer_listen: %q\n",
-		r.name, r.dataCentre, r.listen, r.admin, r.peer)
-	fmt.Fprintf(&b, "log: http://%s\ninstances: http://%s\npeers:\n", d.logAddr, d.listAddr)
-	for _, p := range d.routers {
-		fmt.Fprintf(&b, "  - {instance: %s, data_centre: %s, region: kyushu, address: %q}\n", p.name, p.dataCentre, p.peer)
-	}
-	return b.String()
-}
--- a/demo/main.go
+++ b/demo/main.go
@@ -42,12 +42,12 @@
 	if err != nil {
 		return err
 	}
-	defer func() { d.runner.Stop(d.keepLogs) }()
+	defer func() { d.fleet.Stop(d.keepLogs) }()
 	for _, s := range d.steps() {
 		say("== " + s.title)
 		if err := s.run(ctx); err != nil {
 			d.keepLogs = true
-			return fmt.Errorf("%s: %w (process logs are in %s)", s.title, err, d.runner.Dir())
+			return fmt.Errorf("%s: %w (process logs are in %s)", s.title, err, d.fleet.Dir())
 		}
 	}
 	return nil
--- a/demo/ticket.go
+++ b/demo/ticket.go
@@ -5,10 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net/http"
 	"os/exec"
-
-	"github.com/cornelhold/cornelhold/internal/procs"
 )
 
 // firstTicket configures the services and the team of the demo.
@@ -51,28 +48,20 @@
 }
 
 func (d *demo) fileFirstTicket(ctx context.Context) error {
-	path, err := d.runner.Write("ticket-1.yaml", firstTicket())
+	path, err := d.fleet.Write("ticket-1.yaml", firstTicket())
 	if err != nil {
 		return err
 	}
 	if _, err := d.cornelctl(ctx, "ticket", "file", path, "--author", "mika"); err != nil {
 		return err
 	}
-	for _, r := range d.routers {
-		err := procs.WaitFor(ctx, procs.StartLimit, r.name+" to be ready", func() bool {
-			return procs.Status("http://"+r.admin+"/readyz") == http.StatusOK
-		})
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+	return d.fleet.WaitReady(ctx)
 }
 
 // cornelctl runs the operators' client, prints its output and returns its exit code.
 func (d *demo) cornelctl(ctx context.Context, args ...string) (int, error) {
-	args = append([]string{"--log", "http://" + d.logAddr}, args...)
-	cmd := exec.CommandContext(ctx, d.runner.Program("cornelctl"), args...)
+	args = append([]string{"--log", "http://" + d.fleet.Log}, args...)
+	cmd := exec.CommandContext(ctx, d.fleet.Program("cornelctl"), args...)
 	output, err := cmd.CombinedOutput()
 	say("   cornelctl %s %s: %s", args[2], args[3], firstLine(output))
 	return cmd.ProcessState.ExitCode(), err
--- /dev/null
+++ b/internal/localfleet/fleet.go
@@ -0,0 +1,140 @@
+// Package localfleet runs the stand-ins and the system's programs as separate
+// processes on loopback. The demo, the benchmark and the process tests use it.
+package localfleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/cornelhold/cornelhold/internal/operator"
+	"github.com/cornelhold/cornelhold/internal/procs"
+	"github.com/cornelhold/cornelhold/internal/ticket"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("local fleet")
+
+// Engine is one model engine stand-in of the fleet.
+type Engine struct {
+	ID            string
+	Service       string
+	DataCentre    string
+	TokenInterval time.Duration
+	Slots         int
+	// Address is assigned by New.
+	Address string
+}
+
+// Router is one router process of the fleet.
+type Router struct {
+	Name       string
+	DataCentre string
+	// The addresses are assigned by New.
+	Listen, Admin, Peer string
+	Process             *procs.Process
+}
+
+// Fleet is a set of processes with assigned addresses.
+type Fleet struct {
+	*procs.Runner
+	Region  string
+	Engines []*Engine
+	Routers []*Router
+	// Log, List and StandinAdmin are addresses of the stand-in process.
+	Log, List, StandinAdmin string
+	Standin                 *procs.Process
+}
+
+// New assigns loopback addresses to the parts; bin is the folder of the programs.
+func New(bin, region string, engines []*Engine, routers []*Router) (*Fleet, error) {
+	runner, err := procs.NewRunner(bin)
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{Runner: runner, Region: region, Engines: engines, Routers: routers}
+	targets := []*string{&f.Log, &f.List, &f.StandinAdmin}
+	for _, e := range engines {
+		targets = append(targets, &e.Address)
+	}
+	for _, r := range routers {
+		targets = append(targets, &r.Listen, &r.Admin, &r.Peer)
+	}
+	var ports procs.Addresses
+	defer ports.Release()
+	return f, ports.Assign(targets...)
+}
+
+// StartStandins starts the stand-in process.
+func (f *Fleet) StartStandins(ctx context.Context) (err error) {
+	f.Standin, err = f.Start(ctx, "cornelhold-standin", "standin", f.standinSettings(), f.StandinAdmin)
+	return err
+}
+
+// StartRouters starts all router processes.
+func (f *Fleet) StartRouters(ctx context.Context) error {
+	for _, r := range f.Routers {
+		if err := f.StartRouter(ctx, r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartRouter starts one router process.
+func (f *Fleet) StartRouter(ctx context.Context, r *Router) (err error) {
+	r.Process, err = f.Start(ctx, "cornelhold-router", r.Name, f.routerSettings(r), r.Admin)
+	return err
+}
+
+// WaitReady waits until all routers are ready.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for _, r := range f.Routers {
+		err := procs.WaitFor(ctx, procs.StartLimit, r.Name+" to be ready", func() bool {
+			return procs.Status("http://"+r.Admin+"/readyz") == http.StatusOK
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// File files a ticket given as YAML.
+func (f *Fleet) File(ctx context.Context, yaml string) error {
+	doc, err := ticket.ParseFile("ticket", []byte(yaml))
+	if err != nil {
+		return err
+	}
+	_, err = operator.NewFiler("http://"+f.Log).File(ctx, doc, "local")
+	return err
+}
+
+func (f *Fleet) standinSettings() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "admin: %q\nlog: {listen: %q}\ninstances:\n  listen: %q\n  list:\n", f.StandinAdmin, f.Log, f.List)
+	for _, e := range f.Engines {
+		fmt.Fprintf(&b, "    - {id: %s, service: %s, address: %q, data_centre: %s, class: gpu-small, slots: %d}\n",
+			e.ID, e.Service, e.Address, e.DataCentre, e.Slots)
+	}
+	b.WriteString("engines:\n")
+	for _, e := range f.Engines {
+		fmt.Fprintf(&b, "  - {listen: %q, engine: {token_interval: %s, slots: %d}}\n", e.Address, e.TokenInterval, e.Slots)
+	}
+	return b.String()
+}
+
+func (f *Fleet) routerSettings(r *Router) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "instance: %s\ndata_centre: %s\nregion: %s\nlisten: %q\nadmin: %q\npeer_listen: %q\n",
+		r.Name, r.DataCentre, f.Region, r.Listen, r.Admin, r.Peer)
+	fmt.Fprintf(&b, "log: http://%s\ninstances: http://%s\npeers:\n", f.Log, f.List)
+	for _, p := range f.Routers {
+		fmt.Fprintf(&b, "  - {instance: %s, data_centre: %s, region: %s, address: %q}\n", p.Name, p.DataCentre, f.Region, p.Peer)
+	}
+	return b.String()
+}
