Add the claim fold, the attempt machine and the table of a router's calls

Change: internal/core/claim holds the fold of the claim stream, the state machine of one attempt and the table that joins both in one router. Responses stay in the log; the fold keeps their offsets, so memory depends only on the number of keys younger than 24 h. A reader that misses records refuses every key that an unseen claim could concern.

--- /dev/null
+++ b/internal/core/claim/claim_test.go
@@ -0,0 +1,435 @@
+package claim
+
+import (
+	"encoding/binary"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/cornelhold/cornelhold/internal/core/dispatch"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/proptest"
+)
+
+// epoch is the log time at the start of a simulated run.
+const epoch LogTime = 1_800_000_000_000
+
+// retention is the shortest that the design page allows.
+const retention = KeyMaxAge + ClockTolerance
+
+func keyAt(created LogTime, n byte) Key {
+	var id KeyID
+	binary.BigEndian.PutUint64(id[:8], uint64(created)<<16)
+	id[6], id[15] = 0x70, n
+	return Key{Team: "counter", ID: id}
+}
+
+type logRecord struct {
+	offset  uint64
+	at      LogTime
+	entries []Entry
+}
+
+type pendingCall struct {
+	router  int
+	key     Key
+	attempt AttemptID
+}
+
+type pendingRead struct {
+	call   pendingCall
+	offset uint64
+}
+
+// world is several routers, one log and the endpoints of one service.
+type world struct {
+	now  time.Duration
+	down bool
+	// days makes time pass in hours, so that keys and records expire.
+	days    bool
+	first   uint64
+	records []logRecord
+	late    [][]Entry
+
+	tables  [3]*Table
+	queues  [3][]Entry
+	asks    []pendingCall
+	sends   []pendingCall
+	reads   []pendingRead
+	keys    []Key
+	nextID  uint64
+	owner   map[SubmissionID]AttemptID
+	keyOf   map[SubmissionID]Key
+	runs    map[Key]int
+	sent    map[AttemptID]bool
+	keySent map[Key]bool
+	denied  map[AttemptID]bool
+	answers map[Key]string
+}
+
+func newWorld() *world {
+	w := &world{
+		owner: map[SubmissionID]AttemptID{}, keyOf: map[SubmissionID]Key{}, runs: map[Key]int{},
+		sent: map[AttemptID]bool{}, keySent: map[Key]bool{}, denied: map[AttemptID]bool{}, answers: map[Key]string{},
+	}
+	for i := range w.tables {
+		w.tables[i] = NewTable()
+	}
+	return w
+}
+
+func (w *world) logTime() LogTime { return epoch.add(w.now) }
+
+func (w *world) step(t *rapid.T, router int, msg TableMessage) {
+	for _, action := range w.tables[router].Step(w.now, msg) {
+		switch a := action.(type) {
+		case Reply:
+			w.reply(t, router, a)
+		case FromAttempt:
+			w.perform(t, router, a)
+		}
+	}
+}
+
+func (w *world) perform(t *rapid.T, router int, a FromAttempt) {
+	call := pendingCall{router: router, key: a.Key, attempt: a.Attempt}
+	switch action := a.Action.(type) {
+	case Append:
+		w.queues[router] = append(w.queues[router], action.Entry)
+	case AskEndpoint, AskAnother:
+		w.asks = append(w.asks, call)
+	case Send:
+		if w.denied[a.Attempt] {
+			t.Fatalf("attempt %s sends after not_run was said", a.Attempt)
+		}
+		w.sends = append(w.sends, call)
+	case ReadOutcome:
+		w.reads = append(w.reads, pendingRead{call: call, offset: action.Offset})
+	}
+}
+
+// run executes the call at the endpoint.
+func (w *world) run(t *rapid.T, c pendingCall) Response {
+	w.runs[c.key]++
+	if w.runs[c.key] > 1 {
+		t.Fatalf("key %v ran %d times", c.key, w.runs[c.key])
+	}
+	w.sent[c.attempt] = true
+	w.keySent[c.key] = true
+	return Response{Status: 200, Body: []byte("run by " + string(c.attempt))}
+}
+
+func (w *world) reply(t *rapid.T, router int, r Reply) {
+	key := w.keyOf[r.Submission]
+	if answer, ok := r.Answer.(Answer); ok {
+		body := string(answer.Response.Body)
+		if earlier, ok := w.answers[key]; ok && earlier != body {
+			t.Fatalf("key %v was answered %q and then %q", key, earlier, body)
+		}
+		w.answers[key] = body
+		return
+	}
+	refusal := r.Answer.(Refuse).Refusal
+	if refusal.Run == fleet.RunRan && w.runs[key] == 0 {
+		t.Fatalf("ran was said about key %v, which did not run", key)
+	}
+	if refusal.Run != fleet.RunNotRun || refusal.Kind == fleet.RefusedKeyMismatch {
+		return
+	}
+	attempt := w.owner[r.Submission]
+	w.denied[attempt] = true
+	if w.sent[attempt] {
+		t.Fatalf("not_run was said about attempt %s, which sent", attempt)
+	}
+	if refusal.Kind != fleet.RefusedLogUnavailable && w.keySent[key] {
+		t.Fatalf("%v was said about key %v, which was sent", refusal, key)
+	}
+	if holding, held := w.tables[router].fold.Lookup(key); held && holding.Attempt != attempt {
+		t.Fatalf("not_run was said about key %v, which another attempt is known to hold", key)
+	}
+}
+
+func (w *world) submit(t *rapid.T) {
+	if len(w.keys) < 2 || proptest.Pick(t, 10) == 0 {
+		skew := time.Duration(proptest.Pick(t, 16)-8) * time.Minute
+		w.keys = append(w.keys, keyAt(w.logTime().add(skew), byte(len(w.keys))))
+	}
+	recent := w.keys[max(0, len(w.keys)-3):]
+	if w.days {
+		recent = w.keys
+	}
+	key := recent[proptest.Pick(t, len(recent))]
+	router := w.router(t)
+	w.nextID++
+	id, attempt := SubmissionID(w.nextID), AttemptID(fmt.Sprintf("a%d", w.nextID))
+	if r, ok := w.tables[router].live[key]; ok {
+		attempt = r.id
+	}
+	w.owner[id], w.keyOf[id] = attempt, key
+	fingerprint := fleet.Fingerprint(proptest.Pick(t, 10) / 9)
+	w.step(t, router, Submit{Submission: id, Key: key, Attempt: AttemptID(fmt.Sprintf("a%d", w.nextID)), Fingerprint: fingerprint})
+}
+
+func (w *world) router(t *rapid.T) int {
+	return proptest.Pick(t, len(w.tables))
+}
+
+func (w *world) store(entries []Entry) {
+	w.records = append(w.records, logRecord{
+		offset: w.first + uint64(len(w.records)), at: w.logTime(), entries: entries,
+	})
+}
+
+// flush appends what a router has queued as one record.
+func (w *world) flush(t *rapid.T) {
+	router := w.router(t)
+	entries := w.queues[router]
+	if len(entries) == 0 {
+		return
+	}
+	w.queues[router] = nil
+	result := AppendNotDone
+	fault := proptest.Pick(t, 10)
+	switch {
+	case fault == 0:
+		// The append is delayed on the way to the log.
+		w.late = append(w.late, entries)
+		result = AppendUnknown
+	case w.down:
+	case fault <= 2:
+		w.store(entries)
+		result = AppendUnknown
+	case fault == 3:
+		w.store(entries)
+		w.store(entries)
+		result = AppendStored
+	default:
+		w.store(entries)
+		result = AppendStored
+	}
+	for _, entry := range entries {
+		key, attempt := entry.Subject()
+		w.step(t, router, ToAttempt{Key: key, Attempt: attempt, Message: Appended{Entry: entry, Result: result}})
+	}
+}
+
+func (w *world) storeLate(*rapid.T) {
+	if len(w.late) == 0 || w.down {
+		return
+	}
+	w.store(w.late[0])
+	w.late = w.late[1:]
+}
+
+func (w *world) read(t *rapid.T) {
+	router := w.router(t)
+	if w.down {
+		return
+	}
+	for _, r := range w.records {
+		if r.offset >= w.tables[router].Next() {
+			w.step(t, router, Record{Offset: r.offset, At: r.at, Entries: r.entries})
+		}
+	}
+}
+
+func (w *world) grant(t *rapid.T) {
+	if len(w.asks) == 0 {
+		return
+	}
+	c := w.asks[0]
+	w.asks = w.asks[1:]
+	var msg Message = Granted{Attempt: 1, Endpoint: dispatch.Endpoint{ID: "e1"}}
+	if proptest.Pick(t, 5) == 0 {
+		msg = Refused{Refusal: fleet.Refuse(fleet.RefusedNoEndpoint, time.Second, "no endpoint")}
+	}
+	w.step(t, c.router, ToAttempt{Key: c.key, Attempt: c.attempt, Message: msg})
+}
+
+func (w *world) endCall(t *rapid.T) {
+	if len(w.sends) == 0 {
+		return
+	}
+	c := w.sends[0]
+	w.sends = w.sends[1:]
+	ended := CallEnded{}
+	switch proptest.Pick(t, 6) {
+	case 0:
+		ended.Result = CallNotSent
+	case 1:
+		ended.Result = CallUnknown
+		w.sent[c.attempt], w.keySent[c.key] = true, true
+	case 2:
+		w.run(t, c)
+		ended.Result = CallUnknown
+	default:
+		ended.Result = CallAnswered
+		ended.Response = w.run(t, c)
+	}
+	w.step(t, c.router, ToAttempt{Key: c.key, Attempt: c.attempt, Message: ended})
+}
+
+func (w *world) readOutcome(t *rapid.T) {
+	if len(w.reads) == 0 {
+		return
+	}
+	r := w.reads[0]
+	w.reads = w.reads[1:]
+	var msg Message = OutcomeUnreadable{}
+	if !w.down && r.offset >= w.first {
+		for _, entry := range w.records[r.offset-w.first].entries {
+			if outcome, ok := entry.(Outcome); ok && outcome.Key == r.call.key {
+				msg = OutcomeRead{Outcome: outcome}
+			}
+		}
+	}
+	w.step(t, r.call.router, ToAttempt{Key: r.call.key, Attempt: r.call.attempt, Message: msg})
+}
+
+func (w *world) advance(t *rapid.T) {
+	pauses := []time.Duration{AppendRetry, ClaimWait, FollowWait, time.Minute, 5 * time.Hour}
+	pause := 100 * time.Millisecond
+	if i := proptest.Pick(t, 41); i < len(pauses) {
+		pause = pauses[i]
+	}
+	if w.days && proptest.Pick(t, 3) == 0 {
+		pause = 5 * time.Hour
+	}
+	w.now += pause
+	for i := range w.tables {
+		w.step(t, i, TickTable{})
+	}
+	for len(w.records) > 0 && w.records[0].at < w.logTime().add(-retention) {
+		w.records = w.records[1:]
+		w.first++
+	}
+}
+
+// crash replaces a router process. What it sent may still run, and what it
+// appended may still be stored.
+func (w *world) crash(t *rapid.T) {
+	if proptest.Pick(t, 31) > 0 {
+		return
+	}
+	router := w.router(t)
+	w.tables[router] = NewTable()
+	if rapid.Bool().Draw(t, "append stored late") && len(w.queues[router]) > 0 {
+		w.late = append(w.late, w.queues[router])
+	}
+	w.queues[router] = nil
+	keep := func(calls []pendingCall, lost func(pendingCall)) (rest []pendingCall) {
+		for _, c := range calls {
+			if c.router != router {
+				rest = append(rest, c)
+			} else {
+				lost(c)
+			}
+		}
+		return rest
+	}
+	w.asks = keep(w.asks, func(pendingCall) {})
+	w.sends = keep(w.sends, func(c pendingCall) {
+		if rapid.Bool().Draw(t, "call runs") {
+			w.run(t, c)
+		}
+	})
+	w.reads = nil
+}
+
+// agree checks that readers of the same prefix hold the same claims.
+func (w *world) agree(t *rapid.T) {
+	for _, a := range w.tables {
+		for _, b := range w.tables {
+			if a.Next() != b.Next() || a.fold.horizon != b.fold.horizon {
+				continue
+			}
+			for key, holding := range a.fold.holdings {
+				other, ok := b.fold.holdings[key]
+				if !a.fold.Expired(key) && (!ok || other.Attempt != holding.Attempt || other.Done != holding.Done) {
+					t.Fatalf("readers disagree on key %v: %v and %v", key, holding, other)
+				}
+			}
+		}
+	}
+}
+
+// simulate runs random interleavings and returns the number of calls that ran,
+// of keys that were answered and of runs in which records expired.
+func simulate(t *testing.T, bounds proptest.Bounds, days bool) (ran, answered, expired int) {
+	proptest.Check(t, bounds, func(t *rapid.T) {
+		w := newWorld()
+		w.days = days
+		actions := []func(*rapid.T){
+			w.submit, w.submit, w.flush, w.flush, w.flush, w.read, w.read, w.storeLate, w.grant, w.grant,
+			w.endCall, w.endCall, w.readOutcome, w.advance, w.advance, w.crash,
+			func(t *rapid.T) { w.down = proptest.Pick(t, 4) == 0 },
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"step": func(t *rapid.T) { actions[proptest.Pick(t, len(actions))](t) },
+			"":     w.agree,
+		})
+		ran += len(w.runs)
+		answered += len(w.answers)
+		if w.first > 0 {
+			expired++
+		}
+	})
+	t.Logf("%d calls ran, %d were answered, %d runs saw expired records", ran, answered, expired)
+	return ran, answered, expired
+}
+
+// TestCallsRunAtMostOnce guards against a call that runs twice, a false "not
+// run" and two different answers to one key, over random interleavings of
+// three routers with lost, doubled and late appends, log outages and crashes
+// at each point of the sequence.
+func TestCallsRunAtMostOnce(t *testing.T) {
+	ran, answered, _ := simulate(t, proptest.Bounds{Seed: 1, Checks: 300, Steps: 300}, false)
+	if ran < 300 || answered < 150 {
+		t.Fatal("the simulation reached too few interesting states")
+	}
+}
+
+// TestCallsRunAtMostOnceOverDays guards the same rules while keys grow old and
+// the log drops records, so that restarted routers see a part of the history.
+func TestCallsRunAtMostOnceOverDays(t *testing.T) {
+	ran, _, expired := simulate(t, proptest.Bounds{Seed: 2, Checks: 300, Steps: 300}, true)
+	if ran < 100 || expired < 100 {
+		t.Fatal("the simulation reached too few interesting states")
+	}
+}
+
+// TestFoldRules guards single rules that other rules would mask in a simulation.
+func TestFoldRules(t *testing.T) {
+	is := is.New(t)
+	fold := NewFold()
+	offset := uint64(0)
+	apply := func(at LogTime, entry Entry) Verdict {
+		events := fold.Apply(0, offset, at, []Entry{entry})
+		offset++
+		return events[0].Verdict
+	}
+	key := keyAt(epoch, 1)
+	other := Key{Team: "fitters", ID: key.ID}
+	is.Equal(apply(epoch, Release{Key: key, Attempt: "late"}), VerdictIgnored)
+	is.Equal(apply(epoch, Claim{Key: key, Attempt: "late"}), VerdictVoided)  // released before its claim arrived
+	is.Equal(apply(epoch, Claim{Key: key, Attempt: "a"}), VerdictAccepted)   // a voided claim blocks nobody
+	is.Equal(apply(epoch, Claim{Key: other, Attempt: "b"}), VerdictAccepted) // keys are per team
+	is.Equal(apply(epoch, Outcome{Key: key, Attempt: "b"}), VerdictIgnored)  // not the holder
+	is.Equal(apply(epoch, Release{Key: key, Attempt: "b"}), VerdictIgnored)  // not the holder
+	is.Equal(apply(epoch, Claim{Key: key, Attempt: "c"}), VerdictHeld)       // still held
+	is.Equal(apply(epoch, Outcome{Key: key, Attempt: "a"}), VerdictRecorded) // first outcome
+	is.Equal(apply(epoch, Outcome{Key: key, Attempt: "a"}), VerdictIgnored)  // later outcomes lose
+	is.Equal(apply(epoch, Release{Key: key, Attempt: "a"}), VerdictIgnored)  // a finished call stays finished
+	is.Equal(apply(epoch, Claim{Key: key, Attempt: "d"}), VerdictHeld)       // and is not run again
+	ahead := keyAt(epoch.add(ClockTolerance+time.Millisecond), 2)
+	is.Equal(apply(epoch, Claim{Key: ahead, Attempt: "e"}), VerdictFuture) // would outlive retention
+	end := epoch.add(KeyMaxAge)
+	is.Equal(apply(end, Claim{Key: key, Attempt: "f"}), VerdictHeld)      // exactly KeyMaxAge old
+	is.Equal(apply(end+1, Claim{Key: key, Attempt: "g"}), VerdictExpired) // older
+	is.Equal(apply(epoch, Claim{Key: key, Attempt: "h"}), VerdictExpired) // log time went back
+	apply(end.add(time.Hour), Claim{Key: keyAt(end, 3), Attempt: "i"})
+	is.Equal(fold.Len(), 1) // expired keys leave memory
+}
--- /dev/null
+++ b/internal/core/claim/fold.go
@@ -0,0 +1,218 @@
+package claim
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+// bucketMillis is the width of the expiry buckets in log time.
+const bucketMillis = 60_000
+
+// Verdict is the result of folding one entry.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// VerdictIgnored: the entry has no effect.
+	VerdictIgnored Verdict = iota
+	// VerdictAccepted: the attempt holds the key and may send.
+	VerdictAccepted
+	// VerdictHeld: another attempt holds the key for the same request.
+	VerdictHeld
+	// VerdictMismatch: the key is held for a different request.
+	VerdictMismatch
+	// VerdictExpired: the key is older than KeyMaxAge, or older than the records
+	// that this reader has seen.
+	VerdictExpired
+	// VerdictFuture: the key's creation time is ahead of log time by more than
+	// ClockTolerance.
+	VerdictFuture
+	// VerdictVoided: the attempt was released earlier.
+	VerdictVoided
+	// VerdictReleased: the release voided a live claim.
+	VerdictReleased
+	// VerdictRecorded: the outcome ended the claim.
+	VerdictRecorded
+)
+
+// Event tells what an entry did to its key.
+type Event struct {
+	Key     Key
+	Attempt AttemptID
+	Verdict Verdict
+}
+
+// Holding is the state of a key that is claimed or done.
+type Holding struct {
+	Attempt     AttemptID
+	Fingerprint fleet.Fingerprint
+	// Seen is the reader's monotonic time at which it folded the claim.
+	Seen time.Duration
+	// Done tells that an outcome is recorded, in the record at Outcome.
+	Done    bool
+	Outcome uint64
+}
+
+// Fold is the state of the claim stream. Responses stay in the log; the fold
+// keeps their offsets, so that memory depends only on the number of keys that
+// are younger than KeyMaxAge.
+//
+// Invariants: a key has at most one holder; horizon never decreases, and a key
+// created before it is refused. Refusing is always safe for a reader: it never
+// accepts a later claim on such a key either, so its own attempts never send.
+type Fold struct {
+	next     uint64
+	started  bool
+	horizon  LogTime
+	holdings map[Key]*Holding
+	voided   map[Key][]AttemptID
+	buckets  map[int64][]Key
+}
+
+// NewFold returns a fold without records.
+func NewFold() *Fold {
+	return &Fold{
+		holdings: make(map[Key]*Holding),
+		voided:   make(map[Key][]AttemptID),
+		buckets:  make(map[int64][]Key),
+	}
+}
+
+// Next returns the offset of the next record to fold.
+func (f *Fold) Next() uint64 { return f.next }
+
+// Len returns the number of keys held in memory.
+func (f *Fold) Len() int { return len(f.holdings) }
+
+// Lookup returns the state of a key.
+func (f *Fold) Lookup(key Key) (Holding, bool) {
+	h, ok := f.holdings[key]
+	if !ok {
+		return Holding{}, false
+	}
+	return *h, true
+}
+
+// Expired reports whether the key can no longer be claimed.
+func (f *Fold) Expired(key Key) bool { return key.ID.Created() < f.horizon }
+
+// Apply folds the record at the given offset and log time. now is the reader's
+// monotonic time. Records that were already folded are ignored.
+func (f *Fold) Apply(now time.Duration, offset uint64, at LogTime, entries []Entry) []Event {
+	if f.started && offset < f.next {
+		return nil
+	}
+	f.advance(offset, at)
+	events := make([]Event, 0, len(entries))
+	for _, entry := range entries {
+		key, attempt := entry.Subject()
+		events = append(events, Event{Key: key, Attempt: attempt, Verdict: f.entry(now, offset, at, entry)})
+	}
+	return events
+}
+
+// advance moves the cursor and the horizon. When records are missing, a claim
+// on a key created before this record may have been among them: it was
+// appended at most ClockTolerance before the key's creation time.
+func (f *Fold) advance(offset uint64, at LogTime) {
+	horizon := at.add(-KeyMaxAge)
+	if offset != f.next {
+		horizon = at.add(ClockTolerance)
+	}
+	f.started = true
+	f.next = offset + 1
+	if horizon <= f.horizon {
+		return
+	}
+	if int64(horizon)/bucketMillis != int64(f.horizon)/bucketMillis {
+		f.expire(horizon)
+	}
+	f.horizon = horizon
+}
+
+func (f *Fold) expire(horizon LogTime) {
+	for bucket, keys := range f.buckets {
+		if bucket >= int64(horizon)/bucketMillis {
+			continue
+		}
+		for _, key := range keys {
+			delete(f.holdings, key)
+			delete(f.voided, key)
+		}
+		delete(f.buckets, bucket)
+	}
+}
+
+func (f *Fold) entry(now time.Duration, offset uint64, at LogTime, entry Entry) Verdict {
+	switch e := entry.(type) {
+	case Claim:
+		return f.claim(now, at, e)
+	case Release:
+		return f.release(e)
+	case Outcome:
+		return f.outcome(offset, e)
+	default:
+		return VerdictIgnored
+	}
+}
+
+func (f *Fold) claim(now time.Duration, at LogTime, c Claim) Verdict {
+	held, ok := f.holdings[c.Key]
+	switch {
+	case f.Expired(c.Key):
+		return VerdictExpired
+	case c.Key.ID.Created() > at.add(ClockTolerance):
+		return VerdictFuture
+	case slices.Contains(f.voided[c.Key], c.Attempt):
+		return VerdictVoided
+	case ok && held.Fingerprint != c.Fingerprint:
+		return VerdictMismatch
+	case ok && held.Attempt == c.Attempt:
+		// A repeated append of the same claim.
+		return VerdictIgnored
+	case ok:
+		return VerdictHeld
+	}
+	f.remember(c.Key)
+	f.holdings[c.Key] = &Holding{Attempt: c.Attempt, Fingerprint: c.Fingerprint, Seen: now}
+	return VerdictAccepted
+}
+
+func (f *Fold) release(r Release) Verdict {
+	held, ok := f.holdings[r.Key]
+	mine := ok && held.Attempt == r.Attempt
+	if (mine && held.Done) || f.Expired(r.Key) {
+		return VerdictIgnored
+	}
+	if !slices.Contains(f.voided[r.Key], r.Attempt) {
+		f.remember(r.Key)
+		f.voided[r.Key] = append(f.voided[r.Key], r.Attempt)
+	}
+	if !mine {
+		return VerdictIgnored
+	}
+	delete(f.holdings, r.Key)
+	return VerdictReleased
+}
+
+func (f *Fold) outcome(offset uint64, o Outcome) Verdict {
+	held, ok := f.holdings[o.Key]
+	if !ok || held.Attempt != o.Attempt || held.Done {
+		return VerdictIgnored
+	}
+	held.Done = true
+	held.Outcome = offset
+	return VerdictRecorded
+}
+
+// remember files the key for expiry.
+func (f *Fold) remember(key Key) {
+	_, held := f.holdings[key]
+	if held || len(f.voided[key]) > 0 {
+		return
+	}
+	bucket := int64(key.ID.Created()) / bucketMillis
+	f.buckets[bucket] = append(f.buckets[bucket], key)
+}
