--- /dev/null
+++ b/internal/standin/plainservice/service.go
@@ -0,0 +1,253 @@
+// Package plainservice is a stand-in of a plain service. It counts how often
+// each call ran, by the call_id in the body, and injects faults.
+package plainservice
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/task"
+)
+
+const (
+	mailboxCapacity = 1024
+	maxBodyBytes    = 4 << 20
+)
+
+// Faults are switched on by tests through PUT /faults.
+type Faults struct {
+	// DelayMillis delays each call before it runs.
+	DelayMillis int `json:"delay_ms"`
+	// CloseAfterRead closes that many connections after the request was read;
+	// the call does not run.
+	CloseAfterRead int `json:"close_after_read"`
+	// Freeze keeps that many calls open without running or answering them.
+	Freeze int `json:"freeze"`
+	// LoseAnswers runs that many calls and then closes the connection.
+	LoseAnswers int `json:"lose_answers"`
+	// Errors answers that many calls with status 500 without running them.
+	Errors int `json:"errors"`
+	// Crashed closes the connection of every call, without running it, until unset.
+	Crashed bool `json:"crashed"`
+}
+
+// Counts tells what happened to one call id.
+type Counts struct {
+	// Received counts requests that were read, Ran those that were executed.
+	Received int `json:"received"`
+	Ran      int `json:"ran"`
+}
+
+// Service is the task that owns the counts and the faults.
+type Service struct {
+	mailbox task.Mailbox[any]
+	faults  Faults
+	counts  map[string]Counts
+	waiting []awaitMessage
+}
+
+type fault uint8
+
+const (
+	faultNone fault = iota
+	faultClose
+	faultFreeze
+	faultLoseAnswer
+	faultError
+)
+
+type arriveMessage struct {
+	id    string
+	reply chan arrival
+}
+
+type arrival struct {
+	fault fault
+	delay time.Duration
+}
+
+type runMessage struct {
+	id    string
+	reply chan int
+}
+
+type awaitMessage struct {
+	id       string
+	received int
+	reply    chan Counts
+}
+
+type faultsMessage struct {
+	faults Faults
+	reply  chan struct{}
+}
+
+// New returns a service without faults.
+func New() *Service {
+	return &Service{mailbox: task.NewMailbox[any](mailboxCapacity), counts: make(map[string]Counts)}
+}
+
+// Run owns the state until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case msg := <-s.mailbox.Receive():
+			s.step(msg)
+		}
+	}
+}
+
+func (s *Service) step(msg any) {
+	switch msg := msg.(type) {
+	case arriveMessage:
+		counts := s.counts[msg.id]
+		counts.Received++
+		s.counts[msg.id] = counts
+		msg.reply <- arrival{fault: s.nextFault(), delay: time.Duration(s.faults.DelayMillis) * time.Millisecond}
+		s.wake()
+	case runMessage:
+		counts := s.counts[msg.id]
+		counts.Ran++
+		s.counts[msg.id] = counts
+		msg.reply <- counts.Ran
+	case awaitMessage:
+		s.waiting = append(s.waiting, msg)
+		s.wake()
+	case faultsMessage:
+		s.faults = msg.faults
+		close(msg.reply)
+	}
+}
+
+func (s *Service) wake() {
+	waiting := s.waiting[:0]
+	for _, w := range s.waiting {
+		if counts := s.counts[w.id]; counts.Received >= w.received {
+			w.reply <- counts
+			continue
+		}
+		waiting = append(waiting, w)
+	}
+	s.waiting = waiting
+}
+
+func (s *Service) nextFault() fault {
+	take := func(n *int) bool {
+		if *n <= 0 {
+			return false
+		}
+		*n--
+		return true
+	}
+	switch {
+	case s.faults.Crashed || take(&s.faults.CloseAfterRead):
+		return faultClose
+	case take(&s.faults.Freeze):
+		return faultFreeze
+	case take(&s.faults.LoseAnswers):
+		return faultLoseAnswer
+	case take(&s.faults.Errors):
+		return faultError
+	default:
+		return faultNone
+	}
+}
+
+// SetFaults replaces the faults.
+func (s *Service) SetFaults(ctx context.Context, faults Faults) {
+	done := make(chan struct{})
+	if s.mailbox.Send(ctx, faultsMessage{faults: faults, reply: done}) == nil {
+		<-done
+	}
+}
+
+// Await returns the counts of a call once it was received the given number of times.
+func (s *Service) Await(ctx context.Context, id string, received int) Counts {
+	reply := make(chan Counts, 1)
+	if s.mailbox.Send(ctx, awaitMessage{id: id, received: received, reply: reply}) != nil {
+		return Counts{}
+	}
+	select {
+	case counts := <-reply:
+		return counts
+	case <-ctx.Done():
+		return Counts{}
+	}
+}
+
+// Handler returns the HTTP interface of the service.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/calls/{operation}", s.handleCall)
+	mux.HandleFunc("GET /counts/{id}", s.handleCounts)
+	mux.HandleFunc("PUT /faults", s.handleFaults)
+	return mux
+}
+
+func (s *Service) handleCall(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		CallID string `json:"call_id"`
+	}
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&body); err != nil || body.CallID == "" {
+		http.Error(w, "body must be a JSON object with the key call_id", http.StatusBadRequest)
+		return
+	}
+	arrived := make(chan arrival, 1)
+	if s.mailbox.Send(r.Context(), arriveMessage{id: body.CallID, reply: arrived}) != nil {
+		return
+	}
+	a := <-arrived
+	switch a.fault {
+	case faultClose:
+		panic(http.ErrAbortHandler)
+	case faultFreeze:
+		<-r.Context().Done()
+		return
+	case faultError:
+		http.Error(w, "internal error", http.StatusInternalServerError)
+		return
+	}
+	if a.delay > 0 {
+		timer := time.NewTimer(a.delay)
+		defer timer.Stop()
+		<-timer.C
+	}
+	ran := make(chan int, 1)
+	if s.mailbox.Send(r.Context(), runMessage{id: body.CallID, reply: ran}) != nil {
+		return
+	}
+	number := <-ran
+	if a.fault == faultLoseAnswer {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Result{CallID: body.CallID, Operation: r.PathValue("operation"), Run: number})
+}
+
+// Result is the answer to a call. Run counts the executions of the call id.
+type Result struct {
+	CallID    string `json:"call_id"`
+	Operation string `json:"operation"`
+	Run       int    `json:"run"`
+}
+
+func (s *Service) handleCounts(w http.ResponseWriter, r *http.Request) {
+	counts := s.Await(r.Context(), r.PathValue("id"), 0)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(counts)
+}
+
+func (s *Service) handleFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(r.Context(), faults)
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -13,6 +13,7 @@
 	"github.com/cornelhold/cornelhold/internal/platform"
 	"github.com/cornelhold/cornelhold/internal/standin/logservice"
 	"github.com/cornelhold/cornelhold/internal/standin/modelengine"
+	"github.com/cornelhold/cornelhold/internal/standin/plainservice"
 	"github.com/cornelhold/cornelhold/internal/standin/platformapi"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
@@ -23,6 +24,7 @@
 	Log       *LogSettings       `yaml:"log"`
 	Instances *InstancesSettings `yaml:"instances"`
 	Engines   []EngineSettings   `yaml:"engines" validate:"dive"`
+	Plain     []PlainSettings    `yaml:"plain_services" validate:"dive"`
 }
 
 // LogSettings configures the log service stand-in.
@@ -53,6 +55,11 @@
 	Engine modelengine.Settings `yaml:"engine"`
 }
 
+// PlainSettings configures one plain service stand-in.
+type PlainSettings struct {
+	Listen string `yaml:"listen" validate:"required,hostname_port"`
+}
+
 const headerTimeout = 5 * time.Second
 
 // Run serves the configured parts until ctx ends.
@@ -71,6 +78,11 @@
 	for _, e := range s.Engines {
 		group.Go("engine server", serve(e.Listen, modelengine.New(e.Engine).Handler()))
 	}
+	for _, p := range s.Plain {
+		service := plainservice.New()
+		group.Go("plain service", service.Run)
+		group.Go("plain service server", serve(p.Listen, service.Handler()))
+	}
 	env.Ready.Set("")
 	return group.Wait()
 }
