Divide free slots among routers and guarantee the shares of teams

Cause: all routers filled the same free slot of a lagging report, so requests queued on engines; a flooding team took the slots of others. Change: each router takes its part of the free slots of a report. Requests beyond a team's guaranteed share leave a reserve that follows from the unused shares of the other teams. Requests that miss their latency target in the queue are refused beyond a small late credit.

--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -14,9 +14,12 @@
 const (
 	// FlowBound is the largest number of fresh requests of one team and class.
 	FlowBound = 256
-	// LateBound is the largest number of late requests of one team and class.
-	// Late requests are served only when the team has no fresh one.
-	LateBound = 8
+	// LateShare is the share of a team's requests that may be served late. It
+	// is below the 5% that a 95th-percentile target allows, because some
+	// requests become late on the endpoint.
+	LateShare = 0.02
+	// maxLateCredit bounds the late requests of one burst.
+	maxLateCredit = 5
 )
 
 // Order tells which team's queue is served next within a class.
@@ -54,6 +57,10 @@
 	late   []Entry
 	weight float64
 	finish float64
+	// credit is the number of requests that may still become late.
+	credit float64
+	// blockedIn is the last pass in which the head was not accepted.
+	blockedIn uint64
 }
 
 func (f *flow) size() int { return len(f.fresh) + len(f.late) }
@@ -79,6 +86,7 @@
 	weights map[fleet.TeamName]int
 	classes [fleet.ClassCount]class
 	size    int
+	pass    uint64
 }
 
 // NewQueue returns an empty queue with equal weights.
@@ -110,7 +118,7 @@
 	c := &q.classes[e.Class]
 	f, ok := c.flows[e.Team]
 	if !ok {
-		f = &flow{team: e.Team, weight: q.weight(e.Team)}
+		f = &flow{team: e.Team, weight: q.weight(e.Team), credit: 1}
 		c.flows[e.Team] = f
 	}
 	if len(f.fresh) >= FlowBound && !e.Force {
@@ -132,43 +140,53 @@
 	return slices.Insert(list, i, e)
 }
 
-// Next returns the request to serve next without removing it.
-func (q *Queue) Next() (Entry, bool) {
+// Serve offers waiting requests in the order in which they are to be served,
+// and removes those that grant accepts. A team whose next request is not
+// accepted does not hold back other teams. Batch requests are offered only when
+// no other request waits.
+func (q *Queue) Serve(grant func(Entry) bool) {
+	q.pass++
 	for i := range q.classes {
-		if f := q.nextFlow(&q.classes[i]); f != nil {
-			return f.head(), true
+		c := &q.classes[i]
+		if fleet.Class(i) == fleet.ClassBatch && q.waitsBefore(fleet.ClassBatch) {
+			return
+		}
+		for f := q.nextFlow(c); f != nil; f = q.nextFlow(c) {
+			if grant(f.head()) {
+				q.pop(c, f)
+				continue
+			}
+			f.blockedIn = q.pass
 		}
 	}
-	return Entry{}, false
 }
 
-// Pop removes and returns the request to serve next.
-func (q *Queue) Pop() (Entry, bool) {
-	for i := range q.classes {
-		c := &q.classes[i]
-		f := q.nextFlow(c)
-		if f == nil {
-			continue
-		}
-		e := f.head()
-		start := max(c.virtual, f.finish)
-		c.virtual = start
-		f.finish = start + 1/f.weight
-		if len(f.fresh) > 0 {
-			f.fresh = slices.Delete(f.fresh, 0, 1)
-		} else {
-			f.late = slices.Delete(f.late, 0, 1)
+func (q *Queue) waitsBefore(in fleet.Class) bool {
+	for i := range q.classes[:in] {
+		if len(q.classes[i].active) > 0 {
+			return true
 		}
-		q.shrunk(c, f, 1)
-		return e, true
 	}
-	return Entry{}, false
+	return false
+}
+
+func (q *Queue) pop(c *class, f *flow) {
+	start := max(c.virtual, f.finish)
+	c.virtual = start
+	f.finish = start + 1/f.weight
+	f.credit = min(f.credit+LateShare, maxLateCredit)
+	if len(f.fresh) > 0 {
+		f.fresh = slices.Delete(f.fresh, 0, 1)
+	} else {
+		f.late = slices.Delete(f.late, 0, 1)
+	}
+	q.shrunk(c, f, 1)
 }
 
 func (q *Queue) nextFlow(c *class) *flow {
 	var best *flow
 	for _, f := range c.active {
-		if best == nil || q.before(c, f, best) {
+		if f.blockedIn != q.pass && (best == nil || q.before(c, f, best)) {
 			best = f
 		}
 	}
@@ -211,7 +229,7 @@
 }
 
 // Expire removes and returns the requests that can't be served any more: those
-// past their deadline, and late ones that the bound leaves no room for.
+// past their deadline, and late ones beyond the team's late credit.
 func (q *Queue) Expire(now time.Duration) []Entry {
 	var out []Entry
 	for i := range q.classes {
@@ -233,9 +251,10 @@
 		e := f.fresh[0]
 		f.fresh = slices.Delete(f.fresh, 0, 1)
 		switch {
-		case e.Deadline <= now, len(f.late) >= LateBound && !e.Force:
+		case e.Deadline <= now, f.credit < 1 && !e.Force:
 			out = append(out, e)
 		default:
+			f.credit = max(f.credit-1, 0)
 			f.late = insert(f.late, e, func(e Entry) time.Duration { return e.Deadline })
 		}
 	}
--- a/internal/core/dispatch/machine.go
+++ b/internal/core/dispatch/machine.go
@@ -6,6 +6,7 @@
 	"github.com/cornelhold/cornelhold/internal/core/admit"
 	"github.com/cornelhold/cornelhold/internal/core/config"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/route"
 )
 
 // Machine is the dispatcher. Invariants: the number of outstanding attempts of
@@ -16,6 +17,7 @@
 	options   Options
 	spec      *config.Spec
 	routers   int
+	router    int
 	version   uint64
 	endpoints map[fleet.EndpointID]Endpoint
 	departed  *departed
@@ -160,7 +162,9 @@
 		return nil
 	}
 	svc := m.services[e.Service]
-	svc.table.Report(now-msg.Age, msg.Endpoint, msg.Running+msg.Waiting, msg.Batch)
+	svc.table.Report(msg.Endpoint, route.Report{
+		At: now - msg.Age, Sequence: msg.Sequence, Requests: msg.Running + msg.Waiting, Batch: msg.Batch,
+	})
 	return m.pump(now, svc)
 }
 
@@ -173,7 +177,7 @@
 func (m *Machine) configure(now time.Duration, msg Configure) []Action {
 	m.spec = msg.Spec
 	if msg.Routers > 0 {
-		m.routers = msg.Routers
+		m.routers, m.router = msg.Routers, msg.Router
 	}
 	weights := make(map[fleet.TeamName]int, len(msg.Spec.Teams))
 	for name, t := range msg.Spec.Teams {
@@ -186,6 +190,7 @@
 	}
 	for name, svc := range m.services {
 		svc.configure(msg.Spec.Services[name], weights)
+		svc.table.SetRouters(m.routers, m.router)
 	}
 	return m.refreshEndpoints(now)
 }
--- a/internal/core/dispatch/messages.go
+++ b/internal/core/dispatch/messages.go
@@ -104,6 +104,9 @@
 	Waiting int
 	// Batch is the part of Running and Waiting that is of class batch.
 	Batch int
+	// Sequence numbers the reports of an endpoint. Routers use it to agree on
+	// who may use which free slot.
+	Sequence uint64
 	// Age is how old the report is on arrival.
 	Age time.Duration
 }
@@ -151,9 +154,11 @@
 // Configure replaces the active configuration.
 type Configure struct {
 	Spec *config.Spec
-	// Routers is the number of routers among which the limits of teams are
-	// divided; 0 keeps the number given before, at first 1.
+	// Routers is the number of routers among which the limits of teams and the
+	// free slots of endpoints are divided; 0 keeps the number given before, at
+	// first 1. Router is the position of this router among them, from 0.
 	Routers int
+	Router  int
 }
 
 // Tick lets the machine act on deadlines that have passed.
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cornelhold/cornelhold/internal/core/admit"
 	"github.com/cornelhold/cornelhold/internal/core/budget"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/route"
@@ -61,31 +62,43 @@
 		for _, e := range l.queue.Expire(now) {
 			actions = append(actions, m.expire(now, m.outstanding[e.Request])...)
 		}
-		for {
-			e, ok := l.queue.Next()
-			if !ok {
-				break
+		l.queue.Serve(func(e admit.Entry) bool {
+			grant, ok := m.tryGrant(now, m.outstanding[e.Request])
+			if ok {
+				l.drain.served(now, l.queue.Len() > 1)
+				actions = append(actions, grant)
 			}
-			r := m.outstanding[e.Request]
-			request := r.routed()
-			choice, ok := svc.table.Choose(now, &request)
-			if !ok {
-				break
-			}
-			l.queue.Pop()
-			l.drain.served(now, l.queue.Len() > 0)
-			actions = append(actions, m.grant(now, r, choice, &request))
-		}
+			return ok
+		})
 	}
 	return actions
 }
 
+// tryGrant grants a waiting request if an endpoint has room for it.
+func (m *Machine) tryGrant(now time.Duration, r *requestState) (Action, bool) {
+	svc, team := r.service, r.submit.Team
+	request := r.routed()
+	request.Queued = now < svc.queuedUntil
+	request.Reserve = svc.reserve(now, m.routers)
+	request.Spare = svc.exceedsShare(now, team, m.routers)
+	if r.submit.Class == fleet.ClassBatch {
+		request.Spare, request.Reserve = true, batchReserve
+	}
+	choice, ok := svc.table.Choose(now, &request)
+	if !ok {
+		svc.queuedUntil = now + queuedMemory
+		return nil, false
+	}
+	return m.grant(now, r, choice, &request), true
+}
+
 func (m *Machine) grant(now time.Duration, r *requestState, c route.Choice, request *route.Request) Action {
 	if r.attempts == 0 {
 		r.service.budget.Earn()
 	}
 	r.attempts++
 	r.service.table.Start(now, c, request)
+	r.service.begin(now, r.submit)
 	r.running = append(r.running, attempt{number: r.attempts, endpoint: c.ID, started: now})
 	m.armHedge(now, r)
 	return Grant{
@@ -192,7 +205,7 @@
 	if i >= 0 {
 		a := r.running[i]
 		r.running = slices.Delete(r.running, i, i+1)
-		r.service.table.Finish(now, a.endpoint, a.started, r.submit.Class)
+		r.service.finish(now, r, a)
 		m.observe(now, r, a, msg)
 	}
 	if msg.Final {
@@ -230,7 +243,7 @@
 // releaseAll ends the accounting of all running attempts.
 func (m *Machine) releaseAll(now time.Duration, r *requestState) {
 	for _, a := range r.running {
-		r.service.table.Finish(now, a.endpoint, a.started, r.submit.Class)
+		r.service.finish(now, r, a)
 	}
 	r.running = r.running[:0]
 }
--- a/internal/core/dispatch/service.go
+++ b/internal/core/dispatch/service.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/cornelhold/cornelhold/internal/core/admit"
 	"github.com/cornelhold/cornelhold/internal/core/budget"
 	"github.com/cornelhold/cornelhold/internal/core/config"
@@ -21,6 +23,15 @@
 	lanes   []*lane
 	order   admit.Order
 	weights map[fleet.TeamName]int
+	// totalWeight is the sum of the weights, at least 1.
+	totalWeight int
+	usages      map[fleet.TeamName]*usage
+	// teams lists the keys of usages, for repeatable sums.
+	teams        []fleet.TeamName
+	reserved     float64
+	reserveUntil time.Duration
+	// queuedUntil is when the last wait for an endpoint is forgotten.
+	queuedUntil time.Duration
 }
 
 // lane is the queue of requests that the same endpoints can serve, so that a
@@ -31,6 +42,104 @@
 	drain          drain
 }
 
+const (
+	// queuedMemory is how long routers keep to their shares of free slots after
+	// requests had to wait.
+	queuedMemory = 2 * time.Second
+	// usageWindow is the time over which the usage of a team is averaged. Few of
+	// a team's requests run in one router, so their number varies.
+	usageWindow = 10 * time.Second
+	// burstFactor is how many times its guaranteed share a team may use at once
+	// before it is held back without averaging.
+	burstFactor = 2
+	// reservePart is the part of unused guaranteed shares that is kept free, and
+	// maxReserve the largest part of the slots.
+	reservePart = 1.0
+	maxReserve  = 0.4
+	// batchReserve is the part of the slots that batch work leaves free, so that
+	// it is rarely displaced and computed again.
+	batchReserve = 0.25
+	// activeUsage is the average number of attempts from which a team counts as
+	// using the service.
+	activeUsage     = 0.05
+	reserveInterval = 100 * time.Millisecond
+)
+
+// usage is the number of attempts of one team that have not ended, without
+// batch work, which engines preempt.
+type usage struct {
+	running int
+	average float64
+	at      time.Duration
+}
+
+func (u *usage) change(now time.Duration, by int) {
+	u.average = u.averaged(now)
+	u.running += by
+	u.at = now
+}
+
+func (u *usage) averaged(now time.Duration) float64 {
+	elapsed := (now - u.at).Seconds()
+	weight := elapsed / (elapsed + usageWindow.Seconds())
+	return u.average + float64(weight*(float64(u.running)-u.average))
+}
+
+func (s *service) usage(team fleet.TeamName) *usage {
+	u, ok := s.usages[team]
+	if !ok {
+		u = &usage{}
+		s.teams = append(s.teams, team)
+		s.usages[team] = u
+	}
+	return u
+}
+
+// share is the guaranteed share of a team: its part by weight of this router's
+// part of the slots.
+func (s *service) share(team fleet.TeamName, routers int) float64 {
+	return float64(s.table.Slots()*max(s.weights[team], 1)) / float64(s.totalWeight*routers)
+}
+
+// exceedsShare tells whether a team uses more than its guaranteed share.
+func (s *service) exceedsShare(now time.Duration, team fleet.TeamName, routers int) bool {
+	share, u := s.share(team, routers), s.usage(team)
+	return u.averaged(now) > share || float64(u.running) > burstFactor*share+1
+}
+
+// reserve is the part of the slots kept for teams that use the service but less
+// of it than their guaranteed share. It is computed once in reserveInterval.
+func (s *service) reserve(now time.Duration, routers int) float64 {
+	if now < s.reserveUntil {
+		return s.reserved
+	}
+	unused := 0.0
+	for _, team := range s.teams {
+		used := s.usages[team].averaged(now)
+		if share := s.share(team, routers); used > activeUsage && used < share {
+			unused += share - used
+		}
+	}
+	s.reserveUntil = now + reserveInterval
+	s.reserved = min(reservePart*unused*float64(routers)/float64(max(s.table.Slots(), 1)), maxReserve)
+	return s.reserved
+}
+
+// begin counts an attempt.
+func (s *service) begin(now time.Duration, submit Submit) {
+	if submit.Class != fleet.ClassBatch {
+		s.usage(submit.Team).change(now, 1)
+	}
+}
+
+// finish ends the accounting of an attempt.
+func (s *service) finish(now time.Duration, r *requestState, a attempt) {
+	s.table.Finish(now, a.endpoint, a.started, r.submit.Class)
+	if r.submit.Class != fleet.ClassBatch {
+		s.usage(r.submit.Team).change(now, -1)
+	}
+}
+
 // ensureService adds the state of a service that is configured or has endpoints.
 func (m *Machine) ensureService(name fleet.ServiceName) {
 	if _, ok := m.services[name]; ok {
@@ -39,7 +148,7 @@
 	svc := &service{
 		name: name, table: route.NewTable(m.options.Seed), order: m.options.Order,
 		budget:  budget.New(budget.DefaultRatio, budget.DefaultReserve),
-		latency: make(map[string]*budget.Latency),
+		latency: make(map[string]*budget.Latency), usages: make(map[fleet.TeamName]*usage), totalWeight: 1,
 	}
 	m.services[name] = svc
 	i, _ := slices.BinarySearch(m.names, name)
@@ -48,6 +157,7 @@
 
 func (s *service) configure(spec *config.Service, weights map[fleet.TeamName]int) {
 	s.spec, s.weights = spec, weights
+	s.totalWeight = max(lo.Sum(lo.Values(weights)), 1)
 	for _, l := range s.lanes {
 		l.queue.SetWeights(weights)
 	}
--- a/internal/core/route/choose.go
+++ b/internal/core/route/choose.go
@@ -48,7 +48,7 @@
 			if s == nil || !s.serves(r) || s.ID == r.Avoid || (pass == 0 && s.speed.ejectedUntil > now) {
 				continue
 			}
-			if !r.Force && s.loadFor(r.Class) >= s.slots() {
+			if !t.mayTake(now, r, s) {
 				continue
 			}
 			cost := t.cost(now, r, s, hashed && slot == home, mix(key^s.hash))
@@ -63,6 +63,23 @@
 	return Choice{}, false
 }
 
+// mayTake tells whether the request may be sent to the endpoint. Requests
+// beyond a guaranteed share keep to this router's part of the free slots.
+// Those within it also use others' while several slots look free.
+func (t *Table) mayTake(now time.Duration, r *Request, s *state) bool {
+	if r.Force {
+		return true
+	}
+	if s.room(now, r, t.routers, t.router) > 0 {
+		return true
+	}
+	margin := s.slots() / marginDivisor
+	if !r.Queued && t.matched(s)*r.BlockTokens >= sharingTokens {
+		margin = 0
+	}
+	return !r.Spare && s.loadFor(r.Class)+margin < s.slots()
+}
+
 // match finds how many leading blocks the known holders have cached and adds
 // the holders of the deepest blocks to the candidates.
 func (t *Table) match(r *Request, from *ring, set *candidates) {
@@ -94,13 +111,21 @@
 	return s.matched
 }
 
-// home is the candidate with the highest rendezvous hash. Routers that do not
-// know yet where a prefix is cached agree on it.
+// home is the candidate with the highest rendezvous hash among those whose
+// load is at most the mean, so that new prefixes even out the load. Routers that
+// do not know yet where a prefix is cached mostly agree on it.
 func (t *Table) home(set *candidates, key uint64) int32 {
+	total, live := 0, 0
+	for _, slot := range set.slots[:set.count] {
+		if s := t.slots[slot]; s != nil && !s.Leaving {
+			total += s.load()
+			live++
+		}
+	}
 	home, highest := int32(-1), uint64(0)
 	for _, slot := range set.slots[:set.count] {
 		s := t.slots[slot]
-		if s == nil || s.Leaving {
+		if s == nil || s.Leaving || s.load()*live > total+live*homeSlack {
 			continue
 		}
 		if weight := mix(key ^ s.hash); weight >= highest {
@@ -122,7 +147,10 @@
 		recomputable = r.missing(max(matched, min(len(r.Blocks), affinityBlocks)))
 	}
 	cost += time.Duration(recomputable) * recomputePerToken
-	cost += loadCost(s.load(), s.slots())
+	cost += loadCost(s.loadFor(r.Class), s.slots())
+	if s.load() >= s.slots() {
+		cost += displaceWeight
+	}
 	cost += 2*s.Distance + time.Duration((s.Price-1)*float64(priceWeight))
 	cost += time.Duration((s.speed.slowness(t.typical.value) - 1) * float64(slowWeight))
 	if r.misfits(s, missing) {
@@ -133,7 +161,7 @@
 
 func loadCost(load, slots int) time.Duration {
 	share := float64(load) / float64(slots)
-	return time.Duration(share*share*float64(loadWeight)) + time.Duration(max(load-slots, 0))*overloadWeight
+	return time.Duration(share*share*float64(loadWeight)) + time.Duration(max(load+1-slots, 0))*overloadWeight
 }
 
 // misfits tells whether the endpoint's role is meant for other requests: long
--- a/internal/core/route/endpoint.go
+++ b/internal/core/route/endpoint.go
@@ -34,6 +34,8 @@
 	reportedAt    time.Duration
 	sent          []time.Duration
 	ended         []time.Duration
+	// rotation selects the routers that get the slots left by an even division.
+	rotation uint64
 	// readyAt estimates when the prompts that wait now are processed.
 	readyAt time.Duration
 
@@ -56,8 +58,8 @@
 	return max(s.reported+len(s.sent)-len(s.ended), s.outstanding)
 }
 
-// loadFor is the load that stands in the way of a request of the class. Engines
-// preempt batch work, so it does not hold back other classes.
+// loadFor is the load that stands in the way of a request of the class.
+// Engines preempt batch work, so it does not hold back other classes.
 func (s *state) loadFor(c fleet.Class) int {
 	if c == fleet.ClassBatch {
 		return s.load()
@@ -65,6 +67,45 @@
 	return s.load() - max(s.batch, s.reportedBatch)
 }
 
+// roundUp makes a reserve of more than a tenth of a slot a whole slot.
+const roundUp = 0.9
+
+// reportValidity is how long a report stands for the load of other routers.
+const reportValidity = 2 * time.Second
+
+// room is the number of further requests that may be sent. Routers that all
+// see the same free slots would fill them several times over; each takes its
+// share of the free slots of a report, and the slots that its own requests have
+// freed since. Without a recent report only own requests count.
+func (s *state) room(now time.Duration, r *Request, routers, router int) int {
+	kept := 0
+	if r.Spare {
+		kept = int(float64(s.slots())*r.Reserve + roundUp)
+	}
+	if s.reportedAt == 0 || now-s.reportedAt > reportValidity {
+		return s.slots() - kept - s.outstanding
+	}
+	free := s.slots() - kept - s.reported
+	if r.Class != fleet.ClassBatch {
+		// Engines preempt batch work, so it does not hold back other classes.
+		free += s.reportedBatch
+	}
+	return share(free, routers, uint64(router)+s.rotation) + len(s.ended) - len(s.sent)
+}
+
+// share divides free slots, or missing ones if negative, so that the shares of
+// all routers add up to free. Consecutive places take the remainder in turn.
+func share(free, routers int, place uint64) int {
+	whole := free / routers
+	if free < whole*routers {
+		whole--
+	}
+	if place%uint64(routers) < uint64(free-whole*routers) {
+		whole++
+	}
+	return whole
+}
+
 func (s *state) slots() int {
 	if s.Slots <= 0 {
 		return DefaultSlots
@@ -110,12 +151,13 @@
 	return append(times, now)
 }
 
-// report replaces the reported load as of time at. Older reports are ignored.
-func (s *state) report(at time.Duration, running, batch int) {
-	if at < s.reportedAt {
+func (s *state) report(r Report) {
+	if r.At < s.reportedAt {
 		return
 	}
-	s.reported, s.reportedBatch, s.reportedAt = running, batch, at
+	at := r.At
+	s.reported, s.reportedBatch, s.reportedAt = r.Requests, r.Batch, at
+	s.rotation = mix(s.hash ^ r.Sequence)
 	s.sent = since(s.sent, at)
 	s.ended = since(s.ended, at)
 }
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -48,6 +48,12 @@
 	Generated int
 	// Avoid is chosen only when no other endpoint is live.
 	Avoid fleet.EndpointID
+	// Queued tells that requests wait for endpoints or did a moment ago.
+	Queued bool
+	// Spare restricts the request to spare capacity: it leaves the share Reserve
+	// of each endpoint's slots to requests within a guaranteed share.
+	Spare   bool
+	Reserve float64
 	// Force ignores the load bound; the least costly endpoint is chosen.
 	Force bool
 }
@@ -73,6 +79,14 @@
 	// a prompt. Deeper blocks tell more prompts apart, shallower ones keep
 	// prompts with a common prefix together.
 	affinityBlocks = 12
+	// sharingTokens is the number of cached tokens for which a router uses a
+	// free slot outside its share.
+	sharingTokens = 512
+	// marginDivisor gives the number of slots that must look free before a
+	// router uses one that belongs to the part of another, one slot in six.
+	marginDivisor = 4
+	// homeSlack is how far the load of a prompt's home may exceed the mean.
+	homeSlack = 2
 	// longPrompt is the number of missing tokens from which an endpoint with
 	// the prefill role is preferred.
 	longPrompt = 1024
@@ -94,6 +108,9 @@
 	roleWeight = 200 * time.Millisecond
 	// slowWeight is the cost of an endpoint that takes twice the typical time.
 	slowWeight = 200 * time.Millisecond
+	// displaceWeight is the cost of displacing batch work, whose tokens are
+	// computed again.
+	displaceWeight = 50 * time.Millisecond
 	// overloadWeight is the cost of each request above the slots.
 	overloadWeight = 500 * time.Millisecond
 )
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -14,16 +14,20 @@
 // leaving is never chosen; at most a third of the live endpoints is ejected.
 type Table struct {
 	seed    uint64
+	routers int
+	router  int
 	byID    map[endpointID]*state
 	slots   []*state
 	free    []int32
 	near    ring
 	far     ring
 	live    int
-	hints   hints
-	typical median
-	ejected []*state
-	choices uint64
+	// capacity is the number of slots of the live endpoints.
+	capacity int
+	hints    hints
+	typical  median
+	ejected  []*state
+	choices  uint64
 	// generations counts the endpoints that used a slot.
 	generations []uint32
 }
@@ -31,7 +35,7 @@
 // NewTable returns an empty table. The seed spreads requests without prefix
 // differently in each router.
 func NewTable(seed uint64) *Table {
-	return &Table{seed: seed, byID: make(map[endpointID]*state), hints: newHints()}
+	return &Table{seed: mix(seed + 1), routers: 1, byID: make(map[endpointID]*state), hints: newHints()}
 }
 
 // Replace sets the list of endpoints and keeps what is known of those that stay.
@@ -76,6 +80,7 @@
 // rebuild makes the rings of near and far live endpoints.
 func (t *Table) rebuild() {
 	var near, far []*state
+	t.capacity = 0
 	for _, s := range t.slots {
 		switch {
 		case s == nil || s.Leaving:
@@ -90,6 +95,9 @@
 	slices.SortFunc(far, byID)
 	t.near, t.far = newRing(near), newRing(far)
 	t.live = len(near) + len(far)
+	for _, s := range append(near, far...) {
+		t.capacity += s.slots()
+	}
 }
 
 // Leave marks an endpoint as leaving. It gets no new work again.
@@ -100,6 +108,10 @@
 	}
 }
 
+// SetRouters sets the number of routers that share the endpoints and the
+// position of this one among them.
+func (t *Table) SetRouters(count, own int) { t.routers, t.router = max(count, 1), own }
+
 // Live is the number of endpoints that are not leaving.
 func (t *Table) Live() int { return t.live }
 
@@ -128,15 +140,25 @@
 	}
 }
 
-// Report replaces the reported load of an endpoint, measured at time at.
-// running includes requests that wait on the endpoint; batch counts those of
-// class batch among them.
-func (t *Table) Report(at time.Duration, id endpointID, running, batch int) {
+// Report is an endpoint's account of its load at time At.
+type Report struct {
+	At       time.Duration
+	Sequence uint64
+	// Requests counts running and waiting requests, Batch those of class batch.
+	Requests int
+	Batch    int
+}
+
+// Report replaces the reported load of an endpoint. Older reports are ignored.
+func (t *Table) Report(id endpointID, r Report) {
 	if s, ok := t.byID[id]; ok {
-		s.report(at, running, batch)
+		s.report(r)
 	}
 }
 
+// Slots is the number of slots of all live endpoints.
+func (t *Table) Slots() int { return t.capacity }
+
 // Cached refines the hints by an event of the endpoint's prefix cache.
 func (t *Table) Cached(id endpointID, stored, evicted []uint64) {
 	s, ok := t.byID[id]
--- a/internal/policybench/endpoint.go
+++ b/internal/policybench/endpoint.go
@@ -52,6 +52,7 @@
 	running  []*job
 	cache    *prefixCache
 	sequence uint64
+	reports  uint64
 	active   bool
 	busy     time.Duration
 }
--- a/internal/policybench/simulation.go
+++ b/internal/policybench/simulation.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/core/dispatch"
@@ -82,7 +83,9 @@
 	for i := range routers {
 		s.policies = append(s.policies, build(u, i))
 	}
-	s.broadcast(dispatch.Configure{Spec: u.spec()})
+	for i := range routers {
+		s.step(i, dispatch.Configure{Spec: u.spec(), Routers: routers, Router: i})
+	}
 	s.publishList()
 	for _, c := range u.generate(scenario) {
 		s.at(c.at, func() { s.submit(c) })
@@ -256,6 +259,7 @@
 			continue
 		}
 		n.dropCancelled()
+		n.reports++
 		load := loadReport(n)
 		s.after(reportLag, func() { s.broadcast(load) })
 		s.cacheEvent(n)
@@ -268,6 +272,10 @@
 func loadReport(n *node) dispatch.LoadReport {
 	report := dispatch.LoadReport{
 		Endpoint: n.endpoint.ID, Running: len(n.running), Waiting: len(n.queue), Age: reportLag,
+		Sequence: n.reports,
+	}
+	for _, j := range slices.Concat(n.running, n.queue) {
+		report.Batch += count(j.call.class == fleet.ClassBatch)
 	}
 	return report
 }
