Run calls of plain services through claims, with their HTTP interface

Cause: callers need to call plain services; calls that may not be repeated must run at most once over all routers, idempotent ones must be retried elsewhere.

A task for each call owns the connection. Idempotent calls run request.Machine with the whole response as the only frame. POST /v1/services/{service}/calls/{operation} takes the idempotency from the active configuration; a key must be a UUIDv7. platform.FirstOffset tells where a stream goes on after records expired. Counters by team and result, and a histogram of the claim wait by team.

--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -41,5 +41,6 @@
 		Path:        "/v1/requests/{id}/events",
 		Summary:     "Continue the stream of a request after Last-Event-ID",
 	}, a.requestEvents)
+	a.registerCalls(humaAPI)
 	return mux
 }
--- a/internal/core/claim/attempt.go
+++ b/internal/core/claim/attempt.go
@@ -14,7 +14,7 @@
 	// CallBound is the longest time that sending may take.
 	CallBound = 30 * time.Second
 	// FollowWait is how long a repeated call waits for the outcome of the first.
-	FollowWait = 10 * time.Second
+	FollowWait = 3 * time.Second
 	// OutcomeWait is how long the caller's answer waits for the outcome to be stored.
 	OutcomeWait = time.Second
 	// AppendRetry separates repeated appends of an outcome or a release.
--- /dev/null
+++ b/internal/platform/expired.go
@@ -0,0 +1,20 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+)
+
+// FirstOffset returns the oldest offset that the stream still holds, from an
+// error of kind ErrExpired. ok is false for other errors.
+func FirstOffset(err error) (first uint64, ok bool) {
+	var refused *RefusedError
+	if !ErrExpired.Has(err) || !errors.As(err, &refused) {
+		return 0, false
+	}
+	var batch Batch
+	if json.Unmarshal([]byte(refused.Message), &batch) != nil {
+		return 0, false
+	}
+	return batch.First, true
+}
--- /dev/null
+++ b/internal/router/calls_test.go
@@ -0,0 +1,306 @@
+package router_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cornelhold/cornelhold/internal/callerapi"
+	"github.com/cornelhold/cornelhold/internal/core/config"
+	"github.com/cornelhold/cornelhold/internal/core/dispatch"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/daemon"
+	"github.com/cornelhold/cornelhold/internal/router"
+	"github.com/cornelhold/cornelhold/internal/standin/logservice"
+	"github.com/cornelhold/cornelhold/internal/standin/modelengine"
+	"github.com/cornelhold/cornelhold/internal/standin/plainservice"
+)
+
+// Keys of the teams counter and fitters, and their SHA-256 hashes.
+const (
+	counterKey  = "foo"
+	counterHash = "2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae"
+	fittersKey  = "bar"
+	fittersHash = "fcde2b2edba56bf408601fb721fe9b5c338d10ee429ea04fae5511b68fbf8fb9"
+)
+
+// site is a log service, two replicas of a plain service and a model engine.
+type site struct {
+	t        testing.TB
+	logURL   string
+	replicas [2]*plainservice.Service
+	spec     *config.Spec
+	list     []dispatch.Endpoint
+}
+
+func startSite(t testing.TB, logSettings logservice.Settings) *site {
+	t.Helper()
+	s := &site{t: t, spec: testSpec()}
+	service := logservice.New(logSettings)
+	go func() { _ = service.Run(t.Context()) }()
+	s.logURL = s.serve(service.Handler()).URL
+	for i := range s.replicas {
+		replica := plainservice.New()
+		go func() { _ = replica.Run(t.Context()) }()
+		s.replicas[i] = replica
+		s.list = append(s.list, dispatch.Endpoint{
+			ID: fleet.EndpointID(fmt.Sprintf("p%d", i)), Service: "bench-desk", Slots: 64,
+			Address: s.serve(s.guard(replica.Handler())).Listener.Addr().String(), DataCentre: "kyushu-a",
+		})
+	}
+	engine := s.serve(modelengine.New(modelengine.Settings{}).Handler())
+	s.list = append(s.list, dispatch.Endpoint{
+		ID: "m0", Service: "dial-advisor", Slots: 64, Address: engine.Listener.Addr().String(), DataCentre: "kyushu-a",
+	})
+	return s
+}
+
+func (s *site) serve(h http.Handler) *httptest.Server {
+	server := httptest.NewServer(h)
+	s.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server
+}
+
+// guard fails the test when a call that may not be repeated arrives in a form
+// that net/http would replay.
+func (s *site) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		once := strings.HasSuffix(r.URL.Path, "/work-order")
+		if once && (!r.Close || r.Header.Get("Idempotency-Key") != "" || r.Header.Get("X-Idempotency-Key") != "") {
+			s.t.Errorf("a call that may not be repeated uses a kept connection or carries a key: %v", r.Header)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func testSpec() *config.Spec {
+	return &config.Spec{
+		Number: 1,
+		Services: map[fleet.ServiceName]*config.Service{
+			"bench-desk": {
+				Name: "bench-desk", Kind: config.ServicePlain, Deadline: 5e9,
+				Operations: map[string]*config.Operation{
+					"work-order":  {Name: "work-order"},
+					"stock-check": {Name: "stock-check", Idempotent: true},
+				},
+			},
+			"dial-advisor": {Name: "dial-advisor", Kind: config.ServiceModel, Model: "cord", Deadline: 5e9},
+		},
+		Teams: map[fleet.TeamName]*config.Team{
+			"counter": {Name: "counter", KeyHashes: []string{counterHash}, Weight: 1},
+			"fitters": {Name: "fitters", KeyHashes: []string{fittersHash}, Weight: 1},
+		},
+	}
+}
+
+// router starts a router and returns the URL of its callers' interface.
+func (s *site) router(ctx context.Context) string {
+	r, active, _ := s.start(ctx)
+	return s.serve(callerapi.New(r, active)).URL
+}
+
+func (s *site) start(ctx context.Context) (*router.Router, *router.Active, *prometheus.Registry) {
+	env := &daemon.Env{
+		Log:     &log.Logger{Handler: discard.New(), Level: log.ErrorLevel},
+		Metrics: prometheus.NewRegistry(), Ready: daemon.NewReadiness(),
+	}
+	r, active := router.StartForTest(ctx, env, &router.Settings{Instance: uuid.NewString(), Log: s.logURL}, s.spec, s.list)
+	return r, active, env.Metrics
+}
+
+func (s *site) faultLog(faults logservice.Faults) {
+	data, _ := json.Marshal(faults)
+	req, _ := http.NewRequestWithContext(s.t.Context(), http.MethodPut, s.logURL+"/faults", bytes.NewReader(data))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+}
+
+// ran returns how often a call was executed by all replicas together.
+func (s *site) ran(id string) (n int) {
+	for _, replica := range s.replicas {
+		n += replica.Await(s.t.Context(), id, 0).Ran
+	}
+	return n
+}
+
+type answer struct {
+	status  int
+	body    string
+	problem callerapi.Problem
+	header  http.Header
+}
+
+// post sends a call. It may run outside the test's goroutine.
+func post(ctx context.Context, url, team, key, body string) answer {
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer "+team)
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	return do(req)
+}
+
+func do(req *http.Request) answer {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{body: err.Error()}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, _ := io.ReadAll(resp.Body)
+	a := answer{status: resp.StatusCode, body: string(data), header: resp.Header}
+	_ = json.Unmarshal(data, &a.problem)
+	return a
+}
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+const (
+	workOrder  = "/v1/services/bench-desk/calls/work-order"
+	stockCheck = "/v1/services/bench-desk/calls/stock-check"
+)
+
+// TestSameKeyOnTwoRouters guards against a call that runs twice when it
+// arrives at two routers at the same time, and against different answers.
+func TestSameKeyOnTwoRouters(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t, logservice.Settings{})
+	urls := []string{s.router(t.Context()), s.router(t.Context())}
+	key := newKey()
+	answers := make([]answer, 6)
+	var done sync.WaitGroup
+	for i := range answers {
+		done.Go(func() { answers[i] = post(t.Context(), urls[i%2]+workOrder, counterKey, key, `{"call_id":"w1"}`) })
+	}
+	done.Wait()
+	for _, a := range answers {
+		is.Equal(a.status, http.StatusOK)
+		is.Equal(a.body, answers[0].body)
+	}
+	is.Equal(s.ran("w1"), 1)
+
+	other := post(t.Context(), urls[0]+workOrder, counterKey, key, `{"call_id":"w2"}`)
+	is.Equal(other.problem.Type, "urn:cornelhold:problem:key-mismatch")
+	is.Equal(other.problem.Run, "not_run")
+	is.Equal(s.ran("w2"), 0)
+
+	// Another team's call with the same key is a call of its own.
+	foreign := post(t.Context(), urls[0]+workOrder, fittersKey, key, `{"call_id":"w3"}`)
+	is.Equal(foreign.status, http.StatusOK)
+	is.Equal(s.ran("w3"), 1)
+}
+
+// TestMissingOrMalformedKey guards against calls that run without protection.
+func TestMissingOrMalformedKey(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t, logservice.Settings{})
+	url := s.router(t.Context())
+	for _, key := range []string{"", "order-17", uuid.NewString(), "{" + newKey() + "}"} {
+		a := post(t.Context(), url+workOrder, counterKey, key, `{"call_id":"w1"}`)
+		is.Equal(a.status, http.StatusBadRequest)
+		is.Equal(a.problem.Run, "not_run")
+		is.True(strings.Contains(a.problem.Detail, "UUIDv7"))
+	}
+	is.Equal(s.ran("w1"), 0)
+}
+
+// TestRouterStoppedWhileCalling guards against a second run, and against "not
+// run", when the router that sent the call vanishes before the answer.
+func TestRouterStoppedWhileCalling(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t, logservice.Settings{})
+	for _, replica := range s.replicas {
+		replica.SetFaults(t.Context(), plainservice.Faults{Freeze: 1})
+	}
+	crash, stop := context.WithCancel(t.Context())
+	first, second := s.router(crash), s.router(t.Context())
+	key := newKey()
+	go post(crash, first+workOrder, counterKey, key, `{"call_id":"w1"}`)
+	arrived := make(chan struct{}, 2)
+	for _, replica := range s.replicas {
+		go func() {
+			replica.Await(t.Context(), "w1", 1)
+			arrived <- struct{}{}
+		}()
+	}
+	<-arrived
+	stop()
+	a := post(t.Context(), second+workOrder, counterKey, key, `{"call_id":"w1"}`)
+	is.Equal(a.problem.Run, "unknown")
+	is.Equal(a.problem.Type, "urn:cornelhold:problem:key-in-use")
+	is.Equal(s.ran("w1"), 0)
+}
+
+// TestLostAnswerIsUnknown guards against a repeated run after an answer was
+// lost, and against different statements about the same key.
+func TestLostAnswerIsUnknown(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t, logservice.Settings{})
+	for _, replica := range s.replicas {
+		replica.SetFaults(t.Context(), plainservice.Faults{LoseAnswers: 1})
+	}
+	urls := []string{s.router(t.Context()), s.router(t.Context())}
+	key := newKey()
+	for i := range 4 {
+		a := post(t.Context(), urls[i%2]+workOrder, counterKey, key, `{"call_id":"w1"}`)
+		is.Equal(a.problem.Type, "urn:cornelhold:problem:outcome-unknown")
+		is.Equal(a.problem.Run, "unknown")
+	}
+	is.Equal(s.ran("w1"), 1)
+}
+
+// TestLogDownRefusesOnlyCalls guards against an untrue refusal during a log
+// outage, and against an outage that stops other traffic.
+func TestLogDownRefusesOnlyCalls(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t, logservice.Settings{})
+	url := s.router(t.Context())
+	answered := newKey()
+	is.Equal(post(t.Context(), url+workOrder, counterKey, answered, `{"call_id":"w0"}`).status, http.StatusOK)
+	s.faultLog(logservice.Faults{Down: true})
+	key := newKey()
+	a := post(t.Context(), url+workOrder, counterKey, key, `{"call_id":"w1"}`)
+	is.Equal(a.status, http.StatusServiceUnavailable)
+	is.Equal(a.problem.Type, "urn:cornelhold:problem:log-unavailable")
+	is.Equal(a.problem.Run, "not_run")
+	is.True(a.header.Get("Retry-After") != "")
+	is.Equal(s.ran("w1"), 0)
+	repeated := post(t.Context(), url+workOrder, counterKey, answered, `{"call_id":"w0"}`)
+	is.Equal(repeated.problem.Run, "unknown") // its outcome exists and can't be read
+	is.Equal(post(t.Context(), url+stockCheck, counterKey, "", `{"call_id":"c1"}`).status, http.StatusOK)
+	s.faultLog(logservice.Faults{LoseAppendResponses: 2})
+	is.Equal(post(t.Context(), url+workOrder, counterKey, key, `{"call_id":"w1"}`).status, http.StatusOK)
+	is.Equal(s.ran("w1"), 1)
+}
+
+// TestIdempotentCallIsRetriedElsewhere guards against a failed stock check
+// while another replica works.
+func TestIdempotentCallIsRetriedElsewhere(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t, logservice.Settings{})
+	url := s.router(t.Context())
+	for _, faults := range []plainservice.Faults{{Crashed: true}, {Errors: 10}, {LoseAnswers: 10}} {
+		s.replicas[0].SetFaults(t.Context(), faults)
+		a := post(t.Context(), url+stockCheck, counterKey, "", `{"call_id":"c1"}`)
+		is.Equal(a.status, http.StatusOK)
+	}
+}
--- /dev/null
+++ b/internal/router/callwiring.go
@@ -0,0 +1,44 @@
+package router
+
+import (
+	"github.com/samber/do/v2"
+
+	"github.com/cornelhold/cornelhold/internal/core/claim"
+	"github.com/cornelhold/cornelhold/internal/daemon"
+	"github.com/cornelhold/cornelhold/internal/engine"
+	"github.com/cornelhold/cornelhold/internal/platform"
+	"github.com/cornelhold/cornelhold/internal/task"
+)
+
+func provideCalls(injector do.Injector) {
+	do.Provide(injector, func(do.Injector) (*engine.PlainClient, error) { return engine.NewPlainClient(), nil })
+	do.Provide(injector, newClaims)
+	do.Provide(injector, func(i do.Injector) (*calls, error) {
+		return &calls{claims: do.MustInvoke[*claims](i), plain: do.MustInvoke[*engine.PlainClient](i)}, nil
+	})
+}
+
+func newClaims(i do.Injector) (*claims, error) {
+	env := do.MustInvoke[*daemon.Env](i)
+	return &claims{
+		log:         env.Log,
+		clock:       do.MustInvoke[task.Clock](i),
+		mailbox:     task.NewMailbox[any](claimsCapacity),
+		table:       claim.NewTable(),
+		client:      platform.NewLogClient(do.MustInvoke[*Settings](i).Log),
+		dispatcher:  do.MustInvoke[*dispatcher](i).mailbox,
+		plain:       do.MustInvoke[*engine.PlainClient](i),
+		tasks:       do.MustInvoke[*task.Group](i),
+		metrics:     newCallMetrics(env.Metrics),
+		alarm:       task.NewAlarm(),
+		submissions: make(map[claim.SubmissionID]submission),
+		attempts:    make(map[claim.AttemptID]requestMailbox),
+		group:       claimGroup{alarm: task.NewAlarm()},
+	}, nil
+}
+
+func startCalls(r *Router) {
+	r.tasks.Go("claims", r.calls.claims.Run)
+	follower := &claimsFollower{client: r.calls.claims.client, claims: r.calls.claims.mailbox}
+	r.tasks.Go("claims follower", follower.Run)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,7 @@
 	registry   *registry
 	engine     *engine.Client
 	tasks      *task.Group
+	calls      *calls
 }
 
 // Handle gives access to one accepted request.
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -50,6 +50,7 @@
 	do.Provide(injector, newFollower)
 	do.Provide(injector, newWatcher)
 	do.Provide(injector, newRouter)
+	provideCalls(injector)
 }
 
 func newRouter(i do.Injector) (*Router, error) {
@@ -60,6 +61,7 @@
 		registry:   do.MustInvoke[*registry](i),
 		engine:     do.MustInvoke[*engine.Client](i),
 		tasks:      do.MustInvoke[*task.Group](i),
+		calls:      do.MustInvoke[*calls](i),
 	}, nil
 }
 
@@ -85,6 +87,7 @@
 func startTasks(i do.Injector, r *Router) {
 	r.tasks.Go("dispatcher", r.dispatcher.Run)
 	r.tasks.Go("registry", r.registry.Run)
+	startCalls(r)
 	r.tasks.Go("follower", do.MustInvoke[*follower](i).Run)
 	r.tasks.Go("watcher", do.MustInvoke[*watcher](i).Run)
 }
