--- /dev/null
+++ b/internal/core/dispatch/service.go
@@ -0,0 +1,260 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/cornelhold/cornelhold/internal/core/admit"
+	"github.com/cornelhold/cornelhold/internal/core/budget"
+	"github.com/cornelhold/cornelhold/internal/core/config"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/route"
+)
+
+// service is the state of one service.
+type service struct {
+	name    fleet.ServiceName
+	spec    *config.Service
+	table   *route.Table
+	budget  *budget.Budget
+	latency map[string]*budget.Latency
+	lanes   []*lane
+	order   admit.Order
+	weights map[fleet.TeamName]int
+	// totalWeight is the sum of the weights, at least 1.
+	totalWeight int
+	usages      map[fleet.TeamName]*usage
+	// teams lists the keys of usages, for repeatable sums.
+	teams        []fleet.TeamName
+	reserved     float64
+	reserveUntil time.Duration
+	// queuedUntil is when the last wait for an endpoint is forgotten.
+	queuedUntil time.Duration
+}
+
+// lane is the queue of requests that the same endpoints can serve, so that a
+// request without a free endpoint does not hold back others.
+type lane struct {
+	model, adapter string
+	queue          *admit.Queue
+	drain          drain
+}
+
+const (
+	// queuedMemory is how long routers keep to their shares of free slots after
+	// requests had to wait.
+	queuedMemory = 2 * time.Second
+	// usageWindow is the time over which the usage of a team is averaged. Few of
+	// a team's requests run in one router, so their number varies.
+	usageWindow = 10 * time.Second
+	// burstFactor is how many times its guaranteed share a team may use at once
+	// before it is held back without averaging.
+	burstFactor = 2
+	// reservePart is the part of unused guaranteed shares that is kept free, and
+	// maxReserve the largest part of the slots.
+	reservePart = 1.0
+	maxReserve  = 0.4
+	// batchReserve is the part of the slots that batch work leaves free, so that
+	// it is rarely displaced and computed again.
+	batchReserve = 0.25
+	// activeUsage is the average number of attempts from which a team counts as
+	// using the service.
+	activeUsage     = 0.05
+	reserveInterval = 100 * time.Millisecond
+)
+
+// usage is the number of attempts of one team that have not ended, without
+// batch work, which engines preempt.
+type usage struct {
+	running int
+	average float64
+	at      time.Duration
+}
+
+func (u *usage) change(now time.Duration, by int) {
+	u.average = u.averaged(now)
+	u.running += by
+	u.at = now
+}
+
+func (u *usage) averaged(now time.Duration) float64 {
+	elapsed := (now - u.at).Seconds()
+	weight := elapsed / (elapsed + usageWindow.Seconds())
+	return u.average + float64(weight*(float64(u.running)-u.average))
+}
+
+func (s *service) usage(team fleet.TeamName) *usage {
+	u, ok := s.usages[team]
+	if !ok {
+		u = &usage{}
+		s.teams = append(s.teams, team)
+		s.usages[team] = u
+	}
+	return u
+}
+
+// share is the guaranteed share of a team: its part by weight of this router's
+// part of the slots.
+func (s *service) share(team fleet.TeamName, routers int) float64 {
+	return float64(s.table.Slots()*max(s.weights[team], 1)) / float64(s.totalWeight*routers)
+}
+
+// exceedsShare tells whether a team uses more than its guaranteed share.
+func (s *service) exceedsShare(now time.Duration, team fleet.TeamName, routers int) bool {
+	share, u := s.share(team, routers), s.usage(team)
+	return u.averaged(now) > share || float64(u.running) > burstFactor*share+1
+}
+
+// reserve is the part of the slots kept for teams that use the service but less
+// of it than their guaranteed share. It is computed once in reserveInterval.
+func (s *service) reserve(now time.Duration, routers int) float64 {
+	if now < s.reserveUntil {
+		return s.reserved
+	}
+	unused := 0.0
+	for _, team := range s.teams {
+		used := s.usages[team].averaged(now)
+		if share := s.share(team, routers); used > activeUsage && used < share {
+			unused += share - used
+		}
+	}
+	s.reserveUntil = now + reserveInterval
+	s.reserved = min(reservePart*unused*float64(routers)/float64(max(s.table.Slots(), 1)), maxReserve)
+	return s.reserved
+}
+
+// begin counts an attempt.
+func (s *service) begin(now time.Duration, submit Submit) {
+	if submit.Class != fleet.ClassBatch {
+		s.usage(submit.Team).change(now, 1)
+	}
+}
+
+// finish ends the accounting of an attempt.
+func (s *service) finish(now time.Duration, r *requestState, a attempt) {
+	s.table.Finish(now, a.endpoint, a.started, r.submit.Class)
+	if r.submit.Class != fleet.ClassBatch {
+		s.usage(r.submit.Team).change(now, -1)
+	}
+}
+
+// ensureService adds the state of a service that is configured or has endpoints.
+func (m *Machine) ensureService(name fleet.ServiceName) {
+	if _, ok := m.services[name]; ok {
+		return
+	}
+	svc := &service{
+		name: name, table: route.NewTable(m.options.Seed), order: m.options.Order,
+		budget:  budget.New(budget.DefaultRatio, budget.DefaultReserve),
+		latency: make(map[string]*budget.Latency), usages: make(map[fleet.TeamName]*usage), totalWeight: 1,
+	}
+	m.services[name] = svc
+	i, _ := slices.BinarySearch(m.names, name)
+	m.names = slices.Insert(m.names, i, name)
+}
+
+func (s *service) configure(spec *config.Service, weights map[fleet.TeamName]int) {
+	s.spec, s.weights = spec, weights
+	s.totalWeight = max(lo.Sum(lo.Values(weights)), 1)
+	for _, l := range s.lanes {
+		l.queue.SetWeights(weights)
+	}
+}
+
+// lane returns the lane of a model and adapter, or nil for an adapter that is
+// not configured. The lanes are bounded by the configured adapters.
+func (s *service) lane(model, adapter string) *lane {
+	if len(s.spec.Adapters) == 0 {
+		adapter = ""
+	} else if adapter != "" && !slices.Contains(s.spec.Adapters, adapter) {
+		return nil
+	}
+	if model != s.spec.Model {
+		model = ""
+	}
+	for _, l := range s.lanes {
+		if l.model == model && l.adapter == adapter {
+			return l
+		}
+	}
+	l := &lane{model: model, adapter: adapter, queue: admit.NewQueue(s.order)}
+	l.queue.SetWeights(s.weights)
+	s.lanes = append(s.lanes, l)
+	return l
+}
+
+// entry describes how long a request may wait. A model request that waits too
+// long for its first token becomes late; batch work never does.
+func (s *service) entry(now time.Duration, submit Submit) admit.Entry {
+	wait := submit.Wait
+	if wait <= 0 {
+		wait = s.spec.Deadline
+	}
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	fresh := wait
+	if target := s.target(submit); target > 0 && submit.Class != fleet.ClassBatch {
+		fresh = min(wait, time.Duration(float64(target)*freshShare))
+	}
+	return admit.Entry{
+		Request: submit.Request, Team: submit.Team, Class: submit.Class,
+		Arrived: now, FreshUntil: now + fresh, Deadline: now + wait,
+	}
+}
+
+// target is the latency target of a request, 0 when there is none.
+func (s *service) target(submit Submit) time.Duration {
+	if op, ok := s.spec.Operations[submit.Operation]; ok {
+		return op.Latency
+	}
+	return s.spec.FirstToken
+}
+
+func (s *service) nextExpiry() (at time.Duration, ok bool) {
+	for _, l := range s.lanes {
+		if expiry, waits := l.queue.NextExpiry(); waits && (!ok || expiry < at) {
+			at, ok = expiry, true
+		}
+	}
+	return at, ok
+}
+
+// drain measures how fast a queue that never runs empty is served.
+type drain struct {
+	interval float64
+	last     time.Duration
+	samples  int
+}
+
+const (
+	drainWeight = 0.1
+	// minDrainSamples is the number of grants before the rate is trusted.
+	minDrainSamples = 10
+)
+
+// served records a grant; backlog tells whether others still wait.
+func (d *drain) served(now time.Duration, backlog bool) {
+	if d.last > 0 {
+		sample := (now - d.last).Seconds()
+		d.interval += drainWeight * (sample - d.interval)
+		d.samples++
+	}
+	d.last = now
+	if !backlog {
+		d.last = 0
+	}
+}
+
+// hopeless tells whether a request would wait past its deadline, and after
+// what time a new one would not.
+func (l *lane) hopeless(now time.Duration, e admit.Entry) (retryAfter time.Duration, hopeless bool) {
+	if l.drain.samples < minDrainSamples || l.queue.Len() == 0 {
+		return 0, false
+	}
+	wait := time.Duration(l.queue.Ahead(e.Team, e.Class) * l.drain.interval * float64(time.Second))
+	allowed := e.FreshUntil - now
+	return wait - allowed, wait > allowed
+}
