Adapt plain calls to the request machine after the merge

Cause: the merge does not compile: request.New takes a third argument. The dispatcher also reports "unknown" for a call whose earlier attempts found no connection.

Change: idempotent plain calls use the new messages (stream number, withdraw, unreachable endpoint). An attempt at a call that may not be repeated sets "not run" when the dispatcher refuses it, because it has sent nothing by then.

Result: make test passes.

--- a/internal/core/claim/attempt.go
+++ b/internal/core/claim/attempt.go
@@ -254,7 +254,10 @@
 	if a.phase != phaseWaiting {
 		return nil
 	}
-	return a.release(now, msg.Refusal)
+	// The dispatcher can't know that earlier attempts of this call sent nothing.
+	refusal := *msg.Refusal
+	refusal.Run = fleet.RunNotRun
+	return a.release(now, &refusal)
 }
 
 func (a *Attempt) callEnded(now time.Duration, msg CallEnded) []Action {
--- a/internal/router/plaintask.go
+++ b/internal/router/plaintask.go
@@ -51,7 +51,7 @@
 	return &plainTask{
 		id: id, call: call, clock: clock, dispatcher: dispatcher, plain: plain,
 		mailbox: task.NewMailbox[any](requestCapacity),
-		machine: request.New(clock.Now(), id),
+		machine: request.New(clock.Now(), id, false),
 		cancel:  make(map[fleet.AttemptNumber]context.CancelFunc),
 		reply:   make(chan CallReply, 1),
 	}
@@ -84,7 +84,6 @@
 		t.step(ctx, t.translate(msg))
 	case callerLeft:
 		t.step(ctx, request.CallerGone{})
-		t.tell(ctx, dispatch.Cancel{Request: t.id})
 	}
 }
 
@@ -94,7 +93,7 @@
 	failed := request.AttemptFailed{Attempt: msg.attempt, Detail: msg.ended.Detail}
 	switch {
 	case msg.ended.Result == claim.CallNotSent:
-		failed.Failure = request.FailureRejected
+		failed.Failure = request.FailureUnreachable
 	case msg.ended.Result == claim.CallUnknown:
 		failed.Failure = request.FailureBroken
 	case msg.ended.Response.Omitted:
@@ -107,7 +106,7 @@
 		failed.Failure = request.FailureError
 		failed.Detail = http.StatusText(msg.ended.Response.Status)
 	default:
-		return request.Frame{Request: t.id, Attempt: msg.attempt, Index: 0, Finish: "stop"}
+		return request.Frame{Request: t.id, Stream: msg.attempt, Attempt: msg.attempt, Index: 0, Finish: "stop"}
 	}
 	return failed
 }
@@ -124,6 +123,8 @@
 			t.tell(ctx, dispatch.Ended{Request: t.id, Attempt: a.Attempt, Outcome: a.Outcome, Final: a.Final})
 		case request.AskRetry:
 			t.tell(ctx, dispatch.Retry{Request: t.id, Avoid: a.Avoid, Isolate: a.Isolate})
+		case request.Withdraw:
+			t.tell(ctx, dispatch.Cancel{Request: t.id})
 		case request.ReportFirstToken:
 			t.tell(ctx, dispatch.FirstToken{Request: t.id, Attempt: a.Attempt})
 		}
