--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -53,5 +53,6 @@
 		Path:        "/v1/requests/{id}",
 		Summary:     "Tell how far a request is",
 	}, a.requestState)
+	a.registerCalls(humaAPI)
 	return mux
 }
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -54,6 +54,7 @@
 	do.Provide(injector, newFollower)
 	do.Provide(injector, newWatcher)
 	do.Provide(injector, newRouter)
+	provideCalls(injector)
 }
 
 func newRouter(i do.Injector) (*Router, error) {
@@ -72,6 +73,7 @@
 		engine:     do.MustInvoke[*engine.Client](i),
 		metrics:    do.MustInvoke[*streamMetrics](i),
 		tasks:      do.MustInvoke[*task.Group](i),
+		calls:      do.MustInvoke[*calls](i),
 	}, nil
 }
 
@@ -100,6 +102,7 @@
 func startTasks(i do.Injector, r *Router) {
 	r.tasks.Go("dispatcher", r.dispatcher.Run)
 	r.tasks.Go("registry", r.registry.Run)
+	startCalls(r)
 	r.tasks.Go("follower", do.MustInvoke[*follower](i).Run)
 	r.tasks.Go("watcher", do.MustInvoke[*watcher](i).Run)
 }
