Add pure capacity decisions with deterministic start tokens

Cause: a lost response or a successor must not pay for a second instance, and a reclaimed data centre must not cause a storm of starts.

Change: internal/core/capacity turns the replicas of a ticket into slots. A start carries slot and generation; the next generation is started only when the instance before was seen leaving or stopped. A refused start backs off per placement and goes to another class, another data centre of the region, and on-demand for services with a latency target. Surplus instances are stopped after a minute, one at a time, while all other slots are ready.

--- /dev/null
+++ b/internal/core/capacity/machine.go
@@ -0,0 +1,263 @@
+package capacity
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cornelhold/cornelhold/internal/core/config"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/lease"
+)
+
+const (
+	// firstBackoff and lastBackoff bound the delay after a refused start.
+	firstBackoff = time.Second
+	lastBackoff  = 5 * time.Minute
+	// unknownRetry is the delay before a start with a lost response is repeated.
+	unknownRetry = 2 * time.Second
+	// listPatience is how long a started instance may be missing from the list
+	// before its start is repeated.
+	listPatience = 30 * time.Second
+	// ScaleDownDelay is how long an instance must be surplus before it is
+	// stopped, so that a ticket that is taken back causes no restarts.
+	ScaleDownDelay = time.Minute
+)
+
+// Options configures a Machine.
+type Options struct {
+	// Seed spreads the back-off of different controllers.
+	Seed uint64
+	// MaxStarts bounds the starts that are in flight.
+	MaxStarts int
+	// StartsPerTick bounds the starts of one step, so that a wave does not
+	// start a storm.
+	StartsPerTick int
+}
+
+// slotState is what the machine knows about a slot beyond the list.
+type slotState struct {
+	slot Slot
+	// desired tells whether the active configuration asks for the slot.
+	desired bool
+	// generation is the highest generation for which a start was sent or a
+	// listed instance was seen; 0 if none.
+	generation uint64
+	// known tells that an instance of generation was started.
+	known bool
+	// dead tells that the instance of generation leaves or has stopped.
+	dead bool
+	// missingAt is when a known instance was first missing from the list.
+	missingAt time.Duration
+	starting  bool
+	placement Placement
+	// unknown tells that the last start may have taken effect.
+	unknown bool
+	retryAt time.Duration
+}
+
+// backoff is the state of one placement after refused starts.
+type backoff struct {
+	failures int
+	retryAt  time.Duration
+	// probing is true while one start tries the placement again.
+	probing bool
+}
+
+// Machine keeps one live instance in each slot of the permitted shards.
+// Invariant: it starts generation g+1 of a slot only if the instance of
+// generation g was seen leaving or stopped.
+type Machine struct {
+	options Options
+	spec    *config.Spec
+	frozen  map[fleet.ServiceName]bool
+	permits map[lease.Shard]lease.Permit
+	slots   map[Slot]*slotState
+	// desired are the slots of the configuration in a fixed order.
+	desired  []*slotState
+	listed   map[lease.Shard][]listedInstance
+	surplus  map[fleet.InstanceID]time.Duration
+	stopping map[fleet.InstanceID]bool
+	backoffs map[Placement]*backoff
+	inFlight int
+}
+
+// listedInstance is an instance with the state of its slot.
+type listedInstance struct {
+	Instance
+	slot *slotState
+}
+
+// New returns a machine without configuration.
+func New(options Options) *Machine {
+	return &Machine{
+		options: options, permits: make(map[lease.Shard]lease.Permit),
+		slots:  make(map[Slot]*slotState),
+		listed: make(map[lease.Shard][]listedInstance), surplus: make(map[fleet.InstanceID]time.Duration),
+		stopping: make(map[fleet.InstanceID]bool), backoffs: make(map[Placement]*backoff),
+	}
+}
+
+// Step processes one message at the local monotonic time now. Only Tick
+// returns actions.
+func (m *Machine) Step(now time.Duration, msg Message) []Action {
+	switch msg := msg.(type) {
+	case Configure:
+		m.configure(msg)
+	case Instances:
+		m.list(now, msg.List)
+	case Permitted:
+		m.permits[msg.Permit.Shard] = msg.Permit
+	case Revoked:
+		delete(m.permits, msg.Shard)
+	case Started:
+		m.started(msg)
+	case StartRefused:
+		m.refused(now, msg)
+	case StartUnknown:
+		s := m.ended(msg.Token)
+		s.unknown = true
+		s.retryAt = now + unknownRetry
+		m.backoff(s.placement).probing = false
+	case StopDone:
+		delete(m.stopping, msg.Instance)
+	case Tick:
+		return m.plan(now, msg.Ready)
+	}
+	return nil
+}
+
+func (m *Machine) configure(msg Configure) {
+	m.spec, m.frozen = msg.Spec, msg.Frozen
+	for _, s := range m.slots {
+		s.desired = false
+	}
+	m.desired = nil
+	for _, service := range msg.Spec.Services {
+		for _, slot := range Slots(service) {
+			s := m.slot(slot)
+			s.desired = true
+			m.desired = append(m.desired, s)
+		}
+	}
+	slices.SortFunc(m.desired, func(a, b *slotState) int { return compareSlots(a.slot, b.slot) })
+}
+
+func (m *Machine) list(now time.Duration, list []Instance) {
+	m.listed = make(map[lease.Shard][]listedInstance)
+	known := make(map[fleet.InstanceID]bool, len(list))
+	newest := make(map[*slotState]bool, len(list))
+	for _, i := range list {
+		known[i.ID] = true
+		shard, s := i.Token.Slot.Shard, m.slot(i.Token.Slot)
+		m.listed[shard] = append(m.listed[shard], listedInstance{Instance: i, slot: s})
+		if i.Token.Generation < s.generation {
+			continue
+		}
+		if i.Token.Generation > s.generation {
+			s.dead = false
+		}
+		s.generation, s.known, s.unknown, s.retryAt = i.Token.Generation, true, false, 0
+		// A list that lags does not revive an instance.
+		s.dead = s.dead || i.State != StateLive
+		newest[s] = true
+	}
+	m.checkMissing(now, newest)
+	for id := range m.surplus {
+		if !known[id] {
+			delete(m.surplus, id)
+		}
+	}
+}
+
+// checkMissing forgets instances that the list lacks for long. Their start is
+// repeated with the same token, and the answer tells what became of them.
+func (m *Machine) checkMissing(now time.Duration, listed map[*slotState]bool) {
+	for _, s := range m.slots {
+		switch {
+		case listed[s] || !s.known:
+			s.missingAt = 0
+		case s.missingAt == 0:
+			s.missingAt = now
+		case now-s.missingAt > listPatience:
+			s.known, s.missingAt = false, 0
+		}
+	}
+}
+
+func (m *Machine) slot(slot Slot) *slotState {
+	s := m.slots[slot]
+	if s == nil {
+		s = &slotState{slot: slot}
+		m.slots[slot] = s
+	}
+	return s
+}
+
+func (m *Machine) backoff(p Placement) *backoff {
+	b := m.backoffs[p]
+	if b == nil {
+		b = &backoff{}
+		m.backoffs[p] = b
+	}
+	return b
+}
+
+// ended notes that a start is no longer in flight.
+func (m *Machine) ended(t Token) *slotState {
+	s := m.slot(t.Slot)
+	if s.starting {
+		s.starting = false
+		m.inFlight--
+	}
+	return s
+}
+
+func (m *Machine) started(msg Started) {
+	s := m.ended(msg.Token)
+	b := m.backoff(s.placement)
+	b.probing = false
+	if msg.Placement == s.placement && msg.State == StateLive {
+		b.failures, b.retryAt = 0, 0
+	}
+	if msg.Token.Generation < s.generation {
+		return
+	}
+	s.generation, s.known, s.unknown, s.retryAt = msg.Token.Generation, true, false, 0
+	s.dead = s.dead || msg.State != StateLive
+}
+
+func (m *Machine) refused(now time.Duration, msg StartRefused) {
+	s := m.ended(msg.Token)
+	if msg.Token.Generation == s.generation {
+		// Nothing runs for the token, so that another placement may be tried.
+		s.unknown, s.retryAt = false, 0
+	}
+	b := m.backoff(msg.Placement)
+	delay := min(firstBackoff<<min(b.failures, 16), lastBackoff)
+	b.failures++
+	b.probing = false
+	b.retryAt = now + max(delay, msg.RetryAfter) + m.jitter(msg.Placement, b.failures, delay)
+}
+
+// jitter returns up to a quarter of the delay.
+func (m *Machine) jitter(p Placement, failures int, delay time.Duration) time.Duration {
+	h := xxhash.NewWithSeed(m.options.Seed + uint64(failures))
+	_, _ = h.WriteString(string(p.DataCentre) + "|" + string(p.Class) + "|" + p.Market.String())
+	return time.Duration(h.Sum64() % uint64(delay/4))
+}
+
+func compareSlots(a, b Slot) int {
+	return cmp.Or(
+		cmp.Compare(a.Shard.Service, b.Shard.Service), cmp.Compare(a.Shard.DataCentre, b.Shard.DataCentre),
+		cmp.Compare(a.Class, b.Class), cmp.Compare(a.Role, b.Role),
+		cmp.Compare(a.Market, b.Market), cmp.Compare(a.Index, b.Index),
+	)
+}
+
+func (m *Machine) permit(now time.Duration, shard lease.Shard) (lease.Permit, bool) {
+	p, ok := m.permits[shard]
+	return p, ok && p.Allows(now)
+}
--- /dev/null
+++ b/internal/core/capacity/plan.go
@@ -0,0 +1,157 @@
+package capacity
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/lease"
+)
+
+func (m *Machine) plan(now time.Duration, ready map[fleet.InstanceID]bool) []Action {
+	if m.spec == nil {
+		return nil
+	}
+	return append(m.starts(now), m.stops(now, ready)...)
+}
+
+// starts fills empty slots, one at a time for the service with the fewest
+// filled ones.
+func (m *Machine) starts(now time.Duration) []Action {
+	filled := make(map[fleet.ServiceName]int)
+	empty := make(map[fleet.ServiceName][]*slotState)
+	for _, s := range m.desired {
+		service := s.slot.Shard.Service
+		if s.filled() {
+			filled[service]++
+		} else if _, ok := m.permit(now, s.slot.Shard); ok && now >= s.retryAt && !m.frozen[service] {
+			empty[service] = append(empty[service], s)
+		}
+	}
+	var actions []Action
+	for len(empty) > 0 && m.inFlight < m.options.MaxStarts && len(actions) < m.options.StartsPerTick {
+		service := neediest(empty, filled)
+		s := empty[service][0]
+		empty[service] = empty[service][1:]
+		if len(empty[service]) == 0 {
+			delete(empty, service)
+		}
+		if action, ok := m.start(now, s); ok {
+			actions = append(actions, action)
+			filled[service]++
+		}
+	}
+	return actions
+}
+
+// filled reports whether the slot has an instance or a start in flight.
+func (s *slotState) filled() bool {
+	return s.starting || (s.known && !s.dead)
+}
+
+func neediest(empty map[fleet.ServiceName][]*slotState, filled map[fleet.ServiceName]int) fleet.ServiceName {
+	services := make([]fleet.ServiceName, 0, len(empty))
+	for service := range empty {
+		services = append(services, service)
+	}
+	return slices.MinFunc(services, func(a, b fleet.ServiceName) int {
+		return cmp.Or(cmp.Compare(filled[a], filled[b]), cmp.Compare(a, b))
+	})
+}
+
+func (m *Machine) start(now time.Duration, s *slotState) (Action, bool) {
+	permit, _ := m.permit(now, s.slot.Shard)
+	// A start whose outcome is unknown is repeated as it was.
+	p := s.placement
+	if !s.unknown {
+		var ok bool
+		if p, ok = m.place(now, s.slot); !ok {
+			return nil, false
+		}
+	}
+	if s.generation == 0 || s.dead {
+		s.generation++
+		s.dead, s.known = false, false
+	}
+	s.starting, s.placement = true, p
+	m.inFlight++
+	if b := m.backoff(p); b.failures > 0 {
+		b.probing = true
+	}
+	return Start{Token: Token{Slot: s.slot, Generation: s.generation}, Placement: p, Permit: permit}, true
+}
+
+// place returns the best placement that does not back off. After a refusal one
+// start at a time probes a placement.
+func (m *Machine) place(now time.Duration, slot Slot) (Placement, bool) {
+	for _, p := range placements(m.spec, slot) {
+		if b := m.backoff(p); now >= b.retryAt && !b.probing {
+			return p, true
+		}
+	}
+	return Placement{}, false
+}
+
+// stops gives surplus instances back, one at a time for each shard, and only
+// while every slot that stays has a ready instance.
+func (m *Machine) stops(now time.Duration, ready map[fleet.InstanceID]bool) []Action {
+	var actions []Action
+	shards := make([]lease.Shard, 0, len(m.listed))
+	for shard := range m.listed {
+		shards = append(shards, shard)
+	}
+	slices.SortFunc(shards, func(a, b lease.Shard) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.DataCentre, b.DataCentre))
+	})
+	for _, shard := range shards {
+		permit, ok := m.permit(now, shard)
+		if !ok || m.frozen[shard.Service] {
+			continue
+		}
+		surplus := m.surplusOf(now, shard)
+		if len(surplus) == 0 || m.stoppingIn(shard) || !m.covered(shard, ready) {
+			continue
+		}
+		m.stopping[surplus[0].ID] = true
+		actions = append(actions, Stop{Instance: surplus[0].ID, Permit: permit})
+	}
+	return actions
+}
+
+// surplusOf returns the live instances that have been surplus for long enough.
+func (m *Machine) surplusOf(now time.Duration, shard lease.Shard) []Instance {
+	var due []Instance
+	for _, i := range m.listed[shard] {
+		wanted := i.slot.desired && i.Token.Generation >= i.slot.generation
+		if wanted || i.State != StateLive {
+			delete(m.surplus, i.ID)
+			continue
+		}
+		since, known := m.surplus[i.ID]
+		if !known {
+			m.surplus[i.ID] = now
+			since = now
+		}
+		if now >= since+ScaleDownDelay {
+			due = append(due, i.Instance)
+		}
+	}
+	slices.SortFunc(due, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return due
+}
+
+func (m *Machine) stoppingIn(shard lease.Shard) bool {
+	return slices.ContainsFunc(m.listed[shard], func(i listedInstance) bool { return m.stopping[i.ID] })
+}
+
+// covered reports whether every desired slot of the shard has a ready instance.
+func (m *Machine) covered(shard lease.Shard, ready map[fleet.InstanceID]bool) bool {
+	covered := make(map[*slotState]bool)
+	for _, i := range m.listed[shard] {
+		if i.State == StateLive && ready[i.ID] {
+			covered[i.slot] = true
+		}
+	}
+	return !slices.ContainsFunc(m.desired, func(s *slotState) bool { return s.slot.Shard == shard && !covered[s] })
+}
--- /dev/null
+++ b/internal/core/capacity/slot.go
@@ -0,0 +1,216 @@
+// Package capacity decides which instances to start and to stop so that every
+// replica of the active configuration has one.
+//
+// A replica of the configuration is a slot. The start of an instance carries
+// the slot and a generation as its token, and the cloud API starts at most one
+// instance for a token, so that neither a lost response nor a successor pays
+// for a second instance.
+package capacity
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cornelhold/cornelhold/internal/core/config"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/lease"
+)
+
+// Market tells under which terms an instance runs.
+type Market uint8
+
+// Markets.
+const (
+	Reclaimable Market = iota + 1
+	OnDemand
+)
+
+// String returns the name used in tokens, metrics and logs.
+func (m Market) String() string {
+	if m == Reclaimable {
+		return "reclaimable"
+	}
+	return "on_demand"
+}
+
+// Slot is one replica that the configuration asks for.
+type Slot struct {
+	Shard lease.Shard
+	// Class, Role and Market are those that the ticket names; the instance in
+	// the slot can differ if starts were refused.
+	Class  fleet.InstanceClass
+	Role   string
+	Market Market
+	Index  int
+}
+
+// Token identifies a start. The generation counts the instances of a slot from
+// 1; it grows when the instance before leaves or has stopped.
+type Token struct {
+	Slot       Slot
+	Generation uint64
+}
+
+// State tells how far the life of an instance has come.
+type State uint8
+
+// States.
+const (
+	// StateLive: starting or running.
+	StateLive State = iota + 1
+	// StateLeaving: reclaimed or stopped after its notice.
+	StateLeaving
+	// StateStopped: gone.
+	StateStopped
+)
+
+// String returns the name used in metrics.
+func (s State) String() string {
+	names := [...]string{"invalid", "live", "leaving", "stopped"}
+	if int(s) >= len(names) {
+		return names[0]
+	}
+	return names[s]
+}
+
+// Instance is an instance that was started with a token.
+type Instance struct {
+	ID        fleet.InstanceID
+	Token     Token
+	Placement Placement
+	State     State
+}
+
+// Placement is where and under which terms an instance runs.
+type Placement struct {
+	DataCentre fleet.DataCentre
+	Class      fleet.InstanceClass
+	Market     Market
+}
+
+// Price returns the price of an instance an hour in currency units, 0 if the
+// configuration states none.
+func (p Placement) Price(spec *config.Spec) float64 {
+	dc := spec.DataCentres[p.DataCentre]
+	if dc == nil {
+		return 0
+	}
+	if p.Market == Reclaimable {
+		return dc.Prices[p.Class].Reclaimable
+	}
+	return dc.Prices[p.Class].OnDemand
+}
+
+// Slots returns the slots that a service has in all data centres.
+func Slots(s *config.Service) []Slot {
+	type entry struct {
+		dc     fleet.DataCentre
+		class  fleet.InstanceClass
+		role   string
+		market Market
+	}
+	used := make(map[entry]int)
+	var slots []Slot
+	add := func(e entry, count int) {
+		for range count {
+			slots = append(slots, Slot{
+				Shard: lease.Shard{Service: s.Name, DataCentre: e.dc},
+				Class: e.class, Role: e.role, Market: e.market, Index: used[e],
+			})
+			used[e]++
+		}
+	}
+	for _, r := range s.Replicas {
+		add(entry{r.DataCentre, r.Class, r.Role, OnDemand}, r.OnDemand)
+		add(entry{r.DataCentre, r.Class, r.Role, Reclaimable}, r.Reclaimable)
+	}
+	return slots
+}
+
+// placements returns where a slot may be started, best first: the ticket's
+// choice, other classes that the ticket uses for the service and role, other
+// data centres of the region from near to far. A service with a latency target
+// then takes on-demand instances in place of reclaimable ones.
+func placements(spec *config.Spec, slot Slot) []Placement {
+	markets := []Market{slot.Market}
+	if slot.Market == Reclaimable && hasLatencyTarget(spec.Services[slot.Shard.Service]) {
+		markets = append(markets, OnDemand)
+	}
+	classes := classesOf(spec, slot)
+	centres := centresOf(spec, slot.Shard.DataCentre)
+	var options []Placement
+	for _, market := range markets {
+		for i, dc := range centres {
+			options = append(options, offers(spec, dc, classes, market, slot.Class, i == 0)...)
+		}
+	}
+	return preferCheaperMarket(spec, options)
+}
+
+func hasLatencyTarget(s *config.Service) bool {
+	return s != nil && (s.FirstToken > 0 || s.BetweenTokens > 0 || s.Class == fleet.ClassInteractive)
+}
+
+func classesOf(spec *config.Spec, slot Slot) []fleet.InstanceClass {
+	classes := []fleet.InstanceClass{slot.Class}
+	if s := spec.Services[slot.Shard.Service]; s != nil {
+		for _, r := range s.Replicas {
+			if r.Role == slot.Role && !slices.Contains(classes, r.Class) {
+				classes = append(classes, r.Class)
+			}
+		}
+	}
+	return classes
+}
+
+// centresOf returns the data centre and the others of its region by distance.
+func centresOf(spec *config.Spec, own fleet.DataCentre) []fleet.DataCentre {
+	home := spec.DataCentres[own]
+	if home == nil {
+		return []fleet.DataCentre{own}
+	}
+	var others []fleet.DataCentre
+	for name, dc := range spec.DataCentres {
+		if name != own && dc.Region == home.Region {
+			others = append(others, name)
+		}
+	}
+	slices.SortFunc(others, func(a, b fleet.DataCentre) int {
+		return cmp.Or(cmp.Compare(home.Distances[a], home.Distances[b]), cmp.Compare(a, b))
+	})
+	return append([]fleet.DataCentre{own}, others...)
+}
+
+// offers returns the classes in one data centre, the ticket's class first and
+// the others by price. Elsewhere than at home a class must have a price.
+func offers(spec *config.Spec, dc fleet.DataCentre, classes []fleet.InstanceClass, market Market, first fleet.InstanceClass, home bool) []Placement {
+	var list []Placement
+	for _, class := range classes {
+		p := Placement{DataCentre: dc, Class: class, Market: market}
+		if p.Price(spec) > 0 || (home && class == first) {
+			list = append(list, p)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b Placement) int {
+		if (a.Class == first) != (b.Class == first) {
+			if a.Class == first {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.Price(spec), b.Price(spec))
+	})
+	return list
+}
+
+// preferCheaperMarket replaces a reclaimable placement where the on-demand
+// price is not higher, since that instance is never reclaimed.
+func preferCheaperMarket(spec *config.Spec, options []Placement) []Placement {
+	for i, p := range options {
+		safe := Placement{DataCentre: p.DataCentre, Class: p.Class, Market: OnDemand}
+		if price := safe.Price(spec); p.Market == Reclaimable && price > 0 && price <= p.Price(spec) {
+			options[i] = safe
+		}
+	}
+	return slices.Compact(options)
+}
