Listen before the router reports that it is ready

Cause: readiness was set once a configuration was active, which could be before the callers' interface listened; a merged test was then refused a connection. The test wiring of plain calls lacked the stream parts after the merge.

Change: the listener is made before the tasks start; the test wiring provides the stream parts.

--- a/internal/router/export_test.go
+++ b/internal/router/export_test.go
@@ -23,12 +23,14 @@
 	do.ProvideValue(injector, task.NewGroup(ctx))
 	do.ProvideValue(injector, &Active{})
 	provideTasks(injector)
+	provideStreams(injector)
 	r := do.MustInvoke[*Router](injector)
 	r.active.spec.Store(spec)
 	r.dispatcher.mailbox.TrySend(dispatcherMessage{message: dispatch.Configure{Spec: spec}})
 	r.dispatcher.mailbox.TrySend(dispatcherMessage{message: dispatch.Endpoints{Version: 1, List: endpoints}})
 	r.tasks.Go("dispatcher", r.dispatcher.Run)
 	r.tasks.Go("registry", r.registry.Run)
+	r.tasks.Go("quarantine", r.quarantine.Run)
 	startCalls(r)
 	return r, r.active
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -39,7 +39,7 @@
 	tasks      *task.Group
 	// draining is set by the drainer task and read by submissions.
 	draining atomic.Bool
-	calls      *calls
+	calls    *calls
 }
 
 // Handle gives access to one accepted request. Its holder counts as an
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -41,9 +41,14 @@
 	if err != nil {
 		return err
 	}
+	// The listener exists before any task can report that the router is ready.
+	listener, err := listen(s)
+	if err != nil {
+		return err
+	}
 	startTasks(injector, r)
 	startStreams(injector, r)
-	return serve(ctx, env, s, r, front(r, r.active))
+	return serve(ctx, env, s, r, listener, front(r, r.active))
 }
 
 func provideTasks(injector do.Injector) {
--- a/internal/router/shutdown.go
+++ b/internal/router/shutdown.go
@@ -24,15 +24,19 @@
 	dialPatience = 500 * time.Millisecond
 )
 
+func listen(s *Settings) (net.Listener, error) {
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return nil, daemon.Error.New("cannot listen on %s: %w; free the port or change the listen setting", s.Listen, err)
+	}
+	return listener, nil
+}
+
 // serve serves callers until ctx ends and then stops without cutting a request
 // off: while LameDuck lasts, new and idle connections are served and told to
 // close; then the accept queue is emptied, idle connections are closed, and
 // open requests end.
-func serve(ctx context.Context, env *daemon.Env, s *Settings, r *Router, handler http.Handler) error {
-	listener, err := net.Listen("tcp", s.Listen)
-	if err != nil {
-		return daemon.Error.New("cannot listen on %s: %w; free the port or change the listen setting", s.Listen, err)
-	}
+func serve(ctx context.Context, env *daemon.Env, s *Settings, r *Router, listener net.Listener, handler http.Handler) error {
 	var stopping atomic.Bool
 	server := &http.Server{
 		Handler: closeWhen(&stopping, handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -56,7 +60,7 @@
 	<-failed //nolint:errcheck // Serve reports that its listener is closed, as intended
 	// A connection that has just been accepted may still send its request.
 	pause(shutdownCtx, min(dialPatience, s.LameDuck))
-	err = server.Shutdown(shutdownCtx)
+	err := server.Shutdown(shutdownCtx)
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = daemon.Error.New("open requests were cut off after shutdown_bound %s; raise or remove the bound", s.ShutdownBound)
 		_ = server.Close()
