Show calls, races, reclaims and shutdown in the demo

Cause: the demo ended after one quote.

Change: it sends a stock check, one work order twice with one key through two routers, a ticket whose number is taken, reclaims the endpoints of two data centres and a router while a quote is streamed, and stops a router with SIGTERM.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -11,6 +11,7 @@
 const (
 	routerCount = 3
 	engineCount = 3
+	plainCount  = 2
 	// tokenInterval is the engines' time between tokens.
 	tokenInterval = 20 * time.Millisecond
 	// teamKey is the API key of the demo's team; its hash is in the ticket.
@@ -44,7 +45,13 @@
 			Name: fmt.Sprintf("router-%d", i+1), DataCentre: dataCentres[i%len(dataCentres)],
 		})
 	}
-	fleet, err := localfleet.New(bin, "kyushu", engines, routers)
+	var plains []*localfleet.Plain
+	for i := range plainCount {
+		plains = append(plains, &localfleet.Plain{
+			ID: fmt.Sprintf("desk-%d", i+1), Service: "bench-desk", DataCentre: dataCentres[i%len(dataCentres)],
+		})
+	}
+	fleet, err := localfleet.New(bin, "kyushu", engines, plains, routers)
 	return &demo{fleet: fleet}, err
 }
 
@@ -54,5 +61,11 @@
 		{"start three routers", d.fleet.StartRouters},
 		{"file the first ticket", d.fileFirstTicket},
 		{"ask for a dial quote, streamed", d.streamQuote},
+		{"check the stock", d.checkStock},
+		{"send one work order to two routers with the same key", d.orderTwice},
+		{"file a ticket whose number is taken", d.fileRacingTicket},
+		{"reclaim the endpoints of two data centres while a quote is streamed", d.reclaimEndpoints},
+		{"reclaim a router while a quote is streamed, continue at another", d.reclaimRouter},
+		{"stop a router while a quote is streamed", d.stopRouter},
 	}
 }
--- /dev/null
+++ b/demo/failures.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	// longQuote is long enough that failures meet it in mid-stream.
+	longQuote     = 120
+	endpointNote  = 300 * time.Millisecond
+	routerNote    = 500 * time.Millisecond
+	exitCodeLost  = 3
+	reconnectTime = 5 * time.Second
+)
+
+// stream is an open quote of which the first events were read.
+type stream struct {
+	question string
+	id       string
+	body     io.ReadCloser
+	reader   *bufio.Reader
+	first    strings.Builder
+}
+
+// openStream opens a long quote and reads until its fifth event, so that the
+// failure that follows meets a stream that runs.
+func (d *demo) openStream(ctx context.Context, router int, question string) (*stream, error) {
+	resp, err := d.openQuote(ctx, router, question, longQuote) //nolint:bodyclose // closed by rest
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("the quote was refused: %s", resp.Status)
+	}
+	s := &stream{question: question, id: resp.Header.Get("X-Request-Id"), body: resp.Body, reader: bufio.NewReader(resp.Body)}
+	for !strings.Contains(s.first.String(), "id: 5\n") {
+		line, err := s.reader.ReadString('\n')
+		if err != nil {
+			return nil, fmt.Errorf("the stream ended early: %w", err)
+		}
+		s.first.WriteString(line)
+	}
+	return s, nil
+}
+
+// rest reads the stream to its end.
+func (s *stream) rest() (text, lastID string, whole bool) {
+	defer func() { _ = s.body.Close() }()
+	return readEvents(io.MultiReader(strings.NewReader(s.first.String()), s.reader))
+}
+
+func (s *stream) check(text string, whole bool) error {
+	if !whole || text != expected(s.question, longQuote) {
+		return fmt.Errorf("the answer is not whole or differs: %q", text)
+	}
+	return nil
+}
+
+func (d *demo) reclaimEndpoints(ctx context.Context) error {
+	s, err := d.openStream(ctx, 0, "Route the cord of a 1936 dial.")
+	if err != nil {
+		return err
+	}
+	leaving := map[string]time.Duration{"engine-1": endpointNote, "engine-2": endpointNote}
+	if err := d.fleet.Reclaim(ctx, leaving); err != nil {
+		return err
+	}
+	text, lastID, whole := s.rest()
+	say("   engine-1 and engine-2 leave with %s notice; the quote has %s tokens, whole: %t", endpointNote, lastID, whole)
+	return s.check(text, whole)
+}
+
+func (d *demo) reclaimRouter(ctx context.Context) error {
+	s, err := d.openStream(ctx, 0, "Which spring tension for a drum dial?")
+	if err != nil {
+		return err
+	}
+	url := fmt.Sprintf("http://%s/drain?remaining_ms=%d", d.fleet.Routers[0].Admin, routerNote.Milliseconds())
+	resp, err := post(ctx, url, "", nil)
+	if err != nil {
+		return err
+	}
+	_ = resp.Body.Close()
+	text, lastID, whole := s.rest()
+	say("   router-1 leaves with %s notice; its stream ended after %s tokens, whole: %t", routerNote, lastID, whole)
+	if whole {
+		return s.check(text, whole)
+	}
+	rest, err := d.reconnect(ctx, 1, s.id, lastID)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = rest.Body.Close() }()
+	more, lastID, whole := readEvents(rest.Body)
+	say("   router-2 continues up to token %s, whole: %t", lastID, whole)
+	return s.check(text+more, whole)
+}
+
+// reconnect continues a stream at another router, as a caller does through the
+// load balancer.
+func (d *demo) reconnect(ctx context.Context, router int, id, lastID string) (*http.Response, error) {
+	url := "http://" + d.fleet.Routers[router].Listen + "/v1/requests/" + id + "/events"
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+teamKey)
+	req.Header.Set("Last-Event-ID", lastID)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("the router does not know the request: %s", resp.Status)
+	}
+	return resp, nil
+}
+
+func (d *demo) stopRouter(ctx context.Context) error {
+	s, err := d.openStream(ctx, 2, "How long is the cord of a slide rule dial?")
+	if err != nil {
+		return err
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.fleet.Routers[2].Process.Terminate() }()
+	text, lastID, whole := s.rest()
+	say("   router-3 gets SIGTERM; the quote has %s tokens, whole: %t", lastID, whole)
+	if err := s.check(text, whole); err != nil {
+		return err
+	}
+	select {
+	case err := <-stopped:
+		say("   router-3 has stopped")
+		return err
+	case <-time.After(reconnectTime):
+		return fmt.Errorf("router-3 did not stop within %s after its last request", reconnectTime)
+	}
+}
+
+// fileRacingTicket files a ticket under a number that is taken.
+func (d *demo) fileRacingTicket(ctx context.Context) error {
+	path, err := d.fleet.Write("ticket-racing.yaml", firstTicket())
+	if err != nil {
+		return err
+	}
+	code, _ := d.cornelctl(ctx, "ticket", "file", path, "--author", "rival")
+	say("   exit code %d", code)
+	if code != exitCodeLost {
+		return fmt.Errorf("the ticket ended with exit code %d, want %d", code, exitCodeLost)
+	}
+	return nil
+}
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -3,7 +3,9 @@
 package localfleet
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -12,6 +14,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/cornelhold/cornelhold/internal/operator"
+	"github.com/cornelhold/cornelhold/internal/platform"
 	"github.com/cornelhold/cornelhold/internal/procs"
 	"github.com/cornelhold/cornelhold/internal/ticket"
 )
@@ -30,6 +33,15 @@
 	Address string
 }
 
+// Plain is one plain service stand-in of the fleet.
+type Plain struct {
+	ID         string
+	Service    string
+	DataCentre string
+	// Address is assigned by New.
+	Address string
+}
+
 // Router is one router process of the fleet.
 type Router struct {
 	Name       string
@@ -44,6 +56,7 @@
 	*procs.Runner
 	Region  string
 	Engines []*Engine
+	Plains  []*Plain
 	Routers []*Router
 	// Log, List and StandinAdmin are addresses of the stand-in process.
 	Log, List, StandinAdmin string
@@ -51,16 +64,19 @@
 }
 
 // New assigns loopback addresses to the parts; bin is the folder of the programs.
-func New(bin, region string, engines []*Engine, routers []*Router) (*Fleet, error) {
+func New(bin, region string, engines []*Engine, plains []*Plain, routers []*Router) (*Fleet, error) {
 	runner, err := procs.NewRunner(bin)
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Runner: runner, Region: region, Engines: engines, Routers: routers}
+	f := &Fleet{Runner: runner, Region: region, Engines: engines, Plains: plains, Routers: routers}
 	targets := []*string{&f.Log, &f.List, &f.StandinAdmin}
 	for _, e := range engines {
 		targets = append(targets, &e.Address)
 	}
+	for _, p := range plains {
+		targets = append(targets, &p.Address)
+	}
 	for _, r := range routers {
 		targets = append(targets, &r.Listen, &r.Admin, &r.Peer)
 	}
@@ -104,6 +120,53 @@
 	return nil
 }
 
+// Instances returns the current instance list with a state for each id that is
+// in leaving; the others are live.
+func (f *Fleet) Instances(leaving map[string]time.Duration) []platform.Instance {
+	var list []platform.Instance
+	add := func(i platform.Instance) {
+		i.State = "live"
+		if notice, ok := leaving[i.ID]; ok {
+			i.State = platform.StateLeaving
+			i.ReclaimInMillis = notice.Milliseconds()
+		}
+		list = append(list, i)
+	}
+	for _, e := range f.Engines {
+		add(platform.Instance{ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Class: "gpu-small", Slots: e.Slots})
+	}
+	for _, p := range f.Plains {
+		add(platform.Instance{ID: p.ID, Service: p.Service, Address: p.Address, DataCentre: p.DataCentre, Class: "cpu-small"})
+	}
+	return list
+}
+
+// Reclaim announces that the named instances leave after the given notices.
+func (f *Fleet) Reclaim(ctx context.Context, leaving map[string]time.Duration) error {
+	return Put(ctx, "http://"+f.List+"/v1/instances", f.Instances(leaving))
+}
+
+// Put sends a value as JSON, for example faults to a stand-in.
+func Put(ctx context.Context, url string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(data))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode >= http.StatusBadRequest {
+		return Error.New("PUT %s: status %s", url, resp.Status)
+	}
+	return nil
+}
+
 // File files a ticket given as YAML.
 func (f *Fleet) File(ctx context.Context, yaml string) error {
 	doc, err := ticket.ParseFile("ticket", []byte(yaml))
@@ -121,10 +184,18 @@
 		fmt.Fprintf(&b, "    - {id: %s, service: %s, address: %q, data_centre: %s, class: gpu-small, slots: %d}\n",
 			e.ID, e.Service, e.Address, e.DataCentre, e.Slots)
 	}
+	for _, p := range f.Plains {
+		fmt.Fprintf(&b, "    - {id: %s, service: %s, address: %q, data_centre: %s, class: cpu-small}\n",
+			p.ID, p.Service, p.Address, p.DataCentre)
+	}
 	b.WriteString("engines:\n")
 	for _, e := range f.Engines {
 		fmt.Fprintf(&b, "  - {listen: %q, engine: {token_interval: %s, slots: %d}}\n", e.Address, e.TokenInterval, e.Slots)
 	}
+	b.WriteString("plain_services:\n")
+	for _, p := range f.Plains {
+		fmt.Fprintf(&b, "  - {listen: %q}\n", p.Address)
+	}
 	return b.String()
 }
 
