Decide handoffs in the core, isolate crash suspects, plan KV transfers

Cause: who may continue a handed-over request was decided inside tasks, where no property test reached it; a stale copy could be continued a second time. Suspects of one crash could meet again on the next endpoint. Reclaim plans never transferred a KV cache. A router reported ready before it listened and before it had an instance list (seen as refused connections and as 503 in two make test runs), and a configuration during a drain made it ready again.

Change: core/handoff has the holder of records and the search among routers; the router's tasks carry out what they decide. A caller that asks for frames beyond the record is refused instead of getting the words of another attempt. dispatch keeps suspects apart (route.Request.Exclude) and plans with estimated generated tokens and 100 us per transferred token. startGate reports ready once both configuration and instance list have arrived, never after leaving.

--- a/internal/core/dispatch/endpoints.go
+++ b/internal/core/dispatch/endpoints.go
@@ -89,7 +89,7 @@
 	return list
 }
 
-func (m *Machine) notice(msg Notice) []Action {
+func (m *Machine) notice(now time.Duration, msg Notice) []Action {
 	m.departed.add(msg.Endpoint)
 	if _, done := m.noticed[msg.Endpoint]; done {
 		return nil
@@ -102,24 +102,40 @@
 	e.Leaving = true
 	m.endpoints[msg.Endpoint] = e
 	m.services[e.Service].table.Leave(msg.Endpoint)
-	return m.relocate(msg)
+	return m.relocate(now, msg)
 }
 
 // relocate plans the moves of all streams on a leaving endpoint.
-func (m *Machine) relocate(msg Notice) []Action {
+func (m *Machine) relocate(now time.Duration, msg Notice) []Action {
 	var streams []reclaim.Stream
 	for id, r := range m.outstanding {
 		if !r.runsOn(msg.Endpoint) || !r.submit.Idempotent {
 			continue
 		}
+		generated := r.generatedBy(now, msg.Endpoint)
 		streams = append(streams, reclaim.Stream{
-			Request: id, Class: r.submit.Class, PromptTokens: r.submit.Prompt.Tokens, Remaining: r.submit.MaxTokens,
+			Request: id, Class: r.submit.Class, PromptTokens: r.submit.Prompt.Tokens,
+			Generated: generated, Remaining: max(r.submit.MaxTokens-generated, 1),
 		})
 	}
 	slices.SortFunc(streams, func(a, b reclaim.Stream) int { return cmp.Compare(a.Request, b.Request) })
-	moves := reclaim.Plan(streams, msg.Remaining, reclaim.Rates{TokenInterval: assumedTokenInterval})
+	moves := reclaim.Plan(streams, msg.Remaining, reclaim.Rates{
+		TokenInterval: assumedTokenInterval, TransferPerToken: assumedTransferPerToken,
+	})
 	return lo.Map(moves, func(move reclaim.Move, _ int) Action {
 		r := m.outstanding[move.Request]
 		return Relocate{Request: move.Request, Attempt: r.on(msg.Endpoint), Method: move.Method}
 	})
 }
+
+// generatedBy estimates the tokens that the attempt on the endpoint has
+// generated, those of earlier attempts included.
+func (r *requestState) generatedBy(now time.Duration, id fleet.EndpointID) int {
+	generated := r.generated
+	for _, a := range r.running {
+		if a.endpoint == id && a.first > 0 {
+			generated += int((now - a.first) / assumedTokenInterval)
+		}
+	}
+	return min(generated, r.submit.MaxTokens)
+}
--- /dev/null
+++ b/internal/core/dispatch/isolate.go
@@ -0,0 +1,38 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/route"
+)
+
+// chooseIsolated chooses an endpoint. A crash suspect gets one that runs no
+// other suspect, so that crash evidence separates them, and any other one only
+// if there is none.
+func (m *Machine) chooseIsolated(now time.Duration, r *requestState, request *route.Request) (route.Choice, bool) {
+	if r.suspect {
+		request.Exclude = m.suspectEndpoints(r)
+		if choice, ok := r.service.table.Choose(now, request); ok && !slices.Contains(request.Exclude, choice.ID) {
+			return choice, true
+		}
+		request.Exclude = nil
+	}
+	return r.service.table.Choose(now, request)
+}
+
+// suspectEndpoints lists the endpoints that run other suspects. It looks at all
+// outstanding requests, and is called only after a crash.
+func (m *Machine) suspectEndpoints(except *requestState) []fleet.EndpointID {
+	var endpoints []fleet.EndpointID
+	for _, r := range m.outstanding {
+		if r == except || !r.suspect {
+			continue
+		}
+		for _, a := range r.running {
+			endpoints = append(endpoints, a.endpoint)
+		}
+	}
+	return endpoints
+}
--- a/internal/core/dispatch/machine.go
+++ b/internal/core/dispatch/machine.go
@@ -72,7 +72,7 @@
 	case Endpoints:
 		actions = m.replaceEndpoints(now, msg)
 	case Notice:
-		actions = m.notice(msg)
+		actions = m.notice(now, msg)
 	case Configure:
 		actions = m.configure(now, msg)
 	case Tick:
--- a/internal/core/dispatch/options.go
+++ b/internal/core/dispatch/options.go
@@ -35,4 +35,7 @@
 	blockTokens = 64
 	// assumedTokenInterval is the time between tokens that reclaim plans assume.
 	assumedTokenInterval = 70 * time.Millisecond
+	// assumedTransferPerToken is the time to export the KV cache of one token
+	// that reclaim plans assume: some 300 KB at 25 Gbit/s.
+	assumedTransferPerToken = 100 * time.Microsecond
 )
--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -24,6 +24,8 @@
 	last  AttemptOutcome
 	avoid fleet.EndpointID
 	cause budget.Cause
+	// suspect: an endpoint crashed while it ran the request.
+	suspect bool
 }
 
 // attempt is a granted attempt that has not ended.
@@ -150,7 +152,8 @@
 	r.since, r.generated, r.avoid = now, msg.Generated, msg.Avoid
 	request := r.routed()
 	request.Force = true
-	if choice, ok := r.service.table.Choose(now, &request); ok {
+	r.suspect = r.suspect || msg.Isolate
+	if choice, ok := m.chooseIsolated(now, r, &request); ok {
 		return append([]Action{m.grant(now, r, choice, &request)}, m.pump(now, r.service)...)
 	}
 	// Every endpoint is gone: the request waits for a replacement.
--- a/internal/core/reclaim/handoff.go
+++ b/internal/core/reclaim/handoff.go
@@ -15,8 +15,9 @@
 const HandoffCopies = 2
 
 // lookupReserve is how many further candidates a lookup asks per data centre,
-// because a candidate that refused or had died was skipped.
-const lookupReserve = 1
+// because candidates that refused or had died were skipped, and instances that
+// joined since may come first now.
+const lookupReserve = 4
 
 // Router is one own instance that can hold records.
 type Router struct {
@@ -43,7 +44,7 @@
 	sorted := byHash(id, routers)
 	wanted := make(map[fleet.InstanceID]bool)
 	for _, leaving := range lo.UniqBy(sorted, func(r Router) fleet.DataCentre { return r.DataCentre }) {
-		// The leaving router itself may still be in the list, so one more is asked.
+		// The leaving router itself may still be in the list.
 		first := HandoffCandidates(id, Router{DataCentre: leaving.DataCentre}, sorted)
 		for _, instance := range first[:min(len(first), HandoffCopies+lookupReserve)] {
 			wanted[instance] = true
--- a/internal/core/route/choose.go
+++ b/internal/core/route/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -45,7 +46,7 @@
 		for _, slot := range set.slots[:set.count] {
 			s := t.slots[slot]
 			// The second pass takes ejected endpoints rather than none.
-			if s == nil || !s.serves(r) || s.ID == r.Avoid || (pass == 0 && s.speed.ejectedUntil > now) {
+			if s == nil || !s.serves(r) || s.ID == r.Avoid || slices.Contains(r.Exclude, s.ID) || (pass == 0 && s.speed.ejectedUntil > now) {
 				continue
 			}
 			if !t.mayTake(now, r, s) {
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -48,6 +48,8 @@
 	Generated int
 	// Avoid is chosen only when no other endpoint is live.
 	Avoid fleet.EndpointID
+	// Exclude are endpoints that run other crash suspects.
+	Exclude []fleet.EndpointID
 	// Queued tells that requests wait for endpoints or did a moment ago.
 	Queued bool
 	// Spare restricts the request to spare capacity: it leaves the share Reserve
--- a/internal/peer/handoff.go
+++ b/internal/peer/handoff.go
@@ -11,6 +11,7 @@
 	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
 	"github.com/cornelhold/cornelhold/gen/cornelhold/v1/cornelholdv1connect"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/handoff"
 	"github.com/cornelhold/cornelhold/internal/core/request"
 )
 
@@ -21,43 +22,12 @@
 	handoffTimeout     = 2 * time.Second
 )
 
-// OpenRequest is an open request as routers hand it to each other.
-type OpenRequest struct {
-	ID        fleet.RequestID
-	Team      fleet.TeamName
-	Service   fleet.ServiceName
-	Class     fleet.Class
-	Adapter   string
-	Model     string
-	Prompt    string
-	MaxTokens int
-	// Wait is the time left until the request must be granted; 0 means no bound.
-	Wait   time.Duration
-	Record request.Record
-}
-
-// Taken is the answer to Take.
-type Taken struct {
-	// Request is nil if the callee does not hold the request.
-	Request *OpenRequest
-	// MovedTo names the instance that took the request over earlier.
-	MovedTo fleet.InstanceID
-}
-
-// TakeCall asks for an open request of a team. Peek leaves it where it is.
-type TakeCall struct {
-	ID    fleet.RequestID
-	Team  fleet.TeamName
-	Taker fleet.InstanceID
-	Peek  bool
-}
-
 // HandoffHandler is implemented by the router.
 type HandoffHandler interface {
 	// Offer stores a request of a leaving router and reports whether it did.
-	Offer(ctx context.Context, r OpenRequest) bool
+	Offer(ctx context.Context, r handoff.Request) bool
 	// Take gives a request to the router that its caller reconnected to.
-	Take(ctx context.Context, call TakeCall) Taken
+	Take(ctx context.Context, call handoff.Call) handoff.Taken
 }
 
 // HandoffService serves the handler to other own instances.
@@ -79,7 +49,7 @@
 
 // Take implements the generated interface.
 func (s *handoffServer) Take(ctx context.Context, req *connect.Request[cornelholdv1.TakeRequest]) (*connect.Response[cornelholdv1.TakeResponse], error) {
-	taken := s.handler.Take(ctx, TakeCall{
+	taken := s.handler.Take(ctx, handoff.Call{
 		ID: fleet.RequestID(req.Msg.GetRequestId()), Team: fleet.TeamName(req.Msg.GetTeam()),
 		Taker: fleet.InstanceID(req.Msg.GetTaker()), Peek: req.Msg.GetPeek(),
 	})
@@ -107,7 +77,7 @@
 
 // Offer hands a request to the peer at the address. An error of class Error
 // means that the peer may not hold it and another one must be tried.
-func (c *HandoffClient) Offer(ctx context.Context, address string, r OpenRequest) error {
+func (c *HandoffClient) Offer(ctx context.Context, address string, r handoff.Request) error {
 	resp, err := c.service(address).Offer(ctx, connect.NewRequest(&cornelholdv1.OfferRequest{Record: toRecord(r)}))
 	if err != nil {
 		return Error.New("peer %s did not answer an offer: %w; another peer is tried", address, err)
@@ -119,14 +89,14 @@
 }
 
 // Take asks the peer at the address for a request.
-func (c *HandoffClient) Take(ctx context.Context, address string, call TakeCall) (Taken, error) {
+func (c *HandoffClient) Take(ctx context.Context, address string, call handoff.Call) (handoff.Taken, error) {
 	resp, err := c.service(address).Take(ctx, connect.NewRequest(&cornelholdv1.TakeRequest{
 		RequestId: string(call.ID), Team: string(call.Team), Taker: string(call.Taker), Peek: call.Peek,
 	}))
 	if err != nil {
-		return Taken{}, Error.New("peer %s did not answer a take: %w; another peer is asked", address, err)
+		return handoff.Taken{}, Error.New("peer %s did not answer a take: %w; another peer is asked", address, err)
 	}
-	taken := Taken{MovedTo: fleet.InstanceID(resp.Msg.GetMovedTo())}
+	taken := handoff.Taken{MovedTo: fleet.InstanceID(resp.Msg.GetMovedTo())}
 	if resp.Msg.GetFound() && resp.Msg.GetRecord() != nil {
 		r := fromRecord(resp.Msg.GetRecord())
 		taken.Request = &r
@@ -138,7 +108,7 @@
 	return cornelholdv1connect.NewHandoffClient(c.http, "http://"+address)
 }
 
-func toRecord(r OpenRequest) *cornelholdv1.RequestRecord {
+func toRecord(r handoff.Request) *cornelholdv1.RequestRecord {
 	record := &cornelholdv1.RequestRecord{
 		RequestId: string(r.ID), Team: string(r.Team), Service: string(r.Service), Adapter: r.Adapter,
 		Prompt: r.Prompt, MaxTokens: int32(r.MaxTokens), RequestClass: int32(r.Class), Model: r.Model,
@@ -153,8 +123,8 @@
 	return record
 }
 
-func fromRecord(r *cornelholdv1.RequestRecord) OpenRequest {
-	open := OpenRequest{
+func fromRecord(r *cornelholdv1.RequestRecord) handoff.Request {
+	open := handoff.Request{
 		ID: fleet.RequestID(r.GetRequestId()), Team: fleet.TeamName(r.GetTeam()),
 		Service: fleet.ServiceName(r.GetService()), Class: fleet.Class(r.GetRequestClass()),
 		Adapter: r.GetAdapter(), Model: r.GetModel(), Prompt: r.GetPrompt(), MaxTokens: int(r.GetMaxTokens()),
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -9,8 +9,7 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/cornelhold/cornelhold/internal/daemon"
-	"github.com/cornelhold/cornelhold/internal/peer"
+	"github.com/cornelhold/cornelhold/internal/core/handoff"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
 
@@ -32,7 +31,7 @@
 type drainer struct {
 	log     log.Interface
 	clock   task.Clock
-	ready   *daemon.Readiness
+	gate    *startGate
 	router  *Router
 	mailbox task.Mailbox[drainNotice]
 	alarm   *task.Alarm
@@ -66,7 +65,7 @@
 	d.started = true
 	d.last = last
 	d.router.draining.Store(true)
-	d.ready.Set("draining: this instance is being reclaimed")
+	d.gate.leave("draining: this instance is being reclaimed")
 	d.alarm.Arm(last - d.clock.Now())
 	d.start(ctx, n.remaining-reserve)
 }
@@ -82,7 +81,7 @@
 	entries, _ := askTask(ctx, r.registry.mailbox, func(reply chan []registerRequest) any {
 		return listRequests{reply: reply}
 	})
-	held, _ := askTask(ctx, r.holder.mailbox, func(reply chan []peer.OpenRequest) any { return listHeld{reply: reply} })
+	held, _ := askTask(ctx, r.holder.mailbox, func(reply chan []handoff.Request) any { return listHeld{reply: reply} })
 	var group errgroup.Group
 	group.SetLimit(parallelHandoffs)
 	for _, entry := range entries {
--- a/internal/router/handoff.go
+++ b/internal/router/handoff.go
@@ -8,13 +8,14 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/dispatch"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/handoff"
 	"github.com/cornelhold/cornelhold/internal/core/reclaim"
 	"github.com/cornelhold/cornelhold/internal/core/request"
 	"github.com/cornelhold/cornelhold/internal/peer"
 )
 
 // Offer implements peer.HandoffHandler.
-func (r *Router) Offer(ctx context.Context, open peer.OpenRequest) bool {
+func (r *Router) Offer(ctx context.Context, open handoff.Request) bool {
 	if r.draining.Load() {
 		return false
 	}
@@ -26,32 +27,36 @@
 
 // Take implements peer.HandoffHandler. A request that runs here is taken over
 // too: its caller reconnected elsewhere, so its connection here is of no use.
-func (r *Router) Take(ctx context.Context, call peer.TakeCall) peer.Taken {
+func (r *Router) Take(ctx context.Context, call handoff.Call) handoff.Taken {
 	if found, ok := r.find(ctx, call.ID, call.Team); ok {
 		if taken, ok := r.takeRunning(ctx, found, call); ok {
 			return taken
 		}
 	}
-	taken, _ := askTask(ctx, r.holder.mailbox, func(reply chan peer.Taken) any {
+	taken, _ := askTask(ctx, r.holder.mailbox, func(reply chan handoff.Taken) any {
 		return takeRecord{call: call, reply: reply}
 	})
 	return taken
 }
 
-func (r *Router) takeRunning(ctx context.Context, entry registerRequest, call peer.TakeCall) (peer.Taken, bool) {
+// takeRunning gives a running request away. The caller of Take may be gone
+// before the answer is written; the steps are completed all the same, and the
+// holder answers the repeated call.
+func (r *Router) takeRunning(ctx context.Context, entry registerRequest, call handoff.Call) (handoff.Taken, bool) {
+	ctx = context.WithoutCancel(ctx)
 	if call.Peek {
 		record, ok := askRequest(ctx, entry, func(reply chan request.Record) any { return peekRequest{reply: reply} })
 		if !ok {
-			return peer.Taken{}, false
+			return handoff.Taken{}, false
 		}
 		open := entry.open(record)
-		return peer.Taken{Request: &open}, true
+		return handoff.Taken{Request: &open}, true
 	}
 	record, ok := askRequest(ctx, entry, func(reply chan *request.Record) any {
-		return freezeRequest{budget: -1, reply: reply}
+		return freezeRequest{take: true, reply: reply}
 	})
 	if !ok || record == nil {
-		return peer.Taken{}, false
+		return handoff.Taken{}, false
 	}
 	open := entry.open(*record)
 	// The copy is stored before the request ends here, so that no search fails
@@ -59,12 +64,12 @@
 	_ = r.holder.mailbox.Send(ctx, recordMoved{request: open, taker: call.Taker})
 	_ = entry.mailbox.Send(ctx, coreMessage{message: request.HandedOver{}})
 	r.metrics.handoffs.WithLabelValues("taken").Inc()
-	return peer.Taken{Request: &open}, true
+	return handoff.Taken{Request: &open}, true
 }
 
-func (e registerRequest) open(record request.Record) peer.OpenRequest {
+func (e registerRequest) open(record request.Record) handoff.Request {
 	s := e.submission
-	return peer.OpenRequest{
+	return handoff.Request{
 		ID: e.id, Team: s.Team, Service: s.Service, Class: s.Class, Adapter: s.Adapter, Model: s.Model,
 		Prompt: s.Prompt, MaxTokens: s.MaxTokens, Record: record,
 	}
@@ -96,15 +101,14 @@
 
 // Status returns the record of a request wherever it is, and leaves it there.
 func (r *Router) Status(ctx context.Context, id fleet.RequestID, team fleet.TeamName) (request.Record, *fleet.Refusal) {
-	call := peer.TakeCall{ID: id, Team: team, Taker: r.self, Peek: true}
-	if taken := r.Take(ctx, call); taken.Request != nil && taken.MovedTo == "" {
-		return taken.Request.Record, nil
+	s := r.newSearch(ctx, handoff.Call{ID: id, Team: team, Peek: true})
+	for s.Found() == nil && r.advance(ctx, s) {
+		continue
 	}
-	open := r.ask(ctx, call)
-	if open == nil {
+	if s.Found() == nil {
 		return request.Record{}, notFound()
 	}
-	return open.Record, nil
+	return s.Found().Record, nil
 }
 
 func (r *Router) find(ctx context.Context, id fleet.RequestID, team fleet.TeamName) (registerRequest, bool) {
@@ -121,74 +125,65 @@
 	return &Handle{ID: entry.id, Model: entry.submission.Model, mailbox: entry.mailbox, done: entry.done}, nil
 }
 
-// search takes a request over from whichever router has it and continues it.
+// search takes a request over from whichever router has it and continues it
+// here. The rest of the search, which tells the others, runs in the background.
 func (r *Router) search(ctx context.Context, id fleet.RequestID, team fleet.TeamName) located {
 	if entry, ok := r.find(ctx, id, team); ok {
 		return located{handle: &Handle{ID: id, Model: entry.submission.Model, mailbox: entry.mailbox, done: entry.done}}
 	}
-	call := peer.TakeCall{ID: id, Team: team, Taker: r.self}
-	open := r.Take(ctx, call).Request
-	if open == nil {
-		open = r.ask(ctx, call)
-	} else {
-		r.tasks.Go("release copies", func(ctx context.Context) error {
-			r.ask(ctx, call)
-			return nil
-		})
+	s := r.newSearch(ctx, handoff.Call{ID: id, Team: team, Taker: r.self})
+	for s.Found() == nil && r.advance(ctx, s) {
+		continue
+	}
+	open, moving := s.Result()
+	if moving {
+		return located{refusal: moved()}
 	}
 	if open == nil {
 		return located{refusal: notFound()}
 	}
 	r.metrics.handoffs.WithLabelValues("restored").Inc()
-	return located{handle: r.restore(ctx, *open)}
-}
-
-// ask asks the routers that may know the request, one after the other, and
-// follows the one that took it over. If that one is gone, the copy of the
-// router that named it is used.
-func (r *Router) ask(ctx context.Context, call peer.TakeCall) *peer.OpenRequest {
-	members := lo.KeyBy(r.directory.Members(), func(m peer.Member) fleet.InstanceID { return m.Instance })
-	queue := reclaim.LookupCandidates(call.ID, lo.Map(r.directory.Members(), toRouter))
-	queue = append(originsOf(call.ID, r.directory.Members()), queue...)
-	asked := map[fleet.InstanceID]bool{r.self: true}
-	var found *peer.OpenRequest
-	var named []fleet.InstanceID
-	for len(queue) > 0 {
-		next := queue[0]
-		queue = queue[1:]
-		member, ok := members[next]
-		if asked[next] || !ok {
-			continue
-		}
-		asked[next] = true
-		taken, err := r.handoff.Take(ctx, member.Address, call)
-		if err != nil {
+	result := r.restore(ctx, *open)
+	r.tasks.Go("tell routers", func(ctx context.Context) error {
+		for r.advance(ctx, s) {
 			continue
 		}
-		if taken.MovedTo != "" {
-			named = append(named, next)
-			queue = append([]fleet.InstanceID{taken.MovedTo}, queue...)
-		}
-		if taken.Request != nil && taken.MovedTo == "" && found == nil {
-			// The others are still asked, so that they learn who has it.
-			found = taken.Request
-		}
-	}
-	if found != nil {
-		return found
-	}
-	return r.copyOf(ctx, call, named, members)
+		return nil
+	})
+	return result
 }
 
-// copyOf peeks at the copies of a request whose taker is gone.
-func (r *Router) copyOf(ctx context.Context, call peer.TakeCall, named []fleet.InstanceID, members map[fleet.InstanceID]peer.Member) *peer.OpenRequest {
-	call.Peek = true
-	for _, instance := range named {
-		if taken, err := r.handoff.Take(ctx, members[instance].Address, call); err == nil && taken.Request != nil {
-			return taken.Request
-		}
+// newSearch starts a search with the answer of this router.
+func (r *Router) newSearch(ctx context.Context, call handoff.Call) *handoff.Search {
+	members := r.directory.Members()
+	routers := append(originsOf(call.ID, members), reclaim.LookupCandidates(call.ID, lo.Map(members, toRouter))...)
+	s := handoff.NewSearch(call, r.self, routers)
+	s.Answered(r.self, r.Take(ctx, call))
+	return s
+}
+
+// advance asks one router and reports false at the end of the search.
+func (r *Router) advance(ctx context.Context, s *handoff.Search) bool {
+	to, call, ok := s.Next()
+	if !ok || ctx.Err() != nil {
+		return false
 	}
-	return nil
+	if to == r.self {
+		s.Answered(to, r.Take(ctx, call))
+		return true
+	}
+	member, known := lo.Find(r.directory.Members(), func(m peer.Member) bool { return m.Instance == to })
+	if !known {
+		s.Failed(to)
+		return true
+	}
+	taken, err := r.handoff.Take(ctx, member.Address, call)
+	if err != nil {
+		s.Failed(to)
+		return true
+	}
+	s.Answered(to, taken)
+	return true
 }
 
 func toRouter(m peer.Member, _ int) reclaim.Router {
@@ -196,7 +191,7 @@
 }
 
 // restore continues a request from its record.
-func (r *Router) restore(_ context.Context, open peer.OpenRequest) *Handle {
+func (r *Router) restore(ctx context.Context, open handoff.Request) located {
 	s := Submission{
 		Team: open.Team, Service: open.Service, Class: open.Class, Adapter: open.Adapter, Model: open.Model,
 		Prompt: open.Prompt, MaxTokens: open.MaxTokens, Streamed: open.Record.Streamed,
@@ -204,12 +199,16 @@
 	machine, actions := request.Restore(r.clock.Now(), open.ID, open.Record)
 	t := r.newTask(open.ID, s, machine)
 	t.initial = actions
-	_ = r.start(context.Background(), t)
-	return &Handle{ID: open.ID, Model: open.Model, mailbox: t.mailbox, done: t.done}
+	if refusal := r.start(ctx, t); refusal != nil {
+		// The record stays in this router's holder for the next try.
+		_ = r.holder.mailbox.Send(ctx, recordMoved{request: open, taker: r.self})
+		return located{refusal: refusal}
+	}
+	return located{handle: &Handle{ID: open.ID, Model: open.Model, mailbox: t.mailbox, done: t.done}}
 }
 
 // offer hands a record to HandoffCopies peers and returns how many hold it.
-func (r *Router) offer(ctx context.Context, open peer.OpenRequest) int {
+func (r *Router) offer(ctx context.Context, open handoff.Request) int {
 	self := reclaim.Router{Instance: r.self, DataCentre: r.dataCentre}
 	live := lo.Filter(r.directory.Members(), func(m peer.Member, _ int) bool { return !m.Leaving })
 	members := lo.KeyBy(live, func(m peer.Member) fleet.InstanceID { return m.Instance })
--- a/internal/router/holder.go
+++ b/internal/router/holder.go
@@ -2,43 +2,32 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
-	"github.com/cornelhold/cornelhold/internal/peer"
+	"github.com/cornelhold/cornelhold/internal/core/handoff"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
 
-const (
-	holderCapacity = 1024
-	// heldFor is how long a record waits for its caller to reconnect, and how
-	// long a router remembers who took a request over.
-	heldFor = 10 * time.Minute
-	// maxHeldBytes bounds the memory of held records; beyond it offers are
-	// declined and the leaving router tries another peer.
-	maxHeldBytes = 64 << 20
-	// recordOverhead is counted for each record beside its texts.
-	recordOverhead = 512
-)
+const holderCapacity = 1024
 
 // Messages to the holder task.
 type (
 	offerRecord struct {
-		request peer.OpenRequest
+		request handoff.Request
 		reply   chan bool
 	}
 	takeRecord struct {
-		call  peer.TakeCall
-		reply chan peer.Taken
+		call  handoff.Call
+		reply chan handoff.Taken
 	}
 	// recordMoved remembers that a running request was taken over, with a copy
 	// of its record for the case that the taker dies.
 	recordMoved struct {
-		request peer.OpenRequest
+		request handoff.Request
 		taker   fleet.InstanceID
 	}
 	listHeld struct {
-		reply chan []peer.OpenRequest
+		reply chan []handoff.Request
 	}
 	// locateRequest asks for a request that may be anywhere. Concurrent calls
 	// for one request are answered by one search.
@@ -65,21 +54,13 @@
 	refusal *fleet.Refusal
 }
 
-type heldRecord struct {
-	request peer.OpenRequest
-	size    int
-	expires time.Duration
-	// taker is empty until the record was taken over.
-	taker fleet.InstanceID
-}
-
-// holder is the task that owns the records that other routers handed over.
+// holder is the task that owns handoff.Holder.
 type holder struct {
 	clock     task.Clock
 	mailbox   task.Mailbox[any]
 	tasks     *task.Group
-	held      map[fleet.RequestID]*heldRecord
-	bytes     int
+	records   *handoff.Holder
+	armed     bool
 	searching map[locateKey][]chan located
 	alarm     *task.Alarm
 }
@@ -87,7 +68,7 @@
 func newHolder(clock task.Clock, tasks *task.Group) *holder {
 	return &holder{
 		clock: clock, mailbox: task.NewMailbox[any](holderCapacity), tasks: tasks,
-		held:      make(map[fleet.RequestID]*heldRecord),
+		records:   handoff.NewHolder(),
 		searching: make(map[locateKey][]chan located),
 		alarm:     task.NewAlarm(),
 	}
@@ -114,9 +95,9 @@
 	case recordMoved:
 		h.store(msg.request, msg.taker)
 	case takeRecord:
-		msg.reply <- h.take(msg.call)
+		msg.reply <- h.records.Take(msg.call)
 	case listHeld:
-		msg.reply <- h.list()
+		msg.reply <- h.records.Waiting()
 	case locateRequest:
 		h.locate(msg)
 	case locateDone:
@@ -127,69 +108,20 @@
 	}
 }
 
-func (h *holder) store(r peer.OpenRequest, taker fleet.InstanceID) bool {
-	size := recordOverhead + len(r.Prompt)
-	for _, text := range r.Record.Frames {
-		size += len(text) + recordOverhead/16
-	}
-	old, replaces := h.held[r.ID]
-	if replaces {
-		size -= old.size
-	}
-	if h.bytes+size > maxHeldBytes {
-		return false
-	}
-	h.bytes += size
-	if replaces {
-		size += old.size
-	}
-	if len(h.held) == 0 {
-		h.alarm.Arm(heldFor)
-	}
-	h.held[r.ID] = &heldRecord{request: r, size: size, expires: h.clock.Now() + heldFor, taker: taker}
-	return true
-}
-
-// take gives a record to its first taker, again if that one repeats the call.
-// Any other taker learns who has the request; it peeks at the copy only if the
-// first taker is gone.
-func (h *holder) take(call peer.TakeCall) peer.Taken {
-	record, ok := h.held[call.ID]
-	if !ok || record.request.Team != call.Team {
-		return peer.Taken{}
-	}
-	if call.Peek {
-		return peer.Taken{Request: &record.request, MovedTo: record.taker}
-	}
-	if record.taker != "" && record.taker != call.Taker {
-		return peer.Taken{MovedTo: record.taker}
+// store arms the alarm for the first record, which expires first.
+func (h *holder) store(r handoff.Request, taker fleet.InstanceID) bool {
+	stored := h.records.Store(h.clock.Now(), r, taker)
+	if stored && !h.armed {
+		h.armed = true
+		h.alarm.Arm(handoff.HeldFor)
 	}
-	record.taker = call.Taker
-	return peer.Taken{Request: &record.request}
-}
-
-// list returns the records that nobody has taken over.
-func (h *holder) list() []peer.OpenRequest {
-	var waiting []peer.OpenRequest
-	for _, record := range h.held {
-		if record.taker == "" {
-			waiting = append(waiting, record.request)
-		}
-	}
-	return waiting
+	return stored
 }
 
 func (h *holder) expire() {
-	next := time.Duration(0)
-	for id, record := range h.held {
-		if record.expires <= h.clock.Now() {
-			h.bytes -= record.size
-			delete(h.held, id)
-		} else if next == 0 || record.expires < next {
-			next = record.expires
-		}
-	}
-	if next > 0 {
+	next := h.records.Expire(h.clock.Now())
+	h.armed = next > 0
+	if h.armed {
 		h.alarm.Arm(next - h.clock.Now())
 	}
 }
--- a/internal/router/messages.go
+++ b/internal/router/messages.go
@@ -56,7 +56,10 @@
 // the budget, or whose answer was delivered, stays and has no record.
 type freezeRequest struct {
 	budget time.Duration
-	reply  chan *request.Record
+	// take: another router takes the request over, whatever its state. While a
+	// handoff is under way the answer waits for its result.
+	take  bool
+	reply chan *request.Record
 }
 
 // peekRequest asks a request task for a copy of its record.
--- a/internal/router/requesttask.go
+++ b/internal/router/requesttask.go
@@ -43,6 +43,8 @@
 	metrics    requestMetrics
 	cancel     map[fleet.AttemptNumber]context.CancelFunc
 	readers    []readFrames
+	// takes wait for the result of a handoff.
+	takes      []freezeRequest
 	wake       *task.Alarm
 	opened     int
 	firstToken time.Duration
@@ -91,12 +93,20 @@
 	case peekRequest:
 		msg.reply <- t.machine.Record()
 	case freezeRequest:
-		msg.reply <- t.freeze(ctx, msg.budget)
+		t.freeze(ctx, msg)
 	}
 }
 
 func (t *requestTask) step(ctx context.Context, msg request.Message) {
 	t.performAll(ctx, t.machine.Step(t.clock.Now(), msg))
+	if len(t.takes) == 0 || t.machine.Frozen() {
+		return
+	}
+	takes := t.takes
+	t.takes = nil
+	for _, take := range takes {
+		t.freeze(ctx, take)
+	}
 }
 
 func (t *requestTask) performAll(ctx context.Context, actions []request.Action) {
@@ -200,28 +210,42 @@
 	waiting := t.readers[:0]
 	for _, r := range t.readers {
 		texts := t.machine.Frames(r.from)
-		if len(texts) == 0 && !ended && !moved {
+		if len(texts) == 0 && !ended && !moved && r.from <= len(t.machine.Frames(0)) {
 			waiting = append(waiting, r)
 			continue
 		}
 		t.delivered = t.delivered || ended
+		if r.from > len(t.machine.Frames(0)) {
+			r.reply <- Frames{Ended: true, Refusal: beyondRecord()}
+			continue
+		}
 		r.reply <- Frames{Texts: texts, Ended: ended, Finish: finish, Refusal: refusal, Moved: moved}
 	}
 	t.readers = waiting
 }
 
-// freeze returns the record for a handoff, or nil if the request stays.
-func (t *requestTask) freeze(ctx context.Context, budget time.Duration) *request.Record {
-	ended, _, _ := t.machine.Ended()
-	if ended && t.delivered && t.machine.Callers() == 0 {
-		return nil
+// freeze answers with the record for a handoff, or nil if the request stays.
+func (t *requestTask) freeze(ctx context.Context, msg freezeRequest) {
+	if msg.take && t.machine.Frozen() {
+		t.takes = append(t.takes, msg)
+		return
 	}
-	if t.machine.Frozen() || t.machine.Moved() || (!ended && t.remaining() <= budget) || (ended && budget > 0) {
-		return nil
+	if t.machine.Moved() || t.machine.Frozen() || (!msg.take && t.stays(msg.budget)) {
+		msg.reply <- nil
+		return
 	}
 	t.step(ctx, request.Freeze{})
 	record := t.machine.Record()
-	return &record
+	msg.reply <- &record
+}
+
+// stays reports whether the request ends here within the budget, or has ended
+// and was delivered.
+func (t *requestTask) stays(budget time.Duration) bool {
+	if ended, _, _ := t.machine.Ended(); ended {
+		return budget > 0 || (t.delivered && t.machine.Callers() == 0)
+	}
+	return t.remaining() <= budget
 }
 
 // remaining estimates the time until the request ends.
@@ -249,3 +273,13 @@
 		t.quarantine.TrySend(requestCompleted{fingerprint: t.fingerprint})
 	}
 }
+
+// beyondRecord refuses to continue after frames that the record does not have:
+// a router died without notice, and what another attempt would generate need
+// not continue what the caller has.
+func beyondRecord() *fleet.Refusal {
+	refusal := fleet.Refuse(fleet.RefusedInvalid, 0,
+		"Last-Event-ID is beyond the record of this request; submit the request again")
+	refusal.Run = fleet.RunUnknown
+	return refusal
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -39,7 +39,7 @@
 	tasks      *task.Group
 	// draining is set by the drainer task and read by submissions.
 	draining atomic.Bool
-	calls      *calls
+	calls    *calls
 }
 
 // Handle gives access to one accepted request. Its holder counts as an
@@ -177,6 +177,13 @@
 		"this router is being reclaimed; retry through the load balancer")
 }
 
+func moved() *fleet.Refusal {
+	refusal := fleet.Refuse(fleet.RefusedNotReady, overloadRetryAfter,
+		"another router is taking the request over, or its record has expired; retry after the stated delay")
+	refusal.Run = fleet.RunUnknown
+	return refusal
+}
+
 func notFound() *fleet.Refusal {
 	return fleet.Refuse(fleet.RefusedNotFound, 0, "no such request is known for this team; check the id")
 }
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -36,14 +36,17 @@
 	do.ProvideValue(injector, task.NewGroup(tasksCtx))
 	do.ProvideValue(injector, &Active{})
 	provideTasks(injector)
-	provideStreams(injector)
 	r, err := do.Invoke[*Router](injector)
 	if err != nil {
 		return err
 	}
+	listener, err := listen(s)
+	if err != nil {
+		return err
+	}
 	startTasks(injector, r)
 	startStreams(injector, r)
-	return serve(ctx, env, s, r, front(r, r.active))
+	return serve(ctx, env.Log, do.MustInvoke[*startGate](injector), s, r, listener, front(r, r.active))
 }
 
 func provideTasks(injector do.Injector) {
@@ -55,6 +58,7 @@
 	do.Provide(injector, newWatcher)
 	do.Provide(injector, newRouter)
 	provideCalls(injector)
+	provideStreams(injector)
 }
 
 func newRouter(i do.Injector) (*Router, error) {
@@ -78,14 +82,14 @@
 }
 
 func newFollower(i do.Injector) (*follower, error) {
-	env := do.MustInvoke[*daemon.Env](i)
+	gate := do.MustInvoke[*startGate](i)
 	return &follower{
-		log:        env.Log,
+		log:        do.MustInvoke[*daemon.Env](i).Log,
 		client:     platform.NewLogClient(do.MustInvoke[*Settings](i).Log),
 		fold:       config.NewFold(),
 		active:     do.MustInvoke[*Active](i),
 		dispatcher: do.MustInvoke[*dispatcher](i).mailbox,
-		onActive:   func(config.Number) { env.Ready.Set("") },
+		onActive:   func(config.Number) { gate.configurationArrived() },
 	}, nil
 }
 
@@ -95,6 +99,7 @@
 		dispatcher: do.MustInvoke[*dispatcher](i).mailbox,
 		quarantine: do.MustInvoke[*quarantineTask](i).mailbox,
 		drainer:    do.MustInvoke[*drainer](i).mailbox,
+		gate:       do.MustInvoke[*startGate](i),
 		self:       fleet.InstanceID(do.MustInvoke[*Settings](i).Instance),
 	}, nil
 }
--- a/internal/router/shutdown.go
+++ b/internal/router/shutdown.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/cornelhold/cornelhold/internal/daemon"
 )
 
@@ -28,11 +30,9 @@
 // off: while LameDuck lasts, new and idle connections are served and told to
 // close; then the accept queue is emptied, idle connections are closed, and
 // open requests end.
-func serve(ctx context.Context, env *daemon.Env, s *Settings, r *Router, handler http.Handler) error {
-	listener, err := net.Listen("tcp", s.Listen)
-	if err != nil {
-		return daemon.Error.New("cannot listen on %s: %w; free the port or change the listen setting", s.Listen, err)
-	}
+func serve(
+	ctx context.Context, logger log.Interface, gate *startGate, s *Settings, r *Router, listener net.Listener, handler http.Handler,
+) error {
 	var stopping atomic.Bool
 	server := &http.Server{
 		Handler: closeWhen(&stopping, handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -44,8 +44,8 @@
 		return err
 	case <-ctx.Done():
 	}
-	env.Log.Info("stopping: open requests are served to their end")
-	env.Ready.Set("stopping")
+	logger.Info("stopping: open requests are served to their end")
+	gate.leave("stopping")
 	stopping.Store(true)
 	shutdownCtx, cancel := shutdownContext(context.WithoutCancel(ctx), s.ShutdownBound)
 	defer cancel()
@@ -56,7 +56,7 @@
 	<-failed //nolint:errcheck // Serve reports that its listener is closed, as intended
 	// A connection that has just been accepted may still send its request.
 	pause(shutdownCtx, min(dialPatience, s.LameDuck))
-	err = server.Shutdown(shutdownCtx)
+	err := server.Shutdown(shutdownCtx)
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = daemon.Error.New("open requests were cut off after shutdown_bound %s; raise or remove the bound", s.ShutdownBound)
 		_ = server.Close()
@@ -68,6 +68,16 @@
 	return err
 }
 
+// listen opens the callers' address. It comes before the tasks, since one of
+// them reports the process ready.
+func listen(s *Settings) (net.Listener, error) {
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return nil, daemon.Error.New("cannot listen on %s: %w; free the port or change the listen setting", s.Listen, err)
+	}
+	return listener, nil
+}
+
 func shutdownContext(ctx context.Context, bound time.Duration) (context.Context, context.CancelFunc) {
 	if bound <= 0 {
 		return context.WithCancel(ctx)
--- a/internal/router/streams.go
+++ b/internal/router/streams.go
@@ -19,6 +19,9 @@
 	do.Provide(injector, newEngineClient)
 	do.Provide(injector, newDirectory)
 	do.Provide(injector, newDrainer)
+	do.Provide(injector, func(i do.Injector) (*startGate, error) {
+		return &startGate{ready: do.MustInvoke[*daemon.Env](i).Ready}, nil
+	})
 	do.Provide(injector, func(do.Injector) (*peer.HandoffClient, error) { return peer.NewHandoffClient(), nil })
 	do.Provide(injector, func(i do.Injector) (*streamMetrics, error) {
 		return newStreamMetrics(do.MustInvoke[*daemon.Env](i).Metrics), nil
@@ -61,7 +64,7 @@
 func newDrainer(i do.Injector) (*drainer, error) {
 	env := do.MustInvoke[*daemon.Env](i)
 	return &drainer{
-		log: env.Log, clock: do.MustInvoke[task.Clock](i), ready: env.Ready,
+		log: env.Log, clock: do.MustInvoke[task.Clock](i), gate: do.MustInvoke[*startGate](i),
 		mailbox: task.NewMailbox[drainNotice](drainCapacity), alarm: task.NewAlarm(),
 	}, nil
 }
