--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -36,6 +36,7 @@
 	do.ProvideValue(injector, task.NewGroup(tasksCtx))
 	do.ProvideValue(injector, &Active{})
 	provideTasks(injector)
+	provideStreams(injector)
 	r, err := do.Invoke[*Router](injector)
 	if err != nil {
 		return err
@@ -58,7 +59,6 @@
 	do.Provide(injector, newWatcher)
 	do.Provide(injector, newRouter)
 	provideCalls(injector)
-	provideStreams(injector)
 }
 
 func newRouter(i do.Injector) (*Router, error) {
