--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -41,14 +41,13 @@
 	if err != nil {
 		return err
 	}
-	// The listener exists before any task can report that the router is ready.
 	listener, err := listen(s)
 	if err != nil {
 		return err
 	}
 	startTasks(injector, r)
 	startStreams(injector, r)
-	return serve(ctx, env, s, r, listener, front(r, r.active))
+	return serve(ctx, env.Log, do.MustInvoke[*startGate](injector), s, r, listener, front(r, r.active))
 }
 
 func provideTasks(injector do.Injector) {
@@ -83,14 +82,14 @@
 }
 
 func newFollower(i do.Injector) (*follower, error) {
-	env := do.MustInvoke[*daemon.Env](i)
+	gate := do.MustInvoke[*startGate](i)
 	return &follower{
-		log:        env.Log,
+		log:        do.MustInvoke[*daemon.Env](i).Log,
 		client:     platform.NewLogClient(do.MustInvoke[*Settings](i).Log),
 		fold:       config.NewFold(),
 		active:     do.MustInvoke[*Active](i),
 		dispatcher: do.MustInvoke[*dispatcher](i).mailbox,
-		onActive:   func(config.Number) { env.Ready.Set("") },
+		onActive:   func(config.Number) { gate.configurationArrived() },
 	}, nil
 }
 
@@ -100,6 +99,7 @@
 		dispatcher: do.MustInvoke[*dispatcher](i).mailbox,
 		quarantine: do.MustInvoke[*quarantineTask](i).mailbox,
 		drainer:    do.MustInvoke[*drainer](i).mailbox,
+		gate:       do.MustInvoke[*startGate](i),
 		self:       fleet.InstanceID(do.MustInvoke[*Settings](i).Instance),
 	}, nil
 }
