Follow, relay and operate the configuration across routers

Cause: a router knew tickets from the log only, did not start during a log outage, and operators could not see what is active where. A failed task went unnoticed and tasks outlived Run.

Tickets are checked against the state that they lead to; filing starts at the newest checkpoint and resolves a lost response by reading on from before the append. Run stops its tasks and returns the error of a failed one.

--- a/internal/core/config/fold.go
+++ b/internal/core/config/fold.go
@@ -75,6 +75,14 @@
 	}
 }
 
+// With returns the state after the changes, under the same number. It serves
+// to check a ticket before it is filed.
+func (s *Snapshot) With(changes []Object) *Snapshot {
+	after := *s
+	after.Objects = mergeObjects(s.Objects, changes)
+	return &after
+}
+
 func (s *Snapshot) withOffset(offset uint64) *Snapshot {
 	if offset == s.Offset {
 		return s
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -5,11 +5,13 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/zeebo/errs"
 
+	"github.com/cornelhold/cornelhold/internal/checkpoint"
 	"github.com/cornelhold/cornelhold/internal/core/config"
 	"github.com/cornelhold/cornelhold/internal/platform"
 	"github.com/cornelhold/cornelhold/internal/ticket"
@@ -23,10 +25,22 @@
 	// ErrUnresolved means that the log service did not tell whether the ticket
 	// was stored.
 	ErrUnresolved = errs.Class("ticket outcome unknown")
+	// ErrUnavailable means that the log service or a router cannot be reached
+	// and that nothing was filed.
+	ErrUnavailable = errs.Class("unavailable")
+	// ErrNotActive means that a number did not become active everywhere in time.
+	ErrNotActive = errs.Class("ticket not active everywhere")
 )
 
 const readLimit = 500
 
+// resolveReads bounds the reads that look for a ticket whose append response
+// was lost; each waits up to resolveWait for further records.
+const (
+	resolveReads = 3
+	resolveWait  = time.Second
+)
+
 // Filer files tickets.
 type Filer struct {
 	log *platform.LogClient
@@ -39,7 +53,9 @@
 
 // History is the folded ticket stream.
 type History struct {
-	Fold    *config.Fold
+	Fold *config.Fold
+	// Entries are the records that were folded one by one. Records before the
+	// checkpoint from which the history starts are not among them.
 	Entries []Entry
 }
 
@@ -51,42 +67,100 @@
 	Verdict config.Verdict
 }
 
-// History reads the whole ticket stream that the log service still holds.
+// History reads the whole ticket stream that the log service still holds. If
+// its beginning has expired, the history starts at the newest checkpoint.
 func (f *Filer) History(ctx context.Context) (*History, error) {
 	h := &History{Fold: config.NewFold()}
+	batch, err := f.log.Read(ctx, platform.StreamTickets, 0, 1, 0)
+	if platform.ErrExpired.Has(err) {
+		return f.fromCheckpoint(ctx, batch.First)
+	}
+	return h, f.extend(ctx, h, 0)
+}
+
+// Recent returns the history from the newest checkpoint on, which is enough to
+// file a ticket.
+func (f *Filer) Recent(ctx context.Context) (*History, error) {
+	return f.fromCheckpoint(ctx, 0)
+}
+
+// fromCheckpoint starts at the newest checkpoint, which must cover all records
+// before first.
+func (f *Filer) fromCheckpoint(ctx context.Context, first uint64) (*History, error) {
+	h := &History{Fold: config.NewFold()}
+	newest, err := checkpoint.Newest(ctx, f.log)
+	if err != nil {
+		return nil, readError(err)
+	}
+	if newest != nil {
+		h.Fold.Adopt(newest)
+	}
+	if h.Fold.Current().Offset < first {
+		return nil, Error.New("ticket records before offset %d have expired and no checkpoint covers them; wait until a running router has appended one", first)
+	}
+	return h, f.extend(ctx, h, 0)
+}
+
+// extend folds the records that follow the history. It waits up to wait for
+// the first one.
+func (f *Filer) extend(ctx context.Context, h *History, wait time.Duration) error {
 	for {
-		batch, err := f.log.Read(ctx, platform.StreamTickets, h.Fold.Current().Offset, readLimit, 0)
+		batch, err := f.log.Read(ctx, platform.StreamTickets, h.Fold.Current().Offset, readLimit, wait)
 		if err != nil {
-			return nil, Error.New("cannot read the ticket stream: %w; retry when the log service is up", err)
+			return readError(err)
 		}
 		if len(batch.Records) == 0 {
-			return h, nil
+			return nil
 		}
 		for _, record := range batch.Records {
 			h.add(record)
 		}
+		wait = 0
 	}
 }
 
+func readError(err error) error {
+	return ErrUnavailable.New("cannot read the ticket stream: %w; retry when the log service is up", err)
+}
+
 func (h *History) add(record platform.Record) {
-	t, err := ticket.Decode(record.Data)
+	r := ticket.DecodeRecord(record.Offset, record.TimeMillis, record.Data)
+	entry := Entry{Offset: r.Offset, Time: time.UnixMilli(r.TimeMillis), Ticket: r.Ticket}
+	if r.Malformed {
+		entry.Verdict = h.Fold.Skip(r.Offset)
+	} else {
+		entry.Verdict = h.Fold.Apply(r.Offset, r.Ticket)
+	}
+	h.Entries = append(h.Entries, entry)
+}
+
+// FileChecked checks the ticket in the file against the active configuration
+// and appends it. Errors are those of ticket.Check and File.
+func (f *Filer) FileChecked(ctx context.Context, file string, doc ticket.Document, author string) (Entry, error) {
+	history, err := f.Recent(ctx)
 	if err != nil {
-		t = config.Ticket{}
+		return Entry{}, err
 	}
-	verdict := h.Fold.Apply(record.Offset, t)
-	h.Entries = append(h.Entries, Entry{
-		Offset: record.Offset, Time: time.UnixMilli(record.TimeMillis), Ticket: t, Verdict: verdict,
-	})
+	if err := ticket.Check(file, doc, history.Fold.Current()); err != nil {
+		return Entry{}, err
+	}
+	return f.file(ctx, history, doc, author)
 }
 
-// File appends the document as a ticket and returns its entry once it is
-// accepted. ErrLost names the winner of a race.
+// File appends the document as a ticket without checking its references and
+// returns its entry once it is accepted. ErrLost names the winner of a race,
+// ErrUnavailable means that nothing was filed, and ErrUnresolved that the
+// ticket may have been filed.
 func (f *Filer) File(ctx context.Context, doc ticket.Document, author string) (Entry, error) {
-	objects, err := doc.Objects()
+	history, err := f.Recent(ctx)
 	if err != nil {
 		return Entry{}, err
 	}
-	history, err := f.History(ctx)
+	return f.file(ctx, history, doc, author)
+}
+
+func (f *Filer) file(ctx context.Context, history *History, doc ticket.Document, author string) (Entry, error) {
+	objects, err := doc.Objects()
 	if err != nil {
 		return Entry{}, err
 	}
@@ -104,43 +178,54 @@
 	}
 	_, appendErr := f.log.Append(ctx, platform.StreamTickets, data)
 	if platform.ErrNotDone.Has(appendErr) {
-		return Entry{}, Error.New("the ticket was not filed: %w; file it again when the log service is up", appendErr)
+		return Entry{}, ErrUnavailable.New("the ticket was not filed: %w; file it again when the log service is up", appendErr)
 	}
-	return f.resolve(ctx, t, appendErr)
+	return f.resolve(ctx, history, t, appendErr)
 }
 
-func (f *Filer) resolve(ctx context.Context, t config.Ticket, appendErr error) (Entry, error) {
-	history, err := f.History(ctx)
-	if err != nil {
-		return Entry{}, ErrUnresolved.New("the ticket with id %s may have been filed; run cornelctl ticket show %s before filing again: %w", t.ID, t.ID, err)
-	}
-	for _, entry := range history.Entries {
-		if entry.Ticket.ID == t.ID {
-			return entry, verdictError(entry, history)
+// resolve reads back the ticket's id. It continues the history from before the
+// append, because a newer checkpoint may already cover the ticket.
+func (f *Filer) resolve(ctx context.Context, h *History, t config.Ticket, appendErr error) (Entry, error) {
+	for range resolveReads {
+		if err := f.extend(ctx, h, resolveWait); err != nil {
+			return Entry{}, ErrUnresolved.New("the ticket with id %s may have been filed; run cornelctl ticket show %s before filing again: %w", t.ID, t.ID, err)
+		}
+		if entry, found := h.Find(t.ID); found {
+			return entry, verdictError(entry, h)
 		}
 	}
 	return Entry{}, ErrUnresolved.New("the ticket with id %s is not in the log yet; run cornelctl ticket show %s before filing again (append: %v)", t.ID, t.ID, appendErr)
 }
 
+// Find returns the first entry with the given ticket id, or the entry of the
+// accepted ticket with the given number in decimal.
+func (h *History) Find(idOrNumber string) (Entry, bool) {
+	number, err := strconv.ParseUint(idOrNumber, 10, 64)
+	for _, entry := range h.Entries {
+		if entry.Ticket.ID == idOrNumber && idOrNumber != "" {
+			return entry, true
+		}
+		if err == nil && entry.Verdict == config.VerdictAccepted && uint64(entry.Ticket.Number) == number {
+			return entry, true
+		}
+	}
+	return Entry{}, false
+}
+
 func verdictError(entry Entry, history *History) error {
+	current := history.Fold.Current().Number
 	switch entry.Verdict {
 	case config.VerdictAccepted:
 		return nil
 	case config.VerdictGap:
 		return Error.New("ticket number %d is not the next number; the active number is %d, file again with number %d",
-			entry.Ticket.Number, history.Fold.Current().Number, history.Fold.Current().Number+1)
+			entry.Ticket.Number, current, current+1)
 	default:
-		winner := history.winner(entry.Ticket.Number)
-		return ErrLost.New("number %d is held by ticket %s of %s; read it with cornelctl ticket show %d, rebase your change and file it again",
-			entry.Ticket.Number, winner.ID, winner.Author, entry.Ticket.Number)
-	}
-}
-
-func (h *History) winner(number config.Number) config.Ticket {
-	for _, entry := range h.Entries {
-		if entry.Verdict == config.VerdictAccepted && entry.Ticket.Number == number {
-			return entry.Ticket
+		holder := "an earlier ticket"
+		if winner, found := history.Find(strconv.FormatUint(uint64(entry.Ticket.Number), 10)); found {
+			holder = "ticket " + winner.Ticket.ID + " of " + winner.Ticket.Author
 		}
+		return ErrLost.New("number %d is held by %s; read it with cornelctl ticket show %d, rebase your change and file it again",
+			entry.Ticket.Number, holder, entry.Ticket.Number)
 	}
-	return config.Ticket{}
 }
--- /dev/null
+++ b/internal/operator/state.go
@@ -0,0 +1,168 @@
+package operator
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"golang.org/x/sync/errgroup"
+
+	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
+	"github.com/cornelhold/cornelhold/gen/cornelhold/v1/cornelholdv1connect"
+	"github.com/cornelhold/cornelhold/internal/core/config"
+	"github.com/cornelhold/cornelhold/internal/core/member"
+	"github.com/cornelhold/cornelhold/internal/follow"
+	"github.com/cornelhold/cornelhold/internal/platform"
+)
+
+const (
+	// askTimeout bounds the question to one instance.
+	askTimeout = 2 * time.Second
+	// askAtOnce bounds the instances that are asked at the same time.
+	askAtOnce = 32
+	// waitInterval separates two rounds of Wait.
+	waitInterval = 250 * time.Millisecond
+)
+
+// State is what is active and where.
+type State struct {
+	// Answering is the instance that answered.
+	Answering string
+	Active    *config.Snapshot
+	Members   []Member
+}
+
+// Member is an own instance and its active ticket number.
+type Member struct {
+	Instance   string `json:"instance"`
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region"`
+	Address    string `json:"address"`
+	// State is alive, suspect, leaving or dead.
+	State  string `json:"state"`
+	Number uint64 `json:"number"`
+	// Answered tells that the instance itself stated the number; otherwise it
+	// is the number that the answering router last heard.
+	Answered bool `json:"answered"`
+}
+
+// Live reports whether the member is not known to be dead.
+func (m Member) Live() bool { return m.State != member.StateDead.String() }
+
+// StateReader asks routers what is active.
+type StateReader struct {
+	routers []string
+	client  *http.Client
+}
+
+// NewStateReader returns a reader that asks the first router that answers.
+// Routers are given by their peer addresses.
+func NewStateReader(routers []string) *StateReader {
+	return &StateReader{routers: routers, client: platform.NewHTTPClient()}
+}
+
+// State asks a router for the active configuration and its member list, and
+// then each live member for its number. ErrUnavailable means that no router
+// answered.
+func (r *StateReader) State(ctx context.Context) (*State, error) {
+	response, err := r.askRouters(ctx)
+	if err != nil {
+		return nil, err
+	}
+	active, err := follow.DecodeSnapshot(response.GetActive())
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	state := &State{Answering: response.GetInstance(), Active: active}
+	for _, m := range response.GetMembers() {
+		state.Members = append(state.Members, Member{
+			Instance: m.GetInstance(), DataCentre: m.GetDataCentre(), Region: m.GetRegion(),
+			Address: m.GetAddress(), State: m.GetState(), Number: m.GetNumber(),
+		})
+	}
+	slices.SortFunc(state.Members, func(a, b Member) int { return strings.Compare(a.Instance, b.Instance) })
+	r.askMembers(ctx, state.Members)
+	return state, nil
+}
+
+func (r *StateReader) askRouters(ctx context.Context) (*cornelholdv1.StateResponse, error) {
+	var last error
+	for _, address := range r.routers {
+		asking, cancel := context.WithTimeout(ctx, askTimeout)
+		client := cornelholdv1connect.NewOperatorClient(r.client, "http://"+address)
+		response, err := client.State(asking, connect.NewRequest(&cornelholdv1.StateRequest{}))
+		cancel()
+		if err == nil {
+			return response.Msg, nil
+		}
+		last = err
+	}
+	if last == nil {
+		return nil, Error.New("no router given; pass --router with the peer address of any router")
+	}
+	return nil, ErrUnavailable.New("no router answered: %w; pass --router with the peer address of a running router", last)
+}
+
+// askMembers replaces the numbers by those that the members state themselves.
+func (r *StateReader) askMembers(ctx context.Context, members []Member) {
+	var group errgroup.Group
+	group.SetLimit(askAtOnce)
+	for i := range members {
+		if !members[i].Live() {
+			continue
+		}
+		group.Go(func() error {
+			r.askMember(ctx, &members[i])
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+func (r *StateReader) askMember(ctx context.Context, m *Member) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	// Nothing follows the highest number, so that the answer has no tickets.
+	request := &cornelholdv1.FetchRequest{AfterNumber: math.MaxUint64}
+	response, err := follow.NewRelayClient(r.client, m.Address).Fetch(ctx, connect.NewRequest(request))
+	if err == nil {
+		m.Number, m.Answered = response.Msg.GetNumber(), true
+	}
+}
+
+// Wait returns when all live members have answered with at least the given
+// number. ErrNotActive names those that have not when ctx ends.
+func (r *StateReader) Wait(ctx context.Context, number config.Number) (*State, error) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	missing := []string{"no router answered"}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil, ErrNotActive.New("number %d is not active on: %s; check these instances with cornelctl state and wait again",
+				number, strings.Join(missing, ", "))
+		case <-timer.C:
+		}
+		if state, err := r.State(ctx); err == nil {
+			if missing = state.below(number); len(missing) == 0 {
+				return state, nil
+			}
+		}
+		timer.Reset(waitInterval)
+	}
+}
+
+// below returns the live members that did not state the number or a higher one.
+func (s *State) below(number config.Number) []string {
+	var missing []string
+	for _, m := range s.Members {
+		if m.Live() && (!m.Answered || m.Number < uint64(number)) {
+			missing = append(missing, m.Instance)
+		}
+	}
+	return missing
+}
--- /dev/null
+++ b/internal/peer/membership_test.go
@@ -0,0 +1,65 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/goleak"
+
+	"github.com/cornelhold/cornelhold/internal/core/config"
+	"github.com/cornelhold/cornelhold/internal/core/member"
+	"github.com/cornelhold/cornelhold/internal/task"
+)
+
+// TestMembershipOverUDP guards the transport: two instances of which one knows
+// the other find each other, announce numbers and leave, and stop all goroutines.
+func TestMembershipOverUDP(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	group := task.NewGroup(ctx)
+	first := member.Identity{Instance: "a", DataCentre: "dc", Address: freeUDP(t)}
+	second := member.Identity{Instance: "b", DataCentre: "dc", Address: freeUDP(t)}
+	a, heard, _ := startMembership(group, first)
+	b, _, nodes := startMembership(group, second, first)
+	b.SetNumber(7)
+	is.Equal(<-heard, config.PeerNumber{Peer: "b", Number: 7})
+	a.Leave(ctx)
+	for list := range nodes {
+		if len(list) == 2 && list[1].Leaving {
+			break
+		}
+	}
+	is.Equal(len(b.options.Directory.Members()), 2)
+	cancel()
+	is.NoErr(group.Wait())
+}
+
+func startMembership(group *task.Group, self member.Identity, peers ...member.Identity) (*Membership, chan config.PeerNumber, chan []config.Node) {
+	heard, nodes := make(chan config.PeerNumber, 100), make(chan []config.Node, 100)
+	m := NewMembership(MembershipOptions{
+		Machine: member.New(member.Options{Self: self, Peers: peers, Incarnation: 1, Seed: 1}),
+		Listen:  self.Address, Directory: NewDirectory(nil), Clock: task.NewClock(),
+		Logger: &log.Logger{Handler: discard.New()}, Metrics: prometheus.NewRegistry(),
+		OnNodes:  func(_ context.Context, list []config.Node) { nodes <- list },
+		OnNumber: func(msg config.PeerNumber) { heard <- msg },
+	})
+	group.Go("membership", m.Run)
+	return m, heard, nodes
+}
+
+func freeUDP(t *testing.T) string {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	return conn.LocalAddr().String()
+}
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -8,7 +8,6 @@
 
 	"github.com/samber/do/v2"
 
-	"github.com/cornelhold/cornelhold/internal/core/config"
 	"github.com/cornelhold/cornelhold/internal/daemon"
 	"github.com/cornelhold/cornelhold/internal/engine"
 	"github.com/cornelhold/cornelhold/internal/platform"
@@ -30,15 +29,25 @@
 	do.ProvideValue(injector, s)
 	do.ProvideValue(injector, env)
 	do.ProvideValue(injector, task.NewClock())
-	do.ProvideValue(injector, task.NewGroup(context.WithoutCancel(ctx)))
+	// Tasks outlive ctx, because open requests are served until shutdown ends.
+	tasks, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	do.ProvideValue(injector, task.NewGroup(tasks))
 	do.ProvideValue(injector, &Active{})
 	provideTasks(injector)
 	r, err := do.Invoke[*Router](injector)
 	if err != nil {
 		return err
 	}
+	p, err := do.Invoke[*peering](injector)
+	if err != nil {
+		return err
+	}
 	startTasks(injector, r)
-	return serve(ctx, s, front(r, r.active))
+	p.start(r.tasks)
+	failed := make(chan error, 1)
+	go func() { failed <- r.tasks.Wait() }()
+	return serve(ctx, s, front(r, r.active), p, failed)
 }
 
 func provideTasks(injector do.Injector) {
@@ -47,7 +56,8 @@
 	})
 	do.Provide(injector, func(do.Injector) (*registry, error) { return newRegistry(), nil })
 	do.Provide(injector, func(do.Injector) (*engine.Client, error) { return engine.NewClient(), nil })
-	do.Provide(injector, newFollower)
+	do.Provide(injector, newDirectory)
+	do.Provide(injector, newPeering)
 	do.Provide(injector, newWatcher)
 	do.Provide(injector, newRouter)
 }
@@ -63,18 +73,6 @@
 	}, nil
 }
 
-func newFollower(i do.Injector) (*follower, error) {
-	env := do.MustInvoke[*daemon.Env](i)
-	return &follower{
-		log:        env.Log,
-		client:     platform.NewLogClient(do.MustInvoke[*Settings](i).Log),
-		fold:       config.NewFold(),
-		active:     do.MustInvoke[*Active](i),
-		dispatcher: do.MustInvoke[*dispatcher](i).mailbox,
-		onActive:   func(config.Number) { env.Ready.Set("") },
-	}, nil
-}
-
 func newWatcher(i do.Injector) (*watcher, error) {
 	return &watcher{
 		client:     platform.NewInstanceClient(do.MustInvoke[*Settings](i).Instances),
@@ -85,11 +83,11 @@
 func startTasks(i do.Injector, r *Router) {
 	r.tasks.Go("dispatcher", r.dispatcher.Run)
 	r.tasks.Go("registry", r.registry.Run)
-	r.tasks.Go("follower", do.MustInvoke[*follower](i).Run)
 	r.tasks.Go("watcher", do.MustInvoke[*watcher](i).Run)
 }
 
-func serve(ctx context.Context, s *Settings, handler http.Handler) error {
+// serve serves callers until ctx ends or a task fails.
+func serve(ctx context.Context, s *Settings, handler http.Handler, p *peering, failedTask <-chan error) error {
 	listener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return daemon.Error.New("cannot listen on %s: %w; free the port or change the listen setting", s.Listen, err)
@@ -100,8 +98,12 @@
 	select {
 	case err := <-failed:
 		return err
+	case err := <-failedTask:
+		_ = server.Close()
+		return err
 	case <-ctx.Done():
 	}
+	p.leave(context.WithoutCancel(ctx))
 	// Shutdown waits for open requests and closes idle keep-alive connections.
 	return server.Shutdown(context.WithoutCancel(ctx))
 }
--- a/internal/router/watcher.go
+++ b/internal/router/watcher.go
@@ -12,6 +12,13 @@
 	"github.com/cornelhold/cornelhold/internal/task"
 )
 
+const (
+	// longPoll is how long a platform service may hold a read open.
+	longPoll = 20 * time.Second
+	// retryDelay separates reads while a platform service fails.
+	retryDelay = 200 * time.Millisecond
+)
+
 // watcher is the task that follows the platform's instance list.
 type watcher struct {
 	client     *platform.InstanceClient
@@ -57,3 +64,13 @@
 		Leaving: i.State == platform.StateLeaving,
 	}
 }
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/ticket/check.go
@@ -0,0 +1,211 @@
+package ticket
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/samber/lo"
+	"github.com/zeebo/errs"
+
+	"github.com/cornelhold/cornelhold/internal/core/config"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+// ErrInvalid is the class of errors about a ticket that must not be filed.
+var ErrInvalid = errs.Class("invalid ticket")
+
+// checker collects the problems of one ticket file.
+type checker struct {
+	file  string
+	doc   Document
+	after *config.Spec
+	group errs.Group
+}
+
+// CheckAlone checks what the file itself determines: targets, operations and
+// replicas. References between objects need the active configuration.
+func CheckAlone(file string, doc Document) error {
+	c := &checker{file: file, doc: doc}
+	c.checkServices()
+	c.checkDeletions()
+	return c.group.Err()
+}
+
+// Check checks the ticket alone and in the state that it would lead to from
+// base. Each error names file, key and remedy.
+func Check(file string, doc Document, base *config.Snapshot) error {
+	objects, err := doc.Objects()
+	if err != nil {
+		return err
+	}
+	after, _ := BuildSpec(base.With(objects))
+	c := &checker{file: file, doc: doc, after: after}
+	c.checkServices()
+	c.checkDeletions()
+	c.checkExistence(base)
+	c.checkReferences()
+	c.checkDataCentres()
+	c.checkKeys()
+	return c.group.Err()
+}
+
+func (c *checker) add(key, format string, args ...any) {
+	c.group.Add(ErrInvalid.New("%s: key %s: %s", c.file, key, fmt.Sprintf(format, args...)))
+}
+
+func (c *checker) checkServices() {
+	for i, s := range c.doc.Services {
+		key := fmt.Sprintf("services[%d]", i)
+		c.checkKind(key, s)
+		c.checkTargets(key, s)
+		c.checkReplicas(key, s)
+	}
+	for i, m := range c.doc.Models {
+		if m.WeightBytes <= 0 {
+			c.add(fmt.Sprintf("models[%d].weight_bytes", i), "model %s has no size; set the size of its weights in bytes", m.Name)
+		}
+	}
+}
+
+func (c *checker) checkKind(key string, s Service) {
+	if s.Kind == "model" && len(s.Operations) > 0 {
+		c.add(key+".operations", "a model service has no operations; remove them or set kind to plain")
+	}
+	if s.Kind == "plain" && (s.Model != "" || len(s.Adapters) > 0) {
+		c.add(key+".model", "a plain service runs no model; remove model and adapters or set kind to model")
+	}
+	for _, name := range duplicates(s.Operations, func(o Operation) string { return o.Name }) {
+		c.add(key+".operations", "operation %s appears more than once; keep one entry", name)
+	}
+}
+
+func (c *checker) checkTargets(key string, s Service) {
+	if s.FirstToken > s.Deadline {
+		c.add(key+".first_token", "the target %v is later than the deadline %v; raise deadline or lower first_token", s.FirstToken, s.Deadline)
+	}
+	if s.BetweenTokens > s.Deadline {
+		c.add(key+".between_tokens", "the target %v is longer than the deadline %v; lower between_tokens", s.BetweenTokens, s.Deadline)
+	}
+	for j, o := range s.Operations {
+		if o.Latency > s.Deadline {
+			c.add(fmt.Sprintf("%s.operations[%d].latency", key, j), "the target %v is longer than the deadline %v; raise deadline or lower latency", o.Latency, s.Deadline)
+		}
+	}
+}
+
+func (c *checker) checkReplicas(key string, s Service) {
+	total := lo.SumBy(s.Replicas, func(r Replicas) int { return r.Reclaimable + r.OnDemand })
+	if total == 0 {
+		c.add(key+".replicas", "service %s has no replica; set reclaimable or on_demand, or delete the service", s.Name)
+	}
+	place := func(r Replicas) string { return strings.Trim(r.DataCentre+"/"+r.Class+"/"+r.Role, "/") }
+	for _, name := range duplicates(s.Replicas, place) {
+		c.add(key+".replicas", "replicas of %s appear more than once; add them up in one entry", name)
+	}
+}
+
+func (c *checker) checkDeletions() {
+	kinds := []string{KindService, KindModel, KindTeam, KindDataCentre}
+	for i, path := range c.doc.Delete {
+		kind, _, _ := strings.Cut(path, "/")
+		if !slices.Contains(kinds, kind) {
+			c.add(fmt.Sprintf("delete[%d]", i), "%q has an unknown kind; use one of %s", path, strings.Join(kinds, ", "))
+		}
+	}
+}
+
+func (c *checker) checkExistence(base *config.Snapshot) {
+	for i, path := range c.doc.Delete {
+		kind, name, _ := strings.Cut(path, "/")
+		if _, found := base.Find(config.ObjectKey{Kind: kind, Name: name}); !found {
+			c.add(fmt.Sprintf("delete[%d]", i), "%s is not part of the active configuration; remove the line", path)
+		}
+	}
+}
+
+// checkReferences checks every service of the resulting state, because a
+// deletion can break a service that the ticket does not mention.
+func (c *checker) checkReferences() {
+	for _, name := range sortedKeys(c.after.Services) {
+		s := c.after.Services[name]
+		key := c.keyOf(string(name))
+		if _, found := c.after.Models[s.Model]; s.Kind == config.ServiceModel && !found {
+			c.add(key+".model", "service %s needs model %q, which the resulting configuration lacks; add it under models or name an existing one", name, s.Model)
+		}
+		for _, r := range s.Replicas {
+			c.checkPlace(key, name, r)
+		}
+	}
+}
+
+func (c *checker) checkPlace(key string, service fleet.ServiceName, r config.Replicas) {
+	dc, found := c.after.DataCentres[r.DataCentre]
+	if !found {
+		c.add(key+".replicas", "service %s has replicas in data centre %q, which the resulting configuration lacks; add it under data_centres or move the replicas", service, r.DataCentre)
+		return
+	}
+	if _, priced := dc.Prices[r.Class]; !priced && len(dc.Prices) > 0 {
+		c.add(key+".replicas", "data centre %s has no price for class %q of service %s; add the class to its prices", r.DataCentre, r.Class, service)
+	}
+}
+
+// keyOf returns the key of a service in the file, or delete if the ticket
+// affects the service by a deletion only.
+func (c *checker) keyOf(name string) string {
+	i := slices.IndexFunc(c.doc.Services, func(s Service) bool { return s.Name == name })
+	if i < 0 {
+		return "delete (service " + name + ")"
+	}
+	return fmt.Sprintf("services[%d]", i)
+}
+
+func (c *checker) checkDataCentres() {
+	for i, dc := range c.doc.DataCentres {
+		for _, other := range sortedKeys(dc.Distances) {
+			if _, found := c.after.DataCentres[fleet.DataCentre(other)]; !found {
+				c.add(fmt.Sprintf("data_centres[%d].distances", i), "data centre %q does not exist in the resulting configuration; add it or remove the distance", other)
+			}
+		}
+	}
+}
+
+// checkKeys refuses an API key that would identify two teams.
+func (c *checker) checkKeys() {
+	owners := make(map[string]fleet.TeamName)
+	for _, name := range sortedKeys(c.after.Teams) {
+		for _, hash := range c.after.Teams[name].KeyHashes {
+			hash = strings.ToLower(hash)
+			if owner, taken := owners[hash]; taken {
+				c.add("teams", "teams %s and %s have the API key hash %s in common; give each team its own key", owner, name, hash)
+			}
+			owners[hash] = name
+		}
+	}
+}
+
+func duplicates[T any](items []T, key func(T) string) []string {
+	return lo.FindDuplicates(lo.Map(items, func(item T, _ int) string { return key(item) }))
+}
+
+func sortedKeys[K ~string, V any](m map[K]V) []K {
+	keys := lo.Keys(m)
+	slices.Sort(keys)
+	return keys
+}
+
+// ObjectView is the readable form of a configured object.
+type ObjectView struct {
+	Kind    string          `json:"kind"`
+	Name    string          `json:"name"`
+	Value   json.RawMessage `json:"value,omitempty"`
+	Deleted bool            `json:"deleted,omitempty"`
+}
+
+// View returns the readable form of objects.
+func View(objects []config.Object) []ObjectView {
+	return lo.Map(objects, func(o config.Object, _ int) ObjectView {
+		return ObjectView{Kind: o.Key.Kind, Name: o.Key.Name, Value: o.Value, Deleted: o.Deleted}
+	})
+}
