--- a/internal/core/claim/attempt.go
+++ b/internal/core/claim/attempt.go
@@ -14,7 +14,7 @@
 	// CallBound is the longest time that sending may take.
 	CallBound = 30 * time.Second
 	// FollowWait is how long a repeated call waits for the outcome of the first.
-	FollowWait = 10 * time.Second
+	FollowWait = 3 * time.Second
 	// OutcomeWait is how long the caller's answer waits for the outcome to be stored.
 	OutcomeWait = time.Second
 	// AppendRetry separates repeated appends of an outcome or a release.
@@ -254,7 +254,10 @@
 	if a.phase != phaseWaiting {
 		return nil
 	}
-	return a.release(now, msg.Refusal)
+	// The dispatcher can't know that earlier attempts of this call sent nothing.
+	refusal := *msg.Refusal
+	refusal.Run = fleet.RunNotRun
+	return a.release(now, &refusal)
 }
 
 func (a *Attempt) callEnded(now time.Duration, msg CallEnded) []Action {
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -34,17 +34,6 @@
 	membership *peer.Membership
 }
 
-// newDirectory returns a directory with this instance and the configured peers.
-func newDirectory(i do.Injector) (*peer.Directory, error) {
-	s := do.MustInvoke[*Settings](i)
-	members := []peer.Member{toMember(s.identity(), 0)}
-	return peer.NewDirectory(append(members, lo.Map(s.identities(), toMember)...)), nil
-}
-
-func toMember(id member.Identity, _ int) peer.Member {
-	return peer.Member{Instance: id.Instance, DataCentre: id.DataCentre, Region: id.Region, Address: id.Address}
-}
-
 func (s *Settings) identity() member.Identity {
 	return member.Identity{
 		Instance: fleet.InstanceID(s.Instance), DataCentre: fleet.DataCentre(s.DataCentre),
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/samber/do/v2"
 
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/daemon"
 	"github.com/cornelhold/cornelhold/internal/engine"
+	"github.com/cornelhold/cornelhold/internal/peer"
 	"github.com/cornelhold/cornelhold/internal/platform"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
@@ -23,18 +24,18 @@
 // FrontEnd builds the callers' interface on top of a router.
 type FrontEnd func(r *Router, active *Active) http.Handler
 
-// Run serves until ctx ends, then stops.
+// Run serves until ctx ends, then stops gracefully.
 func Run(ctx context.Context, env *daemon.Env, s *Settings, front FrontEnd) error {
+	tasksCtx, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopTasks()
 	injector := do.New()
 	do.ProvideValue(injector, s)
 	do.ProvideValue(injector, env)
 	do.ProvideValue(injector, task.NewClock())
-	// Tasks outlive ctx, because open requests are served until shutdown ends.
-	tasks, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	do.ProvideValue(injector, task.NewGroup(tasks))
+	do.ProvideValue(injector, task.NewGroup(tasksCtx))
 	do.ProvideValue(injector, &Active{})
 	provideTasks(injector)
+	provideStreams(injector)
 	r, err := do.Invoke[*Router](injector)
 	if err != nil {
 		return err
@@ -43,11 +44,25 @@
 	if err != nil {
 		return err
 	}
+	r.leave = p.leave
+	// The listener exists before any task can report that the router is ready.
+	listener, err := listen(s)
+	if err != nil {
+		return err
+	}
 	startTasks(injector, r)
-	p.start(r.tasks)
-	failed := make(chan error, 1)
-	go func() { failed <- r.tasks.Wait() }()
-	return serve(ctx, s, front(r, r.active), p, failed)
+	startStreams(injector, r)
+	p.start(r.tasks, peer.HandoffService(r))
+	// The membership learns at once that this instance stops.
+	stopped := context.AfterFunc(ctx, func() { p.leave(tasksCtx) })
+	defer stopped()
+	serveCtx, failed := context.WithCancelCause(ctx)
+	defer failed(nil)
+	go func() { failed(r.tasks.Wait()) }()
+	if err := serve(serveCtx, env, s, r, listener, front(r, r.active)); err != nil {
+		return err
+	}
+	return taskFailure(serveCtx)
 }
 
 func provideTasks(injector do.Injector) {
@@ -55,21 +70,29 @@
 		return newDispatcher(do.MustInvoke[task.Clock](i)), nil
 	})
 	do.Provide(injector, func(do.Injector) (*registry, error) { return newRegistry(), nil })
-	do.Provide(injector, func(do.Injector) (*engine.Client, error) { return engine.NewClient(), nil })
-	do.Provide(injector, newDirectory)
 	do.Provide(injector, newPeering)
 	do.Provide(injector, newWatcher)
 	do.Provide(injector, newRouter)
+	provideCalls(injector)
 }
 
 func newRouter(i do.Injector) (*Router, error) {
+	s := do.MustInvoke[*Settings](i)
 	return &Router{
+		self:       fleet.InstanceID(s.Instance),
+		dataCentre: fleet.DataCentre(s.DataCentre),
 		clock:      do.MustInvoke[task.Clock](i),
 		active:     do.MustInvoke[*Active](i),
 		dispatcher: do.MustInvoke[*dispatcher](i),
 		registry:   do.MustInvoke[*registry](i),
+		holder:     do.MustInvoke[*holder](i),
+		quarantine: do.MustInvoke[*quarantineTask](i),
+		directory:  do.MustInvoke[*peer.Directory](i),
+		handoff:    do.MustInvoke[*peer.HandoffClient](i),
 		engine:     do.MustInvoke[*engine.Client](i),
+		metrics:    do.MustInvoke[*streamMetrics](i),
 		tasks:      do.MustInvoke[*task.Group](i),
+		calls:      do.MustInvoke[*calls](i),
 	}, nil
 }
 
@@ -77,33 +100,23 @@
 	return &watcher{
 		client:     platform.NewInstanceClient(do.MustInvoke[*Settings](i).Instances),
 		dispatcher: do.MustInvoke[*dispatcher](i).mailbox,
+		quarantine: do.MustInvoke[*quarantineTask](i).mailbox,
+		drainer:    do.MustInvoke[*drainer](i).mailbox,
+		self:       fleet.InstanceID(do.MustInvoke[*Settings](i).Instance),
 	}, nil
 }
 
 func startTasks(i do.Injector, r *Router) {
 	r.tasks.Go("dispatcher", r.dispatcher.Run)
 	r.tasks.Go("registry", r.registry.Run)
+	startCalls(r)
 	r.tasks.Go("watcher", do.MustInvoke[*watcher](i).Run)
 }
 
-// serve serves callers until ctx ends or a task fails.
-func serve(ctx context.Context, s *Settings, handler http.Handler, p *peering, failedTask <-chan error) error {
-	listener, err := net.Listen("tcp", s.Listen)
-	if err != nil {
-		return daemon.Error.New("cannot listen on %s: %w; free the port or change the listen setting", s.Listen, err)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
-	select {
-	case err := <-failed:
-		return err
-	case err := <-failedTask:
-		_ = server.Close()
-		return err
-	case <-ctx.Done():
+// taskFailure returns the error of the task whose failure ended ctx, or nil.
+func taskFailure(ctx context.Context) error {
+	if cause := context.Cause(ctx); task.Error.Has(cause) {
+		return cause
 	}
-	p.leave(context.WithoutCancel(ctx))
-	// Shutdown waits for open requests and closes idle keep-alive connections.
-	return server.Shutdown(context.WithoutCancel(ctx))
+	return nil
 }
--- a/internal/router/watcher.go
+++ b/internal/router/watcher.go
@@ -8,6 +8,7 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/dispatch"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/quarantine"
 	"github.com/cornelhold/cornelhold/internal/platform"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
@@ -15,6 +16,8 @@
 const (
 	// longPoll is how long a platform service may hold a read open.
 	longPoll = 20 * time.Second
+	// readLimit bounds the records of one read of a log stream.
+	readLimit = 500
 	// retryDelay separates reads while a platform service fails.
 	retryDelay = 200 * time.Millisecond
 )
@@ -23,6 +26,9 @@
 type watcher struct {
 	client     *platform.InstanceClient
 	dispatcher task.Mailbox[dispatcherMessage]
+	quarantine task.Mailbox[any]
+	drainer    task.Mailbox[drainNotice]
+	self       fleet.InstanceID
 	version    uint64
 }
 
@@ -45,14 +51,28 @@
 	w.version = list.Version
 	endpoints := dispatch.Endpoints{Version: list.Version, List: lo.Map(list.Instances, toEndpoint)}
 	_ = w.dispatcher.Send(ctx, dispatcherMessage{message: endpoints})
+	_ = w.quarantine.Send(ctx, observedList{list: lo.Map(list.Instances, toObserved)})
 	for _, i := range list.Instances {
-		if i.State == platform.StateLeaving && i.ReclaimInMillis > 0 {
-			notice := dispatch.Notice{
-				Endpoint:  fleet.EndpointID(i.ID),
-				Remaining: time.Duration(i.ReclaimInMillis) * time.Millisecond,
-			}
-			_ = w.dispatcher.Send(ctx, dispatcherMessage{message: notice})
+		if i.State != platform.StateLeaving || i.ReclaimInMillis <= 0 {
+			continue
+		}
+		remaining := time.Duration(i.ReclaimInMillis) * time.Millisecond
+		if fleet.InstanceID(i.ID) == w.self {
+			_ = w.drainer.Send(ctx, drainNotice{remaining: remaining})
+			continue
+		}
+		notice := dispatch.Notice{
+			Endpoint:  fleet.EndpointID(i.ID),
+			Remaining: remaining,
 		}
+		_ = w.dispatcher.Send(ctx, dispatcherMessage{message: notice})
+	}
+}
+
+func toObserved(i platform.Instance, _ int) quarantine.Observed {
+	return quarantine.Observed{
+		Endpoint: fleet.EndpointID(i.ID), DataCentre: fleet.DataCentre(i.DataCentre),
+		Leaving: i.State == platform.StateLeaving,
 	}
 }
 
