--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -265,9 +265,9 @@
 	}
 }
 
-// TestOperatorsRace guards against two accepted tickets with one number, or an
+// TestOperatorsRaceAcrossProcesses guards against two accepted tickets with one number, or an
 // operator who is told the wrong result.
-func TestOperatorsRace(t *testing.T) {
+func TestOperatorsRaceAcrossProcesses(t *testing.T) {
 	is := is.New(t)
 	ctx, fleet := processFleet(t)
 	const operators = 4
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -61,6 +61,7 @@
 	}
 	if !d.started {
 		d.log.WithField("remaining", n.remaining.String()).Info("draining: this router is being reclaimed")
+		d.router.leave(ctx)
 	}
 	d.started = true
 	d.last = last
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -40,6 +40,8 @@
 	// draining is set by the drainer task and read by submissions.
 	draining atomic.Bool
 	calls    *calls
+	// leave announces to the other instances that this one drains.
+	leave func(ctx context.Context)
 }
 
 // Handle gives access to one accepted request. Its holder counts as an
--- a/internal/router/streams.go
+++ b/internal/router/streams.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"context"
-
 	"github.com/samber/do/v2"
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
@@ -84,9 +82,4 @@
 	if env.Admin != nil {
 		env.Admin.HandleFunc("POST /drain", d.drainHandler)
 	}
-	if s.PeerListen != "" {
-		r.tasks.Go("peer server", func(ctx context.Context) error {
-			return peer.Serve(ctx, s.PeerListen, peer.HandoffService(r))
-		})
-	}
 }
