--- a/internal/core/order/machine.go
+++ b/internal/core/order/machine.go
@@ -237,17 +237,6 @@
 	return longest
 }
 
-// Ready returns the number of ready replicas of a shard that run the target.
-func (m *Machine) Ready(now time.Duration, shard lease.Shard) int {
-	count := 0
-	for _, r := range m.services[shard.Service] {
-		if r.endpoint.Shard == shard && r.ready(now) {
-			count++
-		}
-	}
-	return count
-}
-
 // EndpointReady reports whether one endpoint is ready. An endpoint that takes
 // no orders counts as ready.
 func (m *Machine) EndpointReady(now time.Duration, id fleet.EndpointID) bool {
--- /dev/null
+++ b/internal/platform/weights.go
@@ -0,0 +1,56 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"time"
+)
+
+// DownloadSlot allows one endpoint to download weights.
+type DownloadSlot struct {
+	// TTLMillis is how long the slot is held without an extension.
+	TTLMillis int64 `json:"ttl_ms"`
+}
+
+// DownloadRequest asks for a slot.
+type DownloadRequest struct {
+	Bytes int64 `json:"bytes"`
+}
+
+// WeightClient takes download slots of the weight store.
+type WeightClient struct {
+	base   string
+	client *http.Client
+}
+
+// NewWeightClient returns a client of the weight store at the base URL.
+func NewWeightClient(base string) *WeightClient {
+	return &WeightClient{base: base, client: NewHTTPClient()}
+}
+
+// Take takes or extends the slot of an endpoint and returns for how long.
+// ErrNotDone with a RefusedError means that all slots are in use. A repeated
+// call never takes a second slot.
+func (c *WeightClient) Take(ctx context.Context, endpoint string, bytes int64) (time.Duration, error) {
+	body, err := json.Marshal(DownloadRequest{Bytes: bytes})
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+	var slot DownloadSlot
+	if err := call(ctx, c.client, http.MethodPut, c.slotURL(endpoint), body, &slot); err != nil {
+		return 0, err
+	}
+	return time.Duration(slot.TTLMillis) * time.Millisecond, nil
+}
+
+// Drop gives the slot of an endpoint back. It may be repeated.
+func (c *WeightClient) Drop(ctx context.Context, endpoint string) error {
+	var slot DownloadSlot
+	return call(ctx, c.client, http.MethodDelete, c.slotURL(endpoint), nil, &slot)
+}
+
+func (c *WeightClient) slotURL(endpoint string) string {
+	return c.base + "/v1/slots/" + url.PathEscape(endpoint)
+}
--- /dev/null
+++ b/internal/standin/cloud.go
@@ -0,0 +1,62 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/cornelhold/cornelhold/internal/daemon"
+	"github.com/cornelhold/cornelhold/internal/platform"
+	"github.com/cornelhold/cornelhold/internal/standin/modelengine"
+	"github.com/cornelhold/cornelhold/internal/standin/platformapi"
+	"github.com/cornelhold/cornelhold/internal/task"
+)
+
+// CloudSettings configures the cloud API stand-in. The engines that it starts
+// run in this process on loopback ports.
+type CloudSettings struct {
+	Listen string                    `yaml:"listen" validate:"required,hostname_port"`
+	Cloud  platformapi.CloudSettings `yaml:"cloud"`
+	Engine modelengine.Settings      `yaml:"engine"`
+	Orders modelengine.OrderSettings `yaml:"orders"`
+}
+
+// WeightsSettings configures the weight store stand-in.
+type WeightsSettings struct {
+	Listen string                     `yaml:"listen" validate:"required,hostname_port"`
+	Store  platformapi.WeightSettings `yaml:"store"`
+}
+
+// runCloud serves the cloud API; list follows it if it is not nil.
+func runCloud(group *task.Group, s *CloudSettings, list *platformapi.Instances) {
+	cloud := platformapi.NewCloud(s.Cloud, list, launcher(group, s))
+	group.Go("cloud", cloud.Run)
+	group.Go("cloud server", serve(s.Listen, cloud.Handler()))
+}
+
+func runWeights(group *task.Group, s *WeightsSettings) {
+	weights := platformapi.NewWeights(s.Store)
+	group.Go("weights", weights.Run)
+	group.Go("weights server", serve(s.Listen, weights.Handler()))
+}
+
+// launcher hosts an engine for each instance until the instance's ctx ends.
+func launcher(group *task.Group, s *CloudSettings) platformapi.Launch {
+	return func(ctx context.Context, _ platform.CloudInstance) (string, error) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", daemon.Error.New("cannot listen on a loopback port: %w; close unused processes", err)
+		}
+		engine, orders := modelengine.New(s.Engine), modelengine.NewOrders(s.Orders)
+		server := &http.Server{Handler: orders.Handler(engine.Handler()), ReadHeaderTimeout: headerTimeout}
+		group.Go("hosted engine", func(context.Context) error { return engine.Run(ctx) })
+		group.Go("hosted orders", func(context.Context) error { return orders.Run(ctx) })
+		group.Go("hosted server", func(context.Context) error {
+			stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+			defer stop()
+			_ = server.Serve(listener)
+			return nil
+		})
+		return listener.Addr().String(), nil
+	}
+}
--- /dev/null
+++ b/internal/standin/modelengine/orders.go
@@ -0,0 +1,159 @@
+package modelengine
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/cornelhold/cornelhold/internal/engine"
+	"github.com/cornelhold/cornelhold/internal/task"
+)
+
+// OrderSettings configures how the stand-in carries out orders.
+type OrderSettings struct {
+	// LoadTime is the time to load a model, an adapter or a role.
+	LoadTime time.Duration `yaml:"load_time" validate:"min=0"`
+	// IgnoreFencing makes the endpoint accept outdated fencing numbers.
+	IgnoreFencing bool `yaml:"ignore_fencing"`
+}
+
+// OrderFaults are switched on by PUT /order-faults.
+type OrderFaults struct {
+	// LoseResponses makes that many orders take effect and then break the
+	// connection.
+	LoseResponses int `json:"lose_responses"`
+}
+
+// Orders is the task that owns the loaded state of one endpoint.
+type Orders struct {
+	settings OrderSettings
+	mailbox  task.Mailbox[any]
+	state    engine.StateRecord
+	faults   OrderFaults
+	alarm    *task.Alarm
+}
+
+type (
+	stateQuery struct {
+		reply chan engine.StateRecord
+	}
+	orderMessage struct {
+		order engine.OrderRecord
+		reply chan orderReply
+	}
+	orderFaults struct {
+		faults OrderFaults
+	}
+)
+
+type orderReply struct {
+	fenced bool
+	lose   bool
+}
+
+// NewOrders returns an endpoint with nothing loaded.
+func NewOrders(settings OrderSettings) *Orders {
+	return &Orders{
+		settings: settings, mailbox: task.NewMailbox[any](mailboxCapacity),
+		state: engine.StateRecord{Incarnation: uuid.NewString()}, alarm: task.NewAlarm(),
+	}
+}
+
+// Run owns the state until ctx ends.
+func (o *Orders) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-o.alarm.C():
+			o.finish()
+		case msg := <-o.mailbox.Receive():
+			o.step(msg)
+		}
+	}
+}
+
+func (o *Orders) step(msg any) {
+	switch msg := msg.(type) {
+	case stateQuery:
+		msg.reply <- o.state
+	case orderFaults:
+		o.faults = msg.faults
+	case orderMessage:
+		msg.reply <- o.accept(msg.order)
+	}
+}
+
+func (o *Orders) accept(order engine.OrderRecord) orderReply {
+	if order.Fence < o.state.Fence && !o.settings.IgnoreFencing {
+		return orderReply{fenced: true}
+	}
+	o.state.Fence = order.Fence
+	o.state.Loading, o.state.Ready = &order.Target, false
+	o.alarm.Arm(o.settings.LoadTime)
+	lose := o.faults.LoseResponses > 0
+	if lose {
+		o.faults.LoseResponses--
+	}
+	return orderReply{lose: lose}
+}
+
+func (o *Orders) finish() {
+	if o.state.Loading != nil {
+		o.state.Loaded, o.state.Loading, o.state.Ready = *o.state.Loading, nil, true
+	}
+}
+
+// Handler adds the state and order interface to that of an engine.
+func (o *Orders) Handler(next http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", next)
+	mux.HandleFunc("GET "+engine.StatePath, o.handleState)
+	mux.HandleFunc("PUT "+engine.StatePath, o.handleOrder)
+	mux.HandleFunc("PUT /order-faults", o.handleFaults)
+	return mux
+}
+
+func (o *Orders) handleState(w http.ResponseWriter, r *http.Request) {
+	reply := make(chan engine.StateRecord, 1)
+	if o.mailbox.Send(r.Context(), stateQuery{reply: reply}) != nil {
+		return
+	}
+	select {
+	case state := <-reply:
+		writeJSON(w, state)
+	case <-r.Context().Done():
+	}
+}
+
+func (o *Orders) handleOrder(w http.ResponseWriter, r *http.Request) {
+	record, ok := decode[engine.OrderRecord](w, r)
+	if !ok {
+		return
+	}
+	reply := make(chan orderReply, 1)
+	if o.mailbox.Send(r.Context(), orderMessage{order: record, reply: reply}) != nil {
+		return
+	}
+	select {
+	case answer := <-reply:
+		if answer.lose {
+			panic(http.ErrAbortHandler)
+		}
+		if answer.fenced {
+			http.Error(w, "a higher fencing number was accepted; observe the endpoint", http.StatusConflict)
+			return
+		}
+		w.WriteHeader(http.StatusAccepted)
+	case <-r.Context().Done():
+	}
+}
+
+func (o *Orders) handleFaults(w http.ResponseWriter, r *http.Request) {
+	if faults, ok := decode[OrderFaults](w, r); ok {
+		_ = o.mailbox.Send(r.Context(), orderFaults{faults: faults})
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
--- /dev/null
+++ b/internal/standin/platformapi/cloud.go
@@ -0,0 +1,334 @@
+package platformapi
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/cornelhold/cornelhold/internal/platform"
+	"github.com/cornelhold/cornelhold/internal/task"
+)
+
+// Launch starts what runs on an instance and returns its address. It runs
+// until ctx ends.
+type Launch func(ctx context.Context, i platform.CloudInstance) (address string, err error)
+
+// CloudSettings configures the cloud API stand-in.
+type CloudSettings struct {
+	// ListLag is how much later the instance list shows a change.
+	ListLag time.Duration `yaml:"list_lag" validate:"min=0"`
+}
+
+// CloudFaults are switched on by PUT /v1/cloud/faults.
+type CloudFaults struct {
+	// Refuse lists what can't be started.
+	Refuse []Refusal `json:"refuse"`
+	// LoseStartResponses makes that many starts take effect and then break the
+	// connection.
+	LoseStartResponses int `json:"lose_start_responses"`
+	// DelayMillis delays the answer to every start.
+	DelayMillis int `json:"delay_ms"`
+}
+
+// Refusal matches starts; an empty field matches all values.
+type Refusal struct {
+	DataCentre string `json:"data_centre"`
+	Class      string `json:"class"`
+	// Market is "reclaimable" or "on_demand".
+	Market string `json:"market"`
+}
+
+// Reclaim is the body of POST /v1/cloud/reclaim: the instances of a data
+// centre, or one instance, get a reclaim notice.
+type Reclaim struct {
+	DataCentre   string `json:"data_centre"`
+	ID           string `json:"id"`
+	NoticeMillis int64  `json:"notice_ms"`
+}
+
+// Cloud is the task that owns the instances of the cloud API.
+type Cloud struct {
+	settings  CloudSettings
+	launch    Launch
+	list      *Instances
+	mailbox   task.Mailbox[any]
+	instances []platform.CloudInstance
+	tokens    map[string]int
+	stop      []context.CancelFunc
+	version   uint64
+	published uint64
+	waiting   []cloudWatch
+	faults    CloudFaults
+}
+
+type (
+	cloudStart struct {
+		request platform.StartRequest
+		reply   chan cloudReply
+	}
+	cloudStop struct {
+		id     string
+		notice time.Duration
+		reply  chan cloudReply
+	}
+	cloudWatch struct {
+		after uint64
+		reply chan platform.CloudList
+	}
+	cloudGone struct {
+		index int
+	}
+	cloudPublish struct {
+		version   uint64
+		instances []platform.Instance
+	}
+	cloudFaults struct {
+		faults CloudFaults
+	}
+	cloudReclaim struct {
+		reclaim Reclaim
+	}
+)
+
+type cloudReply struct {
+	instance platform.CloudInstance
+	refused  string
+	lose     bool
+	delay    time.Duration
+}
+
+// NewCloud returns a cloud API without instances. The instance list follows
+// it, unless list is nil.
+func NewCloud(settings CloudSettings, list *Instances, launch Launch) *Cloud {
+	return &Cloud{
+		settings: settings, launch: launch, list: list, version: 1,
+		mailbox: task.NewMailbox[any](mailboxCapacity), tokens: make(map[string]int),
+	}
+}
+
+// Run owns the instances until ctx ends.
+func (c *Cloud) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case msg := <-c.mailbox.Receive():
+			c.step(ctx, msg)
+		}
+	}
+}
+
+func (c *Cloud) step(ctx context.Context, msg any) {
+	switch msg := msg.(type) {
+	case cloudStart:
+		msg.reply <- c.start(ctx, msg.request)
+	case cloudStop:
+		reply := cloudReply{refused: "no such instance"}
+		for index, i := range c.instances {
+			if i.ID == msg.id {
+				c.leave(index, msg.notice)
+				reply = cloudReply{instance: c.instances[index]}
+			}
+		}
+		msg.reply <- reply
+	case cloudWatch:
+		if c.version > msg.after {
+			msg.reply <- platform.CloudList{Version: c.version, Instances: append([]platform.CloudInstance(nil), c.instances...)}
+			return
+		}
+		c.waiting = append(c.waiting, msg)
+	case cloudGone:
+		c.instances[msg.index].State = platform.StateStopped
+		c.stop[msg.index]()
+		c.changed()
+	case cloudPublish:
+		if msg.version > c.published {
+			c.published = msg.version
+			c.list.mailbox.TrySend(replaceMessage{instances: msg.instances})
+		}
+	case cloudFaults:
+		c.faults = msg.faults
+	case cloudReclaim:
+		for index, i := range c.instances {
+			if i.ID == msg.reclaim.ID || (msg.reclaim.ID == "" && i.DataCentre == msg.reclaim.DataCentre && i.Reclaimable) {
+				c.leave(index, time.Duration(msg.reclaim.NoticeMillis)*time.Millisecond)
+			}
+		}
+	}
+}
+
+func (c *Cloud) start(ctx context.Context, r platform.StartRequest) cloudReply {
+	reply := cloudReply{delay: time.Duration(c.faults.DelayMillis) * time.Millisecond}
+	if index, known := c.tokens[r.Token]; known {
+		reply.instance = c.instances[index]
+		return reply
+	}
+	if c.refuses(r) {
+		reply.refused = "no capacity for this class in this data centre"
+		return reply
+	}
+	i := platform.CloudInstance{
+		ID: fmt.Sprintf("i-%04d", len(c.instances)+1), Token: r.Token, Service: r.Service, Role: r.Role,
+		DataCentre: r.DataCentre, Class: r.Class, Reclaimable: r.Reclaimable, State: platform.StateLive,
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	address, err := c.launch(ctx, i)
+	if err != nil {
+		cancel()
+		reply.refused = err.Error()
+		return reply
+	}
+	i.Address = address
+	c.tokens[r.Token] = len(c.instances)
+	c.instances = append(c.instances, i)
+	c.stop = append(c.stop, cancel)
+	c.changed()
+	reply.instance = i
+	if c.faults.LoseStartResponses > 0 {
+		c.faults.LoseStartResponses--
+		reply.lose = true
+	}
+	return reply
+}
+
+func (c *Cloud) refuses(r platform.StartRequest) bool {
+	market := lo.Ternary(r.Reclaimable, "reclaimable", "on_demand")
+	return lo.SomeBy(c.faults.Refuse, func(f Refusal) bool {
+		return (f.DataCentre == "" || f.DataCentre == r.DataCentre) &&
+			(f.Class == "" || f.Class == r.Class) && (f.Market == "" || f.Market == market)
+	})
+}
+
+func (c *Cloud) leave(index int, notice time.Duration) {
+	if c.instances[index].State != platform.StateLive {
+		return
+	}
+	c.instances[index].State = platform.StateLeaving
+	c.instances[index].ReclaimInMillis = notice.Milliseconds()
+	c.changed()
+	time.AfterFunc(notice, func() { c.mailbox.TrySend(cloudGone{index: index}) })
+}
+
+// changed wakes the watchers and tells the instance list after its lag.
+func (c *Cloud) changed() {
+	c.version++
+	waiting := c.waiting
+	c.waiting = nil
+	for _, w := range waiting {
+		c.step(context.Background(), w)
+	}
+	if c.list == nil {
+		return
+	}
+	msg := cloudPublish{version: c.version, instances: listed(c.instances)}
+	time.AfterFunc(c.settings.ListLag, func() { c.mailbox.TrySend(msg) })
+}
+
+func listed(instances []platform.CloudInstance) []platform.Instance {
+	return lo.FilterMap(instances, func(i platform.CloudInstance, _ int) (platform.Instance, bool) {
+		return platform.Instance{
+			ID: i.ID, Service: i.Service, Address: i.Address, DataCentre: i.DataCentre, Class: i.Class,
+			Reclaimable: i.Reclaimable, Role: i.Role, State: i.State, ReclaimInMillis: i.ReclaimInMillis,
+		}, i.State != platform.StateStopped
+	})
+}
+
+// Handler returns the HTTP interface of the cloud API.
+func (c *Cloud) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/cloud/instances", c.handleWatch)
+	mux.HandleFunc("POST /v1/cloud/instances", c.handleStart)
+	mux.HandleFunc("DELETE /v1/cloud/instances/{id}", c.handleStop)
+	mux.HandleFunc("PUT /v1/cloud/faults", func(w http.ResponseWriter, r *http.Request) {
+		if faults, ok := decode[CloudFaults](w, r); ok {
+			c.post(w, r, cloudFaults{faults: faults})
+		}
+	})
+	mux.HandleFunc("POST /v1/cloud/reclaim", func(w http.ResponseWriter, r *http.Request) {
+		if reclaim, ok := decode[Reclaim](w, r); ok {
+			c.post(w, r, cloudReclaim{reclaim: reclaim})
+		}
+	})
+	return mux
+}
+
+func (c *Cloud) post(w http.ResponseWriter, r *http.Request, msg any) {
+	_ = c.mailbox.Send(r.Context(), msg)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (c *Cloud) handleWatch(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	waitMillis, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	reply := make(chan platform.CloudList, 1)
+	if c.mailbox.Send(r.Context(), cloudWatch{after: after, reply: reply}) != nil {
+		return
+	}
+	timer := time.NewTimer(min(time.Duration(max(waitMillis, 0))*time.Millisecond, maxWait))
+	defer timer.Stop()
+	select {
+	case list := <-reply:
+		writeJSON(w, list)
+	case <-timer.C:
+		writeJSON(w, platform.CloudList{Version: after})
+	case <-r.Context().Done():
+	}
+}
+
+func (c *Cloud) handleStart(w http.ResponseWriter, r *http.Request) {
+	request, ok := decode[platform.StartRequest](w, r)
+	if !ok {
+		return
+	}
+	reply := make(chan cloudReply, 1)
+	if c.mailbox.Send(r.Context(), cloudStart{request: request, reply: reply}) == nil {
+		answer(w, r, reply)
+	}
+}
+
+func (c *Cloud) handleStop(w http.ResponseWriter, r *http.Request) {
+	notice, _ := strconv.Atoi(r.URL.Query().Get("notice_ms"))
+	reply := make(chan cloudReply, 1)
+	msg := cloudStop{id: r.PathValue("id"), notice: time.Duration(notice) * time.Millisecond, reply: reply}
+	if c.mailbox.Send(r.Context(), msg) == nil {
+		answer(w, r, reply)
+	}
+}
+
+func answer(w http.ResponseWriter, r *http.Request, reply <-chan cloudReply) {
+	select {
+	case a := <-reply:
+		timer := time.NewTimer(a.delay)
+		defer timer.Stop()
+		<-timer.C
+		switch {
+		case a.lose:
+			panic(http.ErrAbortHandler)
+		case a.refused != "":
+			http.Error(w, a.refused, http.StatusConflict)
+		default:
+			writeJSON(w, a.instance)
+		}
+	case <-r.Context().Done():
+	}
+}
+
+func decode[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
+	var body T
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return body, false
+	}
+	return body, true
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/standin/platformapi/weights.go
@@ -0,0 +1,132 @@
+package platformapi
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/platform"
+	"github.com/cornelhold/cornelhold/internal/task"
+)
+
+// WeightSettings configures the weight store stand-in.
+type WeightSettings struct {
+	// Slots is the number of downloads at a time.
+	Slots int `yaml:"slots" validate:"min=1"`
+	// TTL is how long a slot is held without an extension.
+	TTL time.Duration `yaml:"ttl" validate:"min=1s"`
+}
+
+// WeightFaults are switched on by PUT /v1/weights/faults.
+type WeightFaults struct {
+	// Down refuses every call.
+	Down bool `json:"down"`
+	// LoseResponses makes that many calls take effect and then break the
+	// connection.
+	LoseResponses int `json:"lose_responses"`
+}
+
+// Weights is the task that owns the download slots.
+type Weights struct {
+	settings WeightSettings
+	mailbox  task.Mailbox[any]
+	slots    map[string]time.Time
+	faults   WeightFaults
+}
+
+type slotMessage struct {
+	endpoint string
+	drop     bool
+	reply    chan slotReply
+}
+
+type slotReply struct {
+	refused bool
+	lose    bool
+}
+
+type weightFaults struct {
+	faults WeightFaults
+}
+
+// NewWeights returns a weight store with all slots free.
+func NewWeights(settings WeightSettings) *Weights {
+	return &Weights{settings: settings, mailbox: task.NewMailbox[any](mailboxCapacity), slots: make(map[string]time.Time)}
+}
+
+// Run owns the slots until ctx ends.
+func (s *Weights) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case msg := <-s.mailbox.Receive():
+			switch msg := msg.(type) {
+			case slotMessage:
+				msg.reply <- s.answer(msg)
+			case weightFaults:
+				s.faults = msg.faults
+			}
+		}
+	}
+}
+
+func (s *Weights) answer(msg slotMessage) slotReply {
+	if s.faults.Down {
+		return slotReply{refused: true}
+	}
+	for endpoint, until := range s.slots {
+		if time.Now().After(until) {
+			delete(s.slots, endpoint)
+		}
+	}
+	_, held := s.slots[msg.endpoint]
+	switch {
+	case msg.drop:
+		delete(s.slots, msg.endpoint)
+	case !held && len(s.slots) >= s.settings.Slots:
+		return slotReply{refused: true}
+	default:
+		s.slots[msg.endpoint] = time.Now().Add(s.settings.TTL)
+	}
+	lose := s.faults.LoseResponses > 0
+	if lose {
+		s.faults.LoseResponses--
+	}
+	return slotReply{lose: lose}
+}
+
+// Handler returns the HTTP interface of the weight store.
+func (s *Weights) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/slots/{endpoint}", func(w http.ResponseWriter, r *http.Request) { s.handle(w, r, false) })
+	mux.HandleFunc("DELETE /v1/slots/{endpoint}", func(w http.ResponseWriter, r *http.Request) { s.handle(w, r, true) })
+	mux.HandleFunc("PUT /v1/weights/faults", func(w http.ResponseWriter, r *http.Request) {
+		if faults, ok := decode[WeightFaults](w, r); ok {
+			_ = s.mailbox.Send(r.Context(), weightFaults{faults: faults})
+			w.WriteHeader(http.StatusNoContent)
+		}
+	})
+	return mux
+}
+
+func (s *Weights) handle(w http.ResponseWriter, r *http.Request, drop bool) {
+	reply := make(chan slotReply, 1)
+	msg := slotMessage{endpoint: r.PathValue("endpoint"), drop: drop, reply: reply}
+	if s.mailbox.Send(r.Context(), msg) != nil {
+		return
+	}
+	select {
+	case answer := <-reply:
+		if answer.lose {
+			panic(http.ErrAbortHandler)
+		}
+		if answer.refused {
+			w.Header().Set("Retry-After", "1")
+			http.Error(w, "all download slots are in use", http.StatusTooManyRequests)
+			return
+		}
+		writeJSON(w, platform.DownloadSlot{TTLMillis: s.settings.TTL.Milliseconds()})
+	case <-r.Context().Done():
+	}
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -25,6 +25,8 @@
 	Instances *InstancesSettings `yaml:"instances"`
 	Engines   []EngineSettings   `yaml:"engines" validate:"dive"`
 	Plain     []PlainSettings    `yaml:"plain_services" validate:"dive"`
+	Cloud     *CloudSettings     `yaml:"cloud"`
+	Weights   *WeightsSettings   `yaml:"weights"`
 }
 
 // LogSettings configures the log service stand-in.
@@ -70,8 +72,9 @@
 		group.Go("log", service.Run)
 		group.Go("log server", serve(s.Log.Listen, service.Handler()))
 	}
+	var list *platformapi.Instances
 	if s.Instances != nil {
-		list := platformapi.NewInstances(s.Instances.initial())
+		list = platformapi.NewInstances(s.Instances.initial())
 		group.Go("instances", list.Run)
 		group.Go("instances server", serve(s.Instances.Listen, list.Handler()))
 	}
@@ -85,6 +88,12 @@
 		group.Go("plain service", service.Run)
 		group.Go("plain service server", serve(p.Listen, service.Handler()))
 	}
+	if s.Cloud != nil {
+		runCloud(group, s.Cloud, list)
+	}
+	if s.Weights != nil {
+		runWeights(group, s.Weights)
+	}
 	env.Ready.Set("")
 	return group.Wait()
 }
