--- a/internal/core/order/order_test.go
+++ b/internal/core/order/order_test.go
@@ -376,3 +376,44 @@
 		now += 500 * time.Millisecond
 	}
 }
+
+// TestSlotsGoToTheNeediestService guards against a service that gets no
+// download slot while others with more ready replicas do.
+func TestSlotsGoToTheNeediestService(t *testing.T) {
+	spec := testSpec(1)
+	m := New(Options{MaxOutDivisor: divisor, MaxSlots: 3})
+	var list []Endpoint
+	ready := map[fleet.ServiceName]int{"many": 4, "few": 1, "none": 0}
+	for name := range ready {
+		shard := lease.Shard{Service: name, DataCentre: "a"}
+		spec.Services[name] = &config.Service{Name: name, Kind: config.ServiceModel, Model: "m"}
+		for i := range 8 {
+			list = append(list, Endpoint{ID: fleet.EndpointID(fmt.Sprint(name, i)), Shard: shard})
+		}
+		m.Step(0, Permitted{Permit: lease.Permit{Shard: shard, Until: time.Hour}})
+	}
+	m.Step(0, Configure{Spec: spec})
+	m.Step(0, Endpoints{List: list})
+	target, _ := TargetOf(spec, "many", "")
+	for _, action := range m.Step(time.Second, Tick{}) {
+		o := action.(Observe)
+		status := Status{}
+		for name, count := range ready {
+			for i := range count {
+				if o.Endpoint == fleet.EndpointID(fmt.Sprint(name, i)) {
+					status = Status{Ready: true, Loaded: target}
+				}
+			}
+		}
+		m.Step(time.Second, Observed{Endpoint: o.Endpoint, Seq: o.Seq, Status: status})
+	}
+	got := make(map[string]int)
+	for _, action := range m.Step(2*time.Second, Tick{}) {
+		if slot, ok := action.(TakeSlot); ok {
+			got[string(slot.Endpoint[:len(slot.Endpoint)-1])]++
+		}
+	}
+	if got["none"] != 2 || got["few"] != 1 || len(got) != 2 {
+		t.Fatalf("slots were asked for %v, want 2 for none and 1 for few", got)
+	}
+}
