Check the permit when an order is written to its connection

Cause: the permit was checked before the connection was set up, which can take a second, and the kernel can deliver an order long after its timeout.

Change: the body of an order can be read only while the permit allows it, so that an order without a permit is incomplete and has no effect. Connections to endpoints discard unsent bytes when they are closed, and a call ends after half of MaxOrderDelay.

Result: a test with a permit that ends before the write passes, and fails without the check. make test passes.

--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/cornelhold/cornelhold/internal/core/lease"
 	"github.com/cornelhold/cornelhold/internal/core/order"
 )
@@ -20,6 +22,9 @@
 const (
 	// stateTimeout bounds one status call.
 	stateTimeout = 2 * time.Second
+	// orderTimeout bounds one order. It is half of lease.MaxOrderDelay, so that
+	// an order that left in time has arrived or was discarded by then.
+	orderTimeout = lease.MaxOrderDelay / 2
 	// maxStateBytes bounds the body of a status.
 	maxStateBytes = 1 << 20
 )
@@ -53,14 +58,45 @@
 	http *http.Client
 }
 
+// errPermitEnded stops an order whose permit ended before it was written.
+var errPermitEnded = errs.Class("the permit for the order has ended")
+
 // NewOrderClient returns a client without connections.
 func NewOrderClient() *OrderClient {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &OrderClient{http: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
+		DialContext: dialWithoutLinger, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
 	}}}
 }
 
+// dialWithoutLinger makes the kernel discard unsent bytes when the connection
+// is closed; otherwise it could deliver an order minutes after its timeout.
+func dialWithoutLinger(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		err = tcp.SetLinger(0)
+	}
+	return conn, err
+}
+
+// gatedBody is the body of an order that can be read only while the permit
+// allows it. An endpoint ignores an order without a complete body.
+type gatedBody struct {
+	io.Reader
+	allowed func() bool
+}
+
+// Read implements io.Reader.
+func (b *gatedBody) Read(p []byte) (int, error) {
+	if !b.allowed() {
+		return 0, errPermitEnded.New("nothing was ordered")
+	}
+	return b.Reader.Read(p)
+}
+
 // Observe returns what the endpoint reports about itself.
 func (c *OrderClient) Observe(ctx context.Context, address string) (order.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
@@ -84,22 +120,25 @@
 	return record.core(), nil
 }
 
-// Send sends an order. allowed is asked right before the request leaves; the
-// order is not sent if it reports false. The call ends after MaxOrderDelay.
+// Send sends an order. allowed is asked when the body is written to the
+// connection; the order is not sent if it reports false. The call ends within
+// half of lease.MaxOrderDelay.
 func (c *OrderClient) Send(ctx context.Context, address string, fence lease.Fence, target order.Target, allowed func() bool) order.Result {
-	ctx, cancel := context.WithTimeout(ctx, lease.MaxOrderDelay)
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	body, err := json.Marshal(OrderRecord{Fence: uint64(fence), Target: targetRecord(target)})
 	if err != nil {
 		return order.ResultNotSent
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+StatePath, bytes.NewReader(body))
-	if err != nil || !allowed() {
+	// A body of this type can't be rewound, so that the transport never sends
+	// the order a second time.
+	gated := &gatedBody{Reader: bytes.NewReader(body), allowed: allowed}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+StatePath, gated)
+	if err != nil {
 		return order.ResultNotSent
 	}
+	req.ContentLength = int64(len(body))
 	req.Header.Set("Content-Type", "application/json")
-	// Without GetBody the transport can't send the order a second time later.
-	req.GetBody = nil
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return sendResult(err)
@@ -119,7 +158,7 @@
 
 func sendResult(err error) order.Result {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if errPermitEnded.Has(err) || (errors.As(err, &op) && op.Op == "dial") {
 		return order.ResultNotSent
 	}
 	return order.ResultUnknown
