Continue from a checkpoint when tickets have expired

Cause: a controller that starts after the first tickets have expired would never get a configuration.

Change: the controller's reader of the ticket stream adopts the newest checkpoint when its offset has expired. It asks no peers: without the log there are no leases and nothing to do.

Result: a test against a log that lost its first tickets passes.

--- a/internal/controller/configuration.go
+++ b/internal/controller/configuration.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cornelhold/cornelhold/internal/checkpoint"
 	"github.com/cornelhold/cornelhold/internal/core/config"
 	"github.com/cornelhold/cornelhold/internal/platform"
 	"github.com/cornelhold/cornelhold/internal/ticket"
@@ -24,7 +25,9 @@
 	Follow(ctx context.Context, onActive func(context.Context, *config.Snapshot)) error
 }
 
-// logConfiguration reads the ticket stream of the log service.
+// logConfiguration reads the ticket stream of the log service. It asks no peer
+// during a log outage: without the log there are no leases, so that a controller
+// has nothing to do.
 type logConfiguration struct {
 	client *platform.LogClient
 	fold   *config.Fold
@@ -34,11 +37,11 @@
 func (c *logConfiguration) Follow(ctx context.Context, onActive func(context.Context, *config.Snapshot)) error {
 	for ctx.Err() == nil {
 		batch, err := c.client.Read(ctx, platform.StreamTickets, c.fold.Current().Offset, readLimit, longPoll)
-		if err != nil {
+		before := c.fold.Current().Number
+		if err != nil && !c.adoptCheckpoint(ctx, err) {
 			pauseBeforeRetry(ctx)
 			continue
 		}
-		before := c.fold.Current().Number
 		for _, record := range batch.Records {
 			t, err := ticket.Decode(record.Data)
 			if err != nil {
@@ -53,6 +56,16 @@
 	return nil
 }
 
+// adoptCheckpoint continues from the newest checkpoint if the records after the
+// current offset have expired. It reports whether the state is newer.
+func (c *logConfiguration) adoptCheckpoint(ctx context.Context, err error) bool {
+	if !platform.ErrExpired.Has(err) {
+		return false
+	}
+	newest, err := checkpoint.Newest(ctx, c.client)
+	return err == nil && newest != nil && c.fold.Adopt(newest)
+}
+
 // pauseBeforeRetry waits for retryDelay or until ctx ends.
 func pauseBeforeRetry(ctx context.Context) {
 	timer := time.NewTimer(retryDelay)
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/cornelhold/cornelhold/internal/core/capacity"
+	"github.com/cornelhold/cornelhold/internal/core/config"
 	"github.com/cornelhold/cornelhold/internal/core/lease"
 	"github.com/cornelhold/cornelhold/internal/daemon"
 	"github.com/cornelhold/cornelhold/internal/engine"
@@ -250,3 +252,32 @@
 	is.Equal(decodeLease(platform.Record{Offset: 4, TimeMillis: 7000, Data: data}),
 		lease.Entry{Offset: 4, Time: 7 * time.Second, Record: record})
 }
+
+// TestExpiredTicketsComeFromCheckpoint guards against a controller that never
+// gets a configuration because the first tickets have expired.
+func TestExpiredTicketsComeFromCheckpoint(t *testing.T) {
+	is := is.New(t)
+	data, err := ticket.EncodeSnapshot(&config.Snapshot{Number: 7, TicketID: "t", Offset: 9})
+	is.NoErr(err)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/v1/streams/checkpoints/records":
+			_ = json.NewEncoder(w).Encode(platform.Batch{Records: []platform.Record{{Data: data}}, Next: 1})
+		case r.URL.Query().Get("from") != "9":
+			w.WriteHeader(http.StatusGone)
+		default:
+			<-r.Context().Done()
+		}
+	}))
+	defer server.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), testLimit)
+	defer cancel()
+	source := &logConfiguration{client: platform.NewLogClient(server.URL), fold: config.NewFold()}
+	var active []config.Number
+	err = source.Follow(ctx, func(_ context.Context, s *config.Snapshot) {
+		active = append(active, s.Number)
+		cancel()
+	})
+	is.NoErr(err)
+	is.Equal(active, []config.Number{7})
+}
