Prove the decisions under load with property tests and measure their speed

Cause: the invariants of the dispatcher were stated but not checked. The tests found that an endpoint that disappears from the list and comes back while attempts run was counted below zero; the table now keeps it until they end. The histogram's unit was too coarse for its stated error of 1%.

--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,4 @@
 bench:
 	@mkdir -p $(BIN)
 	go run ./cmd/cornelhold-policybench -json $(BIN)/policy.json
+	go test -run '^$$' -bench . -benchmem ./internal/core/route ./internal/core/dispatch
--- /dev/null
+++ b/internal/core/admit/queue_test.go
@@ -0,0 +1,165 @@
+package admit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+func entry(n int, team fleet.TeamName, class fleet.Class, at time.Duration) Entry {
+	return Entry{
+		Request: fleet.RequestID(fmt.Sprint(n)), Team: team, Class: class,
+		Arrived: at, FreshUntil: at + time.Second, Deadline: at + 2*time.Second,
+	}
+}
+
+// TestFairShares guards the weighted shares of teams that always wait, however
+// long the queue of one of them is.
+func TestFairShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := map[fleet.TeamName]int{}
+		q := NewQueue(OrderFair)
+		total := 0
+		for i := range rapid.IntRange(2, 5).Draw(t, "teams") {
+			team := fleet.TeamName(fmt.Sprint(i))
+			weights[team] = rapid.IntRange(1, 5).Draw(t, "weight")
+			total += weights[team]
+		}
+		q.SetWeights(weights)
+		for team := range weights {
+			for n := range FlowBound {
+				q.Push(entry(n, team, fleet.ClassInteractive, 0))
+			}
+		}
+		served := map[fleet.TeamName]int{}
+		grants := rapid.IntRange(1, 150).Draw(t, "grants")
+		left := grants
+		q.Serve(func(e Entry) bool {
+			if left == 0 {
+				return false
+			}
+			left--
+			served[e.Team]++
+			return true
+		})
+		for team, weight := range weights {
+			want := float64(grants*weight) / float64(total)
+			// Start-tag order keeps each team within one request of its share for
+			// each team that competes.
+			if diff := float64(served[team]) - want; diff < -float64(len(weights)) || diff > float64(len(weights)) {
+				t.Fatalf("team %s of weight %d was served %d of %d, its share is %.1f", team, weight, served[team], grants, want)
+			}
+		}
+	})
+}
+
+// TestQueueBounds guards memory and deadlines: no team exceeds its bound, no
+// entry stays past its deadline, and Len agrees with what was put in and out.
+func TestQueueBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewQueue(Order(rapid.IntRange(0, 2).Draw(t, "order")))
+		now, held := time.Duration(0), map[fleet.RequestID]Entry{}
+		for n := range rapid.IntRange(1, 600).Draw(t, "steps") {
+			switch rapid.IntRange(0, 40).Draw(t, "action") {
+			case 0:
+				now += time.Duration(rapid.IntRange(0, 900).Draw(t, "time")) * time.Millisecond
+				for _, e := range q.Expire(now) {
+					delete(held, e.Request)
+				}
+				for id, e := range held {
+					if e.Deadline <= now {
+						t.Fatalf("%s stays past its deadline", id)
+					}
+				}
+			case 1:
+				q.Serve(func(e Entry) bool {
+					if _, ok := held[e.Request]; !ok {
+						t.Fatalf("%s served twice", e.Request)
+					}
+					delete(held, e.Request)
+					return len(held)%2 == 0
+				})
+				held = contents(q)
+			default:
+				e := entry(n, "a", fleet.ClassStandard, now)
+				if q.Push(e) {
+					held[e.Request] = e
+				}
+			}
+			if q.Len() != len(held) {
+				t.Fatalf("Len is %d, %d are held", q.Len(), len(held))
+			}
+			if f := q.classes[fleet.ClassStandard].flows["a"]; f != nil && len(f.fresh) > FlowBound {
+				t.Fatalf("%d requests exceed the bound", len(f.fresh))
+			}
+		}
+	})
+}
+
+func contents(q *Queue) map[fleet.RequestID]Entry {
+	held := map[fleet.RequestID]Entry{}
+	for i := range q.classes {
+		for _, f := range q.classes[i].active {
+			for _, e := range append(append([]Entry{}, f.fresh...), f.late...) {
+				held[e.Request] = e
+			}
+		}
+	}
+	return held
+}
+
+// TestFlowBound guards against a queue that grows without limit.
+func TestFlowBound(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue(OrderFair)
+	for n := range FlowBound {
+		is.True(q.Push(entry(n, "a", fleet.ClassBatch, 0)))
+	}
+	is.True(!q.Push(entry(FlowBound, "a", fleet.ClassBatch, 0))) // refused at the bound
+	is.True(q.Push(entry(FlowBound, "b", fleet.ClassBatch, 0)))  // other teams are not affected
+}
+
+// TestClassOrder guards the priority of classes: batch is not even offered
+// while another class waits.
+func TestClassOrder(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue(OrderFair)
+	q.Push(entry(1, "a", fleet.ClassBatch, 0))
+	q.Push(entry(2, "a", fleet.ClassStandard, 0))
+	q.Push(entry(3, "a", fleet.ClassInteractive, 0))
+	var offered []fleet.RequestID
+	q.Serve(func(e Entry) bool {
+		offered = append(offered, e.Request)
+		return e.Class == fleet.ClassInteractive
+	})
+	is.Equal(offered, []fleet.RequestID{"3", "2"})
+}
+
+// TestLimiter guards the limits of a team and the delay in its refusals.
+func TestLimiter(t *testing.T) {
+	is := is.New(t)
+	l := NewLimiter()
+	l.Set(0, "a", Limit{PerSecond: 2, InFlight: 7})
+	for range minBurst {
+		_, ok := l.Acquire(0, "a")
+		is.True(ok)
+	}
+	after, ok := l.Acquire(0, "a")
+	is.True(!ok)
+	is.Equal(after, 500*time.Millisecond) // one token of a rate of two a second
+	for range 2 {
+		_, ok = l.Acquire(time.Second, "a")
+		is.True(ok)
+	}
+	_, ok = l.Acquire(time.Minute, "a")
+	is.True(!ok) // seven are in flight
+	l.Release("a")
+	_, ok = l.Acquire(time.Minute, "a")
+	is.True(ok)
+	is.Equal(Limit{PerSecond: 10, InFlight: 9}.Share(4), Limit{PerSecond: 2.5, InFlight: 3})
+}
--- /dev/null
+++ b/internal/core/budget/budget_test.go
@@ -0,0 +1,58 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestBudgetIsNeverExceeded guards against retries that multiply load.
+func TestBudgetIsNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New(DefaultRatio, DefaultReserve)
+		earned, spent := 0, 0
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			case 0, 1:
+				b.Earn()
+				earned++
+			case 2:
+				if b.Spend() {
+					spent++
+				}
+			case 3:
+				if rapid.IntRange(0, 9).Draw(t, "owes") == 0 {
+					b.Owe()
+				}
+			}
+			// The tolerance covers the rounding of the sum of tenths.
+			if float64(spent) > DefaultReserve+DefaultRatio*float64(earned)+1e-9 {
+				t.Fatalf("%d attempts for %d requests", spent, earned)
+			}
+			if b.Level() > DefaultReserve || b.Level() < -DefaultReserve {
+				t.Fatalf("level %.1f", b.Level())
+			}
+		}
+	})
+}
+
+// TestHedgeDelayFollowsLatency guards the percentile that sets hedge delays.
+func TestHedgeDelayFollowsLatency(t *testing.T) {
+	is := is.New(t)
+	l := NewLatency()
+	_, ok := l.Quantile(95)
+	is.True(!ok) // no delay from too few samples
+	for i := range 100 {
+		l.Record(time.Duration(i+1) * time.Millisecond)
+	}
+	d, ok := l.Quantile(95)
+	is.True(ok)
+	is.True(d >= 95*time.Millisecond && d <= 96*time.Millisecond) // 1% resolution
+	for range 2 * windowSamples {
+		l.Record(time.Millisecond)
+	}
+	d, _ = l.Quantile(95)
+	is.True(d <= 1010*time.Microsecond) // old samples are forgotten
+}
--- a/internal/core/budget/latency.go
+++ b/internal/core/budget/latency.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	shortestLatency = 100 * time.Microsecond
+	shortestLatency = time.Microsecond
 	longestLatency  = time.Minute
 	// significantDigits gives a relative error of 1%.
 	significantDigits = 2
--- /dev/null
+++ b/internal/core/dispatch/dispatch_property_test.go
@@ -0,0 +1,305 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cornelhold/cornelhold/internal/core/budget"
+	"github.com/cornelhold/cornelhold/internal/core/config"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+// model mirrors what a machine was told and what it answered.
+type model struct {
+	t        *rapid.T
+	machine  *Machine
+	now      time.Duration
+	wake     time.Duration
+	serial   int
+	version  uint64
+	list     []Endpoint
+	leaving  map[fleet.EndpointID]bool
+	open     map[fleet.RequestID]*openRequest
+	order    []fleet.RequestID
+	firsts   int
+	elective int
+}
+
+type openRequest struct {
+	submit   Submit
+	deadline time.Duration
+	answered int
+	// mayHaveRun is set when an attempt ended without a rejection.
+	mayHaveRun bool
+	running    map[fleet.AttemptNumber]fleet.EndpointID
+}
+
+func propertySpec() *config.Spec {
+	return &config.Spec{
+		Number: 1,
+		Services: map[fleet.ServiceName]*config.Service{
+			"m": {Name: "m", Kind: config.ServiceModel, FirstToken: 600 * time.Millisecond, Deadline: 3 * time.Second},
+			"p": {Name: "p", Kind: config.ServicePlain, Deadline: 2 * time.Second, Operations: map[string]*config.Operation{
+				"stock": {Name: "stock", Idempotent: true, Latency: 150 * time.Millisecond},
+			}},
+		},
+		Teams: map[fleet.TeamName]*config.Team{
+			"a": {Name: "a", Weight: 3}, "b": {Name: "b", Weight: 1, MaxInFlight: 6}, "c": {Name: "c", RequestsPerSecond: 5},
+		},
+	}
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		t: t, machine: NewWith(Options{Seed: 7}),
+		leaving: map[fleet.EndpointID]bool{}, open: map[fleet.RequestID]*openRequest{},
+	}
+	m.step(Configure{Spec: propertySpec(), Routers: 2})
+	for i := range 6 {
+		service := fleet.ServiceName("m")
+		if i >= 4 {
+			service = "p"
+		}
+		m.list = append(m.list, Endpoint{ID: fleet.EndpointID(fmt.Sprintf("e%d", i)), Service: service, Slots: 3})
+	}
+	m.version = 10
+	m.step(Endpoints{Version: m.version, List: m.list})
+	return m
+}
+
+func (m *model) step(msg Message) {
+	for _, action := range m.machine.Step(m.now, msg) {
+		m.check(action)
+	}
+}
+
+func (m *model) check(action Action) {
+	switch a := action.(type) {
+	case Wake:
+		m.wake = a.At
+	case Refuse:
+		r := m.open[a.Request]
+		if r == nil {
+			r = &openRequest{}
+		}
+		if len(r.running) > 0 {
+			m.t.Fatalf("%s refused while an attempt runs", a.Request)
+		}
+		if a.Refusal.Kind != fleet.RefusedUnknownService && a.Refusal.Kind != fleet.RefusedOutcomeUnknown && a.Refusal.RetryAfter <= 0 {
+			m.t.Fatalf("refusal %s without RetryAfter", a.Refusal.Kind)
+		}
+		if r.mayHaveRun && a.Refusal.Run == fleet.RunNotRun {
+			m.t.Fatalf("%s reported as not run after an attempt that may have run", a.Request)
+		}
+		delete(m.open, a.Request)
+	case Grant:
+		m.checkGrant(a)
+	}
+}
+
+func (m *model) checkGrant(a Grant) {
+	r := m.open[a.Request]
+	switch {
+	case r == nil:
+		m.t.Fatalf("%s granted but it is not open", a.Request)
+	case m.leaving[a.Endpoint.ID]:
+		m.t.Fatalf("grant to leaving endpoint %s", a.Endpoint.ID)
+	case len(r.running) > 0 && !a.Hedge:
+		m.t.Fatalf("%s granted twice", a.Request)
+	case r.answered == 0 && m.now > r.deadline:
+		m.t.Fatalf("%s granted %s after its deadline", a.Request, m.now-r.deadline)
+	case a.Hedge && !r.submit.Idempotent:
+		m.t.Fatalf("hedge of a call that may not be repeated")
+	}
+	if r.answered == 0 {
+		m.firsts++
+	}
+	if a.Cause == budget.CauseFailure || a.Cause == budget.CauseSlow {
+		m.elective++
+	}
+	r.answered++
+	r.running[a.Attempt] = a.Endpoint.ID
+}
+
+func (m *model) submit() {
+	m.serial++
+	s := Submit{
+		Request: fleet.RequestID(fmt.Sprintf("r%d", m.serial)),
+		Team:    rapid.SampledFrom([]fleet.TeamName{"a", "b", "c", "unknown"}).Draw(m.t, "team"),
+		Service: rapid.SampledFrom([]fleet.ServiceName{"m", "m", "p", "none"}).Draw(m.t, "service"),
+		Class:   fleet.Class(rapid.IntRange(0, 2).Draw(m.t, "class")),
+		Wait:    time.Duration(rapid.IntRange(0, 2000).Draw(m.t, "wait")) * time.Millisecond, Idempotent: true, MaxTokens: 10,
+	}
+	if s.Service == "p" {
+		s.Operation = rapid.SampledFrom([]string{"stock", "order"}).Draw(m.t, "operation")
+		s.Idempotent = s.Operation == "stock"
+	}
+	for i := range rapid.IntRange(0, 3).Draw(m.t, "blocks") {
+		s.Prompt.Blocks = append(s.Prompt.Blocks, uint64(i+1))
+		s.Prompt.Tokens += blockTokens
+	}
+	wait := s.Wait
+	if wait == 0 {
+		wait = map[fleet.ServiceName]time.Duration{"m": 3 * time.Second, "p": 2 * time.Second}[s.Service]
+	}
+	m.open[s.Request] = &openRequest{submit: s, deadline: m.now + wait, running: map[fleet.AttemptNumber]fleet.EndpointID{}}
+	m.order = append(m.order, s.Request)
+	m.step(s)
+}
+
+// pick returns an open request with a running attempt.
+func (m *model) pick() (*openRequest, fleet.AttemptNumber) {
+	var ids []fleet.RequestID
+	for _, id := range m.order {
+		if r := m.open[id]; r != nil && len(r.running) > 0 {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return nil, 0
+	}
+	r := m.open[rapid.SampledFrom(ids).Draw(m.t, "request")]
+	for n := fleet.AttemptNumber(1); ; n++ {
+		if _, ok := r.running[n]; ok {
+			return r, n
+		}
+	}
+}
+
+func (m *model) complete() {
+	r, n := m.pick()
+	if r == nil {
+		return
+	}
+	delete(m.open, r.submit.Request)
+	m.step(Ended{Request: r.submit.Request, Attempt: n, Outcome: AttemptCompleted, Generated: 10, Final: true})
+}
+
+func (m *model) fail() {
+	r, n := m.pick()
+	if r == nil {
+		return
+	}
+	endpoint := r.running[n]
+	clear(r.running)
+	outcome := rapid.SampledFrom([]AttemptOutcome{AttemptBroken, AttemptRejected, AttemptFailed}).Draw(m.t, "outcome")
+	r.mayHaveRun = r.mayHaveRun || outcome != AttemptRejected
+	m.step(Ended{Request: r.submit.Request, Attempt: n, Outcome: outcome})
+	m.step(Retry{Request: r.submit.Request, Avoid: endpoint})
+}
+
+func (m *model) cancel() {
+	if len(m.order) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(m.order).Draw(m.t, "cancelled")
+	delete(m.open, id)
+	m.step(Cancel{Request: id})
+}
+
+// advance moves the clock to the next wake or by a short time.
+func (m *model) advance() {
+	until := m.now + time.Duration(rapid.IntRange(1, 500).Draw(m.t, "advance"))*time.Millisecond
+	for m.wake > 0 && m.wake <= until {
+		m.now = max(m.now, m.wake)
+		m.wake = 0
+		m.step(Tick{})
+	}
+	m.now = until
+}
+
+func (m *model) leave() {
+	e := rapid.SampledFrom(m.list).Draw(m.t, "leaves")
+	m.leaving[e.ID] = true
+	if rapid.Bool().Draw(m.t, "notice") {
+		m.step(Notice{Endpoint: e.ID, Remaining: time.Second})
+		return
+	}
+	m.version++
+	e.Leaving = true
+	m.step(Endpoints{Version: m.version, List: []Endpoint{e}})
+}
+
+// relist sends the original list, as a newer or an older one, or an empty list.
+func (m *model) relist() {
+	version := m.version - 5
+	if rapid.Bool().Draw(m.t, "newer") {
+		m.version++
+		version = m.version
+	}
+	list := m.list
+	if rapid.IntRange(0, 3).Draw(m.t, "empty") == 0 {
+		list = nil
+	}
+	m.step(Endpoints{Version: version, List: list})
+}
+
+func (m *model) report() {
+	e := rapid.SampledFrom(m.list).Draw(m.t, "reports")
+	age := time.Duration(rapid.IntRange(0, 400).Draw(m.t, "age")) * time.Millisecond
+	m.step(LoadReport{Endpoint: e.ID, Running: rapid.IntRange(0, 4).Draw(m.t, "running"), Age: min(age, m.now), Sequence: uint64(m.now)})
+	m.step(CacheEvent{Endpoint: e.ID, Stored: []uint64{1, 2}, Evicted: []uint64{3}})
+}
+
+// invariants guards the counts that all decisions rest on.
+func (m *model) invariants() {
+	counts := map[fleet.EndpointID]int{}
+	for _, r := range m.open {
+		for _, id := range r.running {
+			counts[id]++
+		}
+	}
+	for id, e := range m.machine.endpoints {
+		got := m.machine.services[e.Service].table.Outstanding(id)
+		if got != counts[id] {
+			m.t.Fatalf("%s has %d outstanding attempts, the model %d", id, got, counts[id])
+		}
+	}
+	if allowed := budget.DefaultRatio*float64(m.firsts) + 2*budget.DefaultReserve; float64(m.elective) > allowed {
+		m.t.Fatalf("%d elective attempts exceed the budgets of two services, %.1f", m.elective, allowed)
+	}
+	if len(m.machine.outstanding) != len(m.open) {
+		m.t.Fatalf("machine holds %d requests, the model %d", len(m.machine.outstanding), len(m.open))
+	}
+	for team, inFlight := range m.inFlight() {
+		if got := m.machine.limiter.InFlight(team); got != inFlight {
+			m.t.Fatalf("team %s has %d requests in flight, the model %d", team, got, inFlight)
+		}
+	}
+}
+
+func (m *model) inFlight() map[fleet.TeamName]int {
+	counts := map[fleet.TeamName]int{"a": 0, "b": 0, "c": 0}
+	for _, r := range m.open {
+		counts[r.submit.Team]++
+	}
+	return counts
+}
+
+// settled guards against requests that are neither granted nor refused.
+func (m *model) settled() {
+	for id, r := range m.open {
+		if len(r.running) == 0 && m.now > r.deadline && r.answered == 0 {
+			m.t.Fatalf("%s was neither granted nor refused by its deadline", id)
+		}
+	}
+}
+
+// TestMachineProperties guards the invariants of the dispatcher over random
+// sequences of messages: consistent counts, one answer to each submission by
+// its deadline, budgets, and no grant to a leaving endpoint.
+func TestMachineProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		actions := []func(){m.submit, m.submit, m.submit, m.submit, m.complete, m.complete, m.fail, m.cancel, m.advance, m.leave, m.relist, m.report}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			actions[rapid.IntRange(0, len(actions)-1).Draw(t, "action")]()
+			m.invariants()
+		}
+		m.advance()
+		m.settled()
+	})
+}
--- a/internal/core/route/choose.go
+++ b/internal/core/route/choose.go
@@ -117,7 +117,7 @@
 func (t *Table) home(set *candidates, key uint64) int32 {
 	total, live := 0, 0
 	for _, slot := range set.slots[:set.count] {
-		if s := t.slots[slot]; s != nil && !s.Leaving {
+		if s := t.slots[slot]; s != nil && !s.Leaving && !s.absent {
 			total += s.load()
 			live++
 		}
@@ -125,7 +125,7 @@
 	home, highest := int32(-1), uint64(0)
 	for _, slot := range set.slots[:set.count] {
 		s := t.slots[slot]
-		if s == nil || s.Leaving || s.load()*live > total+live*homeSlack {
+		if s == nil || s.Leaving || s.absent || s.load()*live > total+live*homeSlack {
 			continue
 		}
 		if weight := mix(key ^ s.hash); weight >= highest {
--- a/internal/core/route/endpoint.go
+++ b/internal/core/route/endpoint.go
@@ -26,6 +26,8 @@
 
 	outstanding int
 	batch       int
+	// absent is set while the endpoint is missing from the list.
+	absent bool
 
 	// reported counts requests and reportedBatch those of class batch as of
 	// reportedAt; sent and ended hold the times of own events since.
@@ -115,7 +117,7 @@
 
 // serves tells whether the endpoint can run the request at all.
 func (s *state) serves(r *Request) bool {
-	if s.Leaving || (s.Model != "" && r.Model != "" && s.Model != r.Model) {
+	if s.Leaving || s.absent || (s.Model != "" && r.Model != "" && s.Model != r.Model) {
 		return false
 	}
 	return r.Adapter == "" || len(s.Adapters) == 0 || slices.Contains(s.Adapters, r.Adapter)
--- a/internal/core/route/speed.go
+++ b/internal/core/route/speed.go
@@ -66,7 +66,7 @@
 // ejected endpoints would exceed one third.
 func (t *Table) Observe(now time.Duration, id endpointID, took time.Duration) {
 	s, ok := t.byID[id]
-	if !ok || took <= 0 {
+	if !ok || took <= 0 || s.Leaving || s.absent {
 		return
 	}
 	sample := took.Seconds()
@@ -94,7 +94,7 @@
 func (t *Table) Ejected(now time.Duration) int {
 	kept := t.ejected[:0]
 	for _, s := range t.ejected {
-		if s.speed.ejectedUntil > now && !s.Leaving && t.byID[s.ID] == s {
+		if s.speed.ejectedUntil > now && !s.Leaving && !s.absent && t.byID[s.ID] == s {
 			kept = append(kept, s)
 		}
 	}
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -39,6 +39,8 @@
 }
 
 // Replace sets the list of endpoints and keeps what is known of those that stay.
+// An endpoint that disappears is kept, without new work, until its attempts have
+// ended, because it may come back while they run.
 func (t *Table) Replace(list []Endpoint) {
 	next := make(map[endpointID]*state, len(list))
 	for _, e := range list {
@@ -46,22 +48,33 @@
 		if ok {
 			e.Leaving = e.Leaving || s.Leaving
 			s.Endpoint = e
+			s.absent = false
 		} else {
 			s = t.allocate(e)
 		}
 		next[e.ID] = s
 	}
 	for id, s := range t.byID {
-		if _, stays := next[id]; !stays {
-			t.slots[s.ref.slot] = nil
-			t.free = append(t.free, s.ref.slot)
+		if _, stays := next[id]; stays {
+			continue
 		}
+		s.absent = true
+		if s.outstanding > 0 {
+			next[id] = s
+			continue
+		}
+		t.drop(s)
 	}
 	slices.Sort(t.free)
 	t.byID = next
 	t.rebuild()
 }
 
+func (t *Table) drop(s *state) {
+	t.slots[s.ref.slot] = nil
+	t.free = append(t.free, s.ref.slot)
+}
+
 func (t *Table) allocate(e Endpoint) *state {
 	if n := len(t.free); n > 0 {
 		slot := t.free[n-1]
@@ -83,7 +96,7 @@
 	t.capacity = 0
 	for _, s := range t.slots {
 		switch {
-		case s == nil || s.Leaving:
+		case s == nil || s.Leaving || s.absent:
 		case s.Distance <= nearBound:
 			near = append(near, s)
 		default:
@@ -135,8 +148,14 @@
 
 // Finish ends an attempt that was started at the given time.
 func (t *Table) Finish(now time.Duration, id endpointID, started time.Duration, class fleet.Class) {
-	if s, ok := t.byID[id]; ok {
-		s.finish(now, started, class)
+	s, ok := t.byID[id]
+	if !ok {
+		return
+	}
+	s.finish(now, started, class)
+	if s.absent && s.outstanding == 0 {
+		delete(t.byID, id)
+		t.drop(s)
 	}
 }
 
