--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
-# GOTOOL runs a tool pinned in tools/NAME/go.mod.
+# LINT runs the linter pinned in tools/lint.
 LINT  := go tool -modfile=tools/lint/go.mod golangci-lint
 BIN   := .bin
-PROGRAMS := cornelhold-router cornelctl cornelhold-standin
+
 
 .PHONY: all build test unit lint fmt generate bench
 
@@ -30,6 +30,17 @@
 	go build -modfile=tools/protoc/go.mod -o $(BIN)/protoc-gen-connect-go connectrpc.com/connect/cmd/protoc-gen-connect-go
 	PATH="$(CURDIR)/$(BIN):$$PATH" go tool -modfile=tools/buf/go.mod buf generate
 
+# demo shows the whole system on loopback as separate processes, checks what
+# happened and stops everything.
+.PHONY: demo
+demo: build
+	go run ./demo $(BIN)
+
+# bench-router measures the router process over loopback.
+.PHONY: bench-router
+bench-router: build
+	go run ./bench $(BIN)
+
 # bench prints the policy figures, which are fixed by the commit.
 bench:
 	@mkdir -p $(BIN)
