--- a/demo/ticket.go
+++ b/demo/ticket.go
@@ -41,9 +41,9 @@
 teams:
   - {name: counter, key_sha256: [%s], weight: 1}
 data_centres:
-  - {name: kyushu-a, region: kyushu, distances: {kyushu-b: 3ms, kyushu-c: 3ms}, prices: {gpu-small: {reclaimable: 0.9, on_demand: 2.4}}}
-  - {name: kyushu-b, region: kyushu, distances: {kyushu-a: 3ms, kyushu-c: 3ms}, prices: {gpu-small: {reclaimable: 0.8, on_demand: 2.4}}}
-  - {name: kyushu-c, region: kyushu, distances: {kyushu-a: 3ms, kyushu-b: 3ms}, prices: {gpu-small: {reclaimable: 1.0, on_demand: 2.5}}}
+  - {name: kyushu-a, region: kyushu, distances: {kyushu-b: 3ms, kyushu-c: 3ms}, prices: {gpu-small: {reclaimable: 0.9, on_demand: 2.4}, cpu-small: {on_demand: 0.1}}}
+  - {name: kyushu-b, region: kyushu, distances: {kyushu-a: 3ms, kyushu-c: 3ms}, prices: {gpu-small: {reclaimable: 0.8, on_demand: 2.4}, cpu-small: {on_demand: 0.1}}}
+  - {name: kyushu-c, region: kyushu, distances: {kyushu-a: 3ms, kyushu-b: 3ms}, prices: {gpu-small: {reclaimable: 1.0, on_demand: 2.5}, cpu-small: {on_demand: 0.1}}}
 `, hex.EncodeToString(hash[:]))
 }
 
