--- a/internal/core/member/messages.go
+++ b/internal/core/member/messages.go
@@ -97,7 +97,8 @@
 		Address string
 		Packet  Packet
 	}
-	// Publish carries the live members, this one included, after a change.
+	// Publish carries the live members, this one included, after a member came,
+	// left, began to leave or moved.
 	Publish struct{ Live []Update }
 	// Heard reports a ticket number above the own one.
 	Heard struct {
--- a/internal/core/member/receive.go
+++ b/internal/core/member/receive.go
@@ -114,7 +114,7 @@
 	if u.Incarnation == e.Incarnation {
 		u.Number = max(u.Number, e.Number)
 	}
-	m.changed = m.changed || e.State != u.State || e.Identity != u.Identity
+	m.changed = m.changed || visible(e.State) != visible(u.State) || e.Identity != u.Identity
 	e.Update, e.accused, e.failed = u, false, false
 	m.setDeadline(now, e)
 	if news {
@@ -122,6 +122,15 @@
 	}
 }
 
+// visible maps a state to what a published list tells: a suspected member is
+// treated as live, so that a suspicion is no reason to publish.
+func visible(s State) State {
+	if s == StateSuspect {
+		return StateAlive
+	}
+	return s
+}
+
 func (m *Machine) setDeadline(now time.Duration, e *entry) {
 	switch e.State {
 	case StateSuspect:
--- a/internal/core/member/sim_test.go
+++ b/internal/core/member/sim_test.go
@@ -37,6 +37,7 @@
 	// cut reports whether packets from one node to another are lost.
 	cut     func(from, to *node) bool
 	measure bool
+	onHeard func(n *node, h member.Heard)
 	// published tells that a member list changed in the last step.
 	published bool
 }
@@ -129,6 +130,9 @@
 			}
 		case member.Heard:
 			n.heard++
+			if s.onHeard != nil {
+				s.onHeard(n, a)
+			}
 		}
 	}
 }
--- a/internal/follow/log.go
+++ b/internal/follow/log.go
@@ -37,6 +37,7 @@
 
 // Run performs calls until ctx ends.
 func (l *logTask) Run(ctx context.Context) error {
+	defer l.client.CloseIdle()
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -137,6 +137,7 @@
 			return
 		case <-m.alarm.C():
 			m.step(ctx, conn, member.Wake{})
+			m.count()
 		case number := <-m.numbers:
 			m.step(ctx, conn, member.SetNumber{Number: number})
 		case msg := <-m.mailbox.Receive():
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -80,6 +80,9 @@
 	return batch, err
 }
 
+// CloseIdle closes the connections that are not in use.
+func (c *LogClient) CloseIdle() { c.client.CloseIdleConnections() }
+
 func (c *LogClient) streamURL(stream string, query url.Values) string {
 	u := fmt.Sprintf("%s/v1/streams/%s/records", c.base, url.PathEscape(stream))
 	if len(query) > 0 {
