--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -66,6 +66,7 @@
 	s := do.MustInvoke[*Settings](i)
 	env := do.MustInvoke[*daemon.Env](i)
 	clock := do.MustInvoke[task.Clock](i)
+	gate := do.MustInvoke[*startGate](i)
 	p := &peering{settings: s, directory: do.MustInvoke[*peer.Directory](i)}
 	dispatcher := do.MustInvoke[*dispatcher](i).mailbox
 	p.follower = follow.New(follow.Options{
@@ -74,6 +75,7 @@
 		Clock: clock, Logger: env.Log, Metrics: env.Metrics, Active: do.MustInvoke[*Active](i),
 		OnActive: func(ctx context.Context, spec *config.Spec) {
 			_ = dispatcher.Send(ctx, dispatcherMessage{message: dispatch.Configure{Spec: spec}})
+			gate.configurationArrived()
 			if p.membership != nil {
 				p.membership.SetNumber(spec.Number)
 			}
@@ -124,9 +126,9 @@
 	return found.Address, ok
 }
 
-// readiness returns a callback that sets the process ready once a configuration
-// is known. It touches the readiness no more afterwards, because draining sets
-// it too.
+// readiness returns a callback that states why no configuration is known yet. The
+// start gate reports the process ready; afterwards only draining changes the
+// readiness.
 func readiness(ready *daemon.Readiness) func(config.FollowerStatus) {
 	known := false
 	return func(s config.FollowerStatus) {
@@ -134,7 +136,6 @@
 		case known:
 		case s.Known:
 			known = true
-			ready.Set("")
 		case s.Gap:
 			ready.Set("no configuration is active: ticket records expired and no checkpoint or peer covers them")
 		case s.LogDown:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -179,6 +179,13 @@
 		"this router is being reclaimed; retry through the load balancer")
 }
 
+func moved() *fleet.Refusal {
+	refusal := fleet.Refuse(fleet.RefusedNotReady, overloadRetryAfter,
+		"another router is taking the request over, or its record has expired; retry after the stated delay")
+	refusal.Run = fleet.RunUnknown
+	return refusal
+}
+
 func notFound() *fleet.Refusal {
 	return fleet.Refuse(fleet.RefusedNotFound, 0, "no such request is known for this team; check the id")
 }
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -59,7 +59,7 @@
 	serveCtx, failed := context.WithCancelCause(ctx)
 	defer failed(nil)
 	go func() { failed(r.tasks.Wait()) }()
-	if err := serve(serveCtx, env, s, r, listener, front(r, r.active)); err != nil {
+	if err := serve(serveCtx, env.Log, do.MustInvoke[*startGate](injector), s, r, listener, front(r, r.active)); err != nil {
 		return err
 	}
 	return taskFailure(serveCtx)
@@ -102,6 +102,7 @@
 		dispatcher: do.MustInvoke[*dispatcher](i).mailbox,
 		quarantine: do.MustInvoke[*quarantineTask](i).mailbox,
 		drainer:    do.MustInvoke[*drainer](i).mailbox,
+		gate:       do.MustInvoke[*startGate](i),
 		self:       fleet.InstanceID(do.MustInvoke[*Settings](i).Instance),
 	}, nil
 }
