Observe settled endpoints less often

Cause: each controller observed every endpoint of its services every 2 s. At 12,000 replicas that exceeds the 2 KB/s of a node many times.

Change: endpoints are observed every 2 s while their service changes, and otherwise every 10 s, or every minute in shards that others hold. In exchange no order follows a report older than 5 s, and ready replicas are changed only while all reports are as recent.

Result: the test first failed with three of eight replicas out of service, because a takeover ordered by a report from a minute before; it passes with the age limit.

--- a/internal/core/order/machine.go
+++ b/internal/core/order/machine.go
@@ -11,13 +11,23 @@
 )
 
 const (
-	// observeInterval is the time between two observations of an endpoint.
+	// observeInterval is the time between two observations of an endpoint of a
+	// service that changes, and of an endpoint that doesn't report.
 	observeInterval = 2 * time.Second
+	// idleInterval is the time between two observations while the service is as
+	// it should be. Endpoints of shards that others hold are only counted, so
+	// that remoteIdleInterval can be longer: at 12,000 replicas the reports must
+	// stay small against 2 KB/s for each node.
+	idleInterval       = 10 * time.Second
+	remoteIdleInterval = time.Minute
 	// observeTimeout ends an observation that was not answered.
 	observeTimeout = 5 * time.Second
-	// staleAfter is the age from which a status says nothing about the
-	// endpoint any more.
-	staleAfter = 10 * time.Second
+	// orderAge is the age up to which a report allows an order. A ready replica
+	// is changed only while all reports of its service are as recent.
+	orderAge = 2*observeInterval + time.Second
+	// reportGrace is how long after the next observation is due an endpoint that
+	// doesn't report still counts as it was.
+	reportGrace = 8 * time.Second
 	// activationBound is the time within which a configuration is active on
 	// every node (G7).
 	activationBound = 4 * time.Second
@@ -87,7 +97,8 @@
 		m.observed(now, msg)
 	case ObserveFailed:
 		if r := m.replicas[msg.Endpoint]; r != nil && msg.Seq == r.seq {
-			r.observeAt = now + observeInterval
+			r.asking = false
+			r.validUntil = min(r.validUntil, now+reportGrace)
 		}
 	case Done:
 		m.orderDone(now, msg)
@@ -111,6 +122,17 @@
 	}
 }
 
+// interval returns the time between two observations of a replica.
+func (m *Machine) interval(r *replica, changing bool) time.Duration {
+	if changing || !r.seen {
+		return observeInterval
+	}
+	if _, own := m.permits[r.shardKey()]; own {
+		return idleInterval
+	}
+	return remoteIdleInterval
+}
+
 func (m *Machine) retarget(r *replica) {
 	before := r.target
 	r.target, r.managed = Target{}, false
@@ -175,10 +197,10 @@
 	before := r.status.Loading
 	r.cleared = r.cleared && r.status.Ready == msg.Status.Ready && (before == nil) == (msg.Status.Loading == nil)
 	r.status, r.seen, r.fresh, r.observedAt = msg.Status, true, true, now
+	r.asking, r.validUntil = false, now+m.interval(r, false)+reportGrace
 	if l := r.status.Loading; l != nil && (before == nil || !before.Equal(*l)) {
 		r.loadingSince = now
 	}
-	r.observeAt = now + observeInterval
 	if r.upToDate() {
 		r.failures = 0
 	}
@@ -190,7 +212,7 @@
 		return
 	}
 	r.sending, r.fresh, r.cleared = false, false, false
-	r.minSeq, r.observeAt = r.seq+1, now
+	r.minSeq, r.due = r.seq+1, true
 	switch msg.Result {
 	case ResultFenced:
 		shard := r.shardKey()
--- a/internal/core/order/order_test.go
+++ b/internal/core/order/order_test.go
@@ -1,10 +1,8 @@
 package order
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -14,17 +12,14 @@
 	"github.com/cornelhold/cornelhold/internal/core/config"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/lease"
+	"github.com/cornelhold/cornelhold/internal/proptest"
 )
 
-// TestMain fixes the seed, so that every run has the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20260102")
-	_ = flag.Set("rapid.checks", "200")
-	_ = flag.Set("rapid.shrinktime", "1s")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+// testSeeds are chosen so that each rule of the package, when it is left out,
+// makes the property fail; a new rule may need another one.
+var testSeeds = []uint64{20441605, 20260102}
+
+const testChecks = 110
 
 const (
 	perCentre  = 4
@@ -319,7 +314,7 @@
 // takeovers, restarts of endpoints and tickets that follow each other.
 func TestOrdersConvergeWithinBound(t *testing.T) {
 	taken := 0
-	rapid.Check(t, func(t *rapid.T) {
+	property := func(t *rapid.T) {
 		w := newWorld(t)
 		for range 500 {
 			w.round()
@@ -335,7 +330,10 @@
 			}
 		}
 		taken += w.taken
-	})
+	}
+	for _, seed := range testSeeds {
+		proptest.Check(t, proptest.Bounds{Seed: seed, Checks: testChecks, Steps: 1}, property)
+	}
 	t.Logf("%d ready replicas were changed", taken)
 	if taken == 0 {
 		t.Fatal("no ready replica was ever changed; the test proves nothing")
--- a/internal/core/order/reconcile.go
+++ b/internal/core/order/reconcile.go
@@ -32,8 +32,9 @@
 	var groups []*group
 	for _, service := range m.activeServices(now) {
 		g := &group{service: service, replicas: m.services[service]}
+		changing := m.changing(now, g)
 		for _, r := range g.replicas {
-			actions = append(actions, m.observe(now, r)...)
+			actions = append(actions, m.observe(now, r, changing)...)
 			actions = append(actions, m.keepSlot(now, r)...)
 		}
 		m.count(now, g)
@@ -57,12 +58,30 @@
 	return slices.Compact(services)
 }
 
-func (m *Machine) observe(now time.Duration, r *replica) []Action {
-	if !r.managed || r.sending || now < r.observeAt {
+// changing reports whether endpoints of the service change or may change soon:
+// after a new configuration, after a takeover, or because one of them differs.
+func (m *Machine) changing(now time.Duration, g *group) bool {
+	if now < m.settled {
+		return true
+	}
+	for shard := range m.permits {
+		if shard.Service == g.service && now < m.changeFrom[shard] {
+			return true
+		}
+	}
+	return slices.ContainsFunc(g.replicas, func(r *replica) bool { return r.unsettled(now) })
+}
+
+func (m *Machine) observe(now time.Duration, r *replica, changing bool) []Action {
+	wait := observeTimeout
+	if !r.asking {
+		wait = m.interval(r, changing || !r.responsive(now))
+	}
+	if !r.managed || r.sending || (!r.due && r.askedAt > 0 && now < r.askedAt+wait) {
 		return nil
 	}
 	r.seq++
-	r.observeAt = now + observeTimeout
+	r.asking, r.askedAt, r.due = true, now, false
 	return []Action{Observe{Endpoint: r.endpoint.ID, Address: r.endpoint.Address, Seq: r.seq}}
 }
 
@@ -144,9 +163,10 @@
 	}
 }
 
-// orderable reports whether the replica needs an order and none is on its way.
+// orderable reports whether the replica needs an order by a recent report and
+// none is on its way.
 func (r *replica) orderable(now time.Duration) bool {
-	return r.fresh && r.responsive(now) && r.differs() && !r.sending && now >= r.retryAt
+	return r.fresh && now-r.observedAt <= orderAge && r.differs() && !r.sending && now >= r.retryAt
 }
 
 // unfinished reports whether a data centre must be waited for: a replica there
@@ -161,14 +181,14 @@
 
 // mayChange reports whether ready replicas of a shard may be changed at all:
 // the configuration has settled, orders of a previous holder have arrived, and
-// every replica that reports was observed after that.
+// every replica that reports was observed after that and recently.
 func (m *Machine) mayChange(now time.Duration, g *group, shard lease.Shard) bool {
 	from := max(m.settled, m.changeFrom[shard])
 	if now < from {
 		return false
 	}
 	return !slices.ContainsFunc(g.replicas, func(r *replica) bool {
-		return r.responsive(now) && r.observedAt < from
+		return r.responsive(now) && r.observedAt < max(from, now-orderAge)
 	})
 }
 
--- a/internal/core/order/replica.go
+++ b/internal/core/order/replica.go
@@ -26,9 +26,15 @@
 	fresh      bool
 	seen       bool
 	observedAt time.Duration
-	observeAt  time.Duration
-	seq        uint64
-	minSeq     uint64
+	// validUntil is when the status says nothing about the endpoint any more.
+	validUntil time.Duration
+	// asking is true while an observation asked for at askedAt is open.
+	asking  bool
+	askedAt time.Duration
+	// due makes the next step observe the endpoint.
+	due    bool
+	seq    uint64
+	minSeq uint64
 
 	// loadingSince is when the endpoint was first seen loading something else
 	// than its target.
@@ -53,7 +59,15 @@
 
 // responsive reports whether the endpoint reported recently.
 func (r *replica) responsive(now time.Duration) bool {
-	return r.seen && now-r.observedAt < staleAfter
+	return r.seen && now < r.validUntil
+}
+
+// unsettled reports whether an endpoint that reports is about to change.
+func (r *replica) unsettled(now time.Duration) bool {
+	if !r.managed || r.endpoint.Leaving || !r.responsive(now) {
+		return false
+	}
+	return !r.upToDate() || !r.status.Ready || r.reserved(now)
 }
 
 func (r *replica) ready(now time.Duration) bool {
