--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,4 @@
 bench:
 	@mkdir -p $(BIN)
 	go run ./cmd/cornelhold-policybench -json $(BIN)/policy.json
+	go test -run '^$$' -bench . -benchmem ./internal/core/route ./internal/core/dispatch
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -7,7 +7,6 @@
 
 	"github.com/samber/do/v2"
 
-	"github.com/cornelhold/cornelhold/internal/core/config"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/daemon"
 	"github.com/cornelhold/cornelhold/internal/engine"
@@ -41,6 +40,11 @@
 	if err != nil {
 		return err
 	}
+	p, err := do.Invoke[*peering](injector)
+	if err != nil {
+		return err
+	}
+	r.leave = p.leave
 	// The listener exists before any task can report that the router is ready.
 	listener, err := listen(s)
 	if err != nil {
@@ -48,7 +52,17 @@
 	}
 	startTasks(injector, r)
 	startStreams(injector, r)
-	return serve(ctx, env, s, r, listener, front(r, r.active))
+	p.start(r.tasks, peer.HandoffService(r))
+	// The membership learns at once that this instance stops.
+	stopped := context.AfterFunc(ctx, func() { p.leave(tasksCtx) })
+	defer stopped()
+	serveCtx, failed := context.WithCancelCause(ctx)
+	defer failed(nil)
+	go func() { failed(r.tasks.Wait()) }()
+	if err := serve(serveCtx, env.Log, do.MustInvoke[*startGate](injector), s, r, listener, front(r, r.active)); err != nil {
+		return err
+	}
+	return taskFailure(serveCtx)
 }
 
 func provideTasks(injector do.Injector) {
@@ -56,7 +70,7 @@
 		return newDispatcher(do.MustInvoke[task.Clock](i)), nil
 	})
 	do.Provide(injector, func(do.Injector) (*registry, error) { return newRegistry(), nil })
-	do.Provide(injector, newFollower)
+	do.Provide(injector, newPeering)
 	do.Provide(injector, newWatcher)
 	do.Provide(injector, newRouter)
 	provideCalls(injector)
@@ -82,24 +96,13 @@
 	}, nil
 }
 
-func newFollower(i do.Injector) (*follower, error) {
-	env := do.MustInvoke[*daemon.Env](i)
-	return &follower{
-		log:        env.Log,
-		client:     platform.NewLogClient(do.MustInvoke[*Settings](i).Log),
-		fold:       config.NewFold(),
-		active:     do.MustInvoke[*Active](i),
-		dispatcher: do.MustInvoke[*dispatcher](i).mailbox,
-		onActive:   func(config.Number) { env.Ready.Set("") },
-	}, nil
-}
-
 func newWatcher(i do.Injector) (*watcher, error) {
 	return &watcher{
 		client:     platform.NewInstanceClient(do.MustInvoke[*Settings](i).Instances),
 		dispatcher: do.MustInvoke[*dispatcher](i).mailbox,
 		quarantine: do.MustInvoke[*quarantineTask](i).mailbox,
 		drainer:    do.MustInvoke[*drainer](i).mailbox,
+		gate:       do.MustInvoke[*startGate](i),
 		self:       fleet.InstanceID(do.MustInvoke[*Settings](i).Instance),
 	}, nil
 }
@@ -108,6 +111,13 @@
 	r.tasks.Go("dispatcher", r.dispatcher.Run)
 	r.tasks.Go("registry", r.registry.Run)
 	startCalls(r)
-	r.tasks.Go("follower", do.MustInvoke[*follower](i).Run)
 	r.tasks.Go("watcher", do.MustInvoke[*watcher](i).Run)
 }
+
+// taskFailure returns the error of the task whose failure ended ctx, or nil.
+func taskFailure(ctx context.Context) error {
+	if cause := context.Cause(ctx); task.Error.Has(cause) {
+		return cause
+	}
+	return nil
+}
