Run two controllers in the demo and host its endpoints in the cloud stand-in

Cause: the demo had fixed endpoints and no controller. With a wait of 0 the instance list and cloud stand-ins answered at random with an empty list, because an expired timer raced with the reply.

Change: the cloud stand-in hosts plain services too and its instances join the fixed ones in the instance list; a watch without a wait is answered at once. The demo's controllers start and load all endpoints and replace reclaimed ones.

--- a/bench/setup.go
+++ b/bench/setup.go
@@ -31,7 +31,7 @@
 		)
 	}
 	router := &localfleet.Router{Name: "router", DataCentre: "dc-a"}
-	fleet, err := localfleet.New(bin, "region", engines, nil, []*localfleet.Router{router})
+	fleet, err := localfleet.New(bin, localfleet.Layout{Region: "region", Engines: engines, Routers: []*localfleet.Router{router}})
 	return &bench{fleet: fleet, router: router}, err
 }
 
--- a/demo/calls.go
+++ b/demo/calls.go
@@ -31,9 +31,13 @@
 }
 
 // runs returns how often a call ran over all plain service stand-ins.
-func (d *demo) runs(callID string) (int, error) {
+func (d *demo) runs(ctx context.Context, callID string) (int, error) {
+	desks, err := d.fleet.Listed(ctx, "bench-desk")
+	if err != nil {
+		return 0, err
+	}
 	total := 0
-	for _, p := range d.fleet.Plains {
+	for _, p := range desks {
 		resp, err := http.Get("http://" + p.Address + "/counts/" + callID)
 		if err != nil {
 			return 0, err
@@ -72,7 +76,7 @@
 		say("   %s: %d %s", d.fleet.Routers[router].Name, status, firstLine([]byte(body)))
 		bodies = append(bodies, body)
 	}
-	runs, err := d.runs("order-1")
+	runs, err := d.runs(ctx, "order-1")
 	if err != nil {
 		return err
 	}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -6,12 +6,16 @@
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/localfleet"
+	"github.com/cornelhold/cornelhold/internal/procs"
 )
 
 const (
-	routerCount = 3
-	engineCount = 3
-	plainCount  = 2
+	routerCount     = 3
+	controllerCount = 2
+	engineCount     = 3
+	plainCount      = 2
+	// endpointLimit bounds the wait for endpoints that controllers start.
+	endpointLimit = 25 * time.Second
 	// tokenInterval is the engines' time between tokens.
 	tokenInterval = 20 * time.Millisecond
 	// teamKey is the API key of the demo's team; its hash is in the ticket.
@@ -32,34 +36,31 @@
 }
 
 func newDemo(bin string) (*demo, error) {
-	var engines []*localfleet.Engine
-	for i := range engineCount {
-		engines = append(engines, &localfleet.Engine{
-			ID: fmt.Sprintf("engine-%d", i+1), Service: "dial-advisor",
-			DataCentre: dataCentres[i%len(dataCentres)], TokenInterval: tokenInterval, Slots: 8,
-		})
-	}
 	var routers []*localfleet.Router
 	for i := range routerCount {
 		routers = append(routers, &localfleet.Router{
 			Name: fmt.Sprintf("router-%d", i+1), DataCentre: dataCentres[i%len(dataCentres)],
 		})
 	}
-	var plains []*localfleet.Plain
-	for i := range plainCount {
-		plains = append(plains, &localfleet.Plain{
-			ID: fmt.Sprintf("desk-%d", i+1), Service: "bench-desk", DataCentre: dataCentres[i%len(dataCentres)],
+	var controllers []*localfleet.Controller
+	for i := range controllerCount {
+		controllers = append(controllers, &localfleet.Controller{
+			Name: fmt.Sprintf("controller-%d", i+1), DataCentre: dataCentres[i%len(dataCentres)],
 		})
 	}
-	fleet, err := localfleet.New(bin, "kyushu", engines, plains, routers)
+	fleet, err := localfleet.New(bin, localfleet.Layout{
+		Region: "kyushu", Routers: routers, Controllers: controllers,
+		HostedInterval: tokenInterval, HostedPlain: []string{"bench-desk"},
+	})
 	return &demo{fleet: fleet}, err
 }
 
 func (d *demo) steps() []step {
 	return []step{
 		{"start the stand-ins", d.fleet.StartStandins},
-		{"start three routers", d.fleet.StartRouters},
+		{"start three routers and two controllers", d.startDaemons},
 		{"file the first ticket", d.fileFirstTicket},
+		{"wait until the controllers have started and loaded the endpoints", d.waitEndpoints},
 		{"ask for a dial quote, streamed", d.streamQuote},
 		{"check the stock", d.checkStock},
 		{"send one work order to two routers with the same key", d.orderTwice},
@@ -69,3 +70,33 @@
 		{"stop a router while a quote is streamed", d.stopRouter},
 	}
 }
+
+func (d *demo) startDaemons(ctx context.Context) error {
+	if err := d.fleet.StartRouters(ctx); err != nil {
+		return err
+	}
+	return d.fleet.StartControllers(ctx)
+}
+
+// waitEndpoints waits until each service answers: instances are started, and
+// engines have loaded their model.
+func (d *demo) waitEndpoints(ctx context.Context) error {
+	started := time.Now()
+	if err := d.fleet.WaitListed(ctx, endpointLimit, "dial-advisor", engineCount); err != nil {
+		return err
+	}
+	if err := d.fleet.WaitListed(ctx, endpointLimit, "bench-desk", plainCount); err != nil {
+		return err
+	}
+	err := procs.WaitFor(ctx, endpointLimit, "dial-advisor to answer", func() bool {
+		resp, err := d.openQuote(ctx, 0, "warm up", 1)
+		if err != nil {
+			return false
+		}
+		defer func() { _ = resp.Body.Close() }()
+		_, _, whole := readEvents(resp.Body)
+		return whole
+	})
+	say("   %d engines and %d plain services answer after %s", engineCount, plainCount, time.Since(started).Round(100*time.Millisecond))
+	return err
+}
--- a/demo/failures.go
+++ b/demo/failures.go
@@ -67,13 +67,24 @@
 	if err != nil {
 		return err
 	}
-	leaving := map[string]time.Duration{"engine-1": endpointNote, "engine-2": endpointNote}
-	if err := d.fleet.Reclaim(ctx, leaving); err != nil {
-		return err
+	for _, dataCentre := range dataCentres[:2] {
+		body := fmt.Sprintf(`{"data_centre":%q,"notice_ms":%d}`, dataCentre, endpointNote.Milliseconds())
+		resp, err := post(ctx, "http://"+d.fleet.Cloud+"/v1/cloud/reclaim", body, nil)
+		if err != nil {
+			return err
+		}
+		_ = resp.Body.Close()
 	}
 	text, lastID, whole := s.rest()
-	say("   engine-1 and engine-2 leave with %s notice; the quote has %s tokens, whole: %t", endpointNote, lastID, whole)
-	return s.check(text, whole)
+	say("   kyushu-a and kyushu-b are reclaimed with %s notice; the quote has %s tokens, whole: %t", endpointNote, lastID, whole)
+	if err := s.check(text, whole); err != nil {
+		return err
+	}
+	if err := d.fleet.WaitListed(ctx, endpointLimit, "dial-advisor", engineCount); err != nil {
+		return err
+	}
+	say("   the controllers have started replacements")
+	return nil
 }
 
 func (d *demo) reclaimRouter(ctx context.Context) error {
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -81,14 +81,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	fleet, err := localfleet.New(bin, "kyushu",
-		[]*localfleet.Engine{{ID: "e1", Service: "dial-advisor", DataCentre: "kyushu-a", TokenInterval: time.Millisecond, Slots: 8}},
-		[]*localfleet.Plain{
+	fleet, err := localfleet.New(bin, localfleet.Layout{
+		Region:  "kyushu",
+		Engines: []*localfleet.Engine{{ID: "e1", Service: "dial-advisor", DataCentre: "kyushu-a", TokenInterval: time.Millisecond, Slots: 8}},
+		Plains: []*localfleet.Plain{
 			{ID: "p1", Service: "bench-desk", DataCentre: "kyushu-a"},
 			{ID: "p2", Service: "bench-desk", DataCentre: "kyushu-b"},
 		},
-		[]*localfleet.Router{{Name: "r1", DataCentre: "kyushu-a"}, {Name: "r2", DataCentre: "kyushu-b"}},
-	)
+		Routers: []*localfleet.Router{{Name: "r1", DataCentre: "kyushu-a"}, {Name: "r2", DataCentre: "kyushu-b"}},
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/zeebo/errs"
 
 	"github.com/cornelhold/cornelhold/internal/operator"
@@ -51,35 +52,58 @@
 	Process             *procs.Process
 }
 
+// Controller is one controller process of the fleet.
+type Controller struct {
+	Name       string
+	DataCentre string
+	// Admin is assigned by New.
+	Admin   string
+	Process *procs.Process
+}
+
+// Layout lists the parts of a fleet. Engines and Plains are fixed endpoints;
+// with Controllers the cloud API stand-in hosts the endpoints that they start.
+type Layout struct {
+	Region      string
+	Engines     []*Engine
+	Plains      []*Plain
+	Routers     []*Router
+	Controllers []*Controller
+	// HostedInterval is the time between tokens of hosted engines.
+	HostedInterval time.Duration
+	// HostedPlain names the services that are hosted as plain services.
+	HostedPlain []string
+}
+
 // Fleet is a set of processes with assigned addresses.
 type Fleet struct {
 	*procs.Runner
-	Region  string
-	Engines []*Engine
-	Plains  []*Plain
-	Routers []*Router
-	// Log, List and StandinAdmin are addresses of the stand-in process.
-	Log, List, StandinAdmin string
-	Standin                 *procs.Process
+	Layout
+	// Log, List, Cloud, Weights and StandinAdmin are addresses of the stand-in process.
+	Log, List, Cloud, Weights, StandinAdmin string
+	Standin                                 *procs.Process
 }
 
 // New assigns loopback addresses to the parts; bin is the folder of the programs.
-func New(bin, region string, engines []*Engine, plains []*Plain, routers []*Router) (*Fleet, error) {
+func New(bin string, layout Layout) (*Fleet, error) {
 	runner, err := procs.NewRunner(bin)
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Runner: runner, Region: region, Engines: engines, Plains: plains, Routers: routers}
-	targets := []*string{&f.Log, &f.List, &f.StandinAdmin}
-	for _, e := range engines {
+	f := &Fleet{Runner: runner, Layout: layout}
+	targets := []*string{&f.Log, &f.List, &f.Cloud, &f.Weights, &f.StandinAdmin}
+	for _, e := range f.Engines {
 		targets = append(targets, &e.Address)
 	}
-	for _, p := range plains {
+	for _, p := range f.Plains {
 		targets = append(targets, &p.Address)
 	}
-	for _, r := range routers {
+	for _, r := range f.Routers {
 		targets = append(targets, &r.Listen, &r.Admin, &r.Peer)
 	}
+	for _, c := range f.Controllers {
+		targets = append(targets, &c.Admin)
+	}
 	var ports procs.Addresses
 	defer ports.Release()
 	return f, ports.Assign(targets...)
@@ -107,6 +131,36 @@
 	return err
 }
 
+// StartControllers starts all controller processes.
+func (f *Fleet) StartControllers(ctx context.Context) (err error) {
+	for _, c := range f.Controllers {
+		c.Process, err = f.Start(ctx, "cornelhold-controller", c.Name, f.controllerSettings(c), c.Admin)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Listed returns the live instances of a service in the instance list.
+func (f *Fleet) Listed(ctx context.Context, service string) ([]platform.Instance, error) {
+	list, err := platform.NewInstanceClient("http://"+f.List).Watch(ctx, 0, 0)
+	if err != nil {
+		return nil, err
+	}
+	return lo.Filter(list.Instances, func(i platform.Instance, _ int) bool {
+		return i.Service == service && i.State != platform.StateLeaving
+	}), nil
+}
+
+// WaitListed waits until a service has the given number of live instances.
+func (f *Fleet) WaitListed(ctx context.Context, limit time.Duration, service string, count int) error {
+	return procs.WaitFor(ctx, limit, service+" to have its instances", func() bool {
+		live, err := f.Listed(ctx, service)
+		return err == nil && len(live) >= count
+	})
+}
+
 // WaitReady waits until all routers are ready.
 func (f *Fleet) WaitReady(ctx context.Context) error {
 	for _, r := range f.Routers {
@@ -196,9 +250,19 @@
 	for _, p := range f.Plains {
 		fmt.Fprintf(&b, "  - {listen: %q}\n", p.Address)
 	}
+	if len(f.Controllers) > 0 {
+		fmt.Fprintf(&b, "cloud:\n  listen: %q\n  plain: [%s]\n  engine: {token_interval: %s}\n  orders: {load_time: 300ms}\n",
+			f.Cloud, strings.Join(f.HostedPlain, ", "), f.HostedInterval)
+		fmt.Fprintf(&b, "weights: {listen: %q, store: {slots: 4, ttl: 10s}}\n", f.Weights)
+	}
 	return b.String()
 }
 
+func (f *Fleet) controllerSettings(c *Controller) string {
+	return fmt.Sprintf("instance: %s\ndata_centre: %s\nregion: %s\nadmin: %q\nlog: http://%s\ncloud: http://%s\nweights: http://%s\n",
+		c.Name, c.DataCentre, f.Region, c.Admin, f.Log, f.Cloud, f.Weights)
+}
+
 func (f *Fleet) routerSettings(r *Router) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "instance: %s\ndata_centre: %s\nregion: %s\nlisten: %q\nadmin: %q\npeer_listen: %q\n",
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -4,21 +4,25 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 
 	"github.com/cornelhold/cornelhold/internal/daemon"
 	"github.com/cornelhold/cornelhold/internal/platform"
 	"github.com/cornelhold/cornelhold/internal/standin/modelengine"
+	"github.com/cornelhold/cornelhold/internal/standin/plainservice"
 	"github.com/cornelhold/cornelhold/internal/standin/platformapi"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
 
-// CloudSettings configures the cloud API stand-in. The engines that it starts
+// CloudSettings configures the cloud API stand-in. The endpoints that it starts
 // run in this process on loopback ports.
 type CloudSettings struct {
 	Listen string                    `yaml:"listen" validate:"required,hostname_port"`
 	Cloud  platformapi.CloudSettings `yaml:"cloud"`
 	Engine modelengine.Settings      `yaml:"engine"`
 	Orders modelengine.OrderSettings `yaml:"orders"`
+	// Plain names the services whose instances host a plain service.
+	Plain []string `yaml:"plain"`
 }
 
 // WeightsSettings configures the weight store stand-in.
@@ -40,17 +44,20 @@
 	group.Go("weights server", serve(s.Listen, weights.Handler()))
 }
 
-// launcher hosts an engine for each instance until the instance's ctx ends.
+// launcher hosts an endpoint for each instance until the instance's ctx ends.
 func launcher(group *task.Group, s *CloudSettings) platformapi.Launch {
-	return func(ctx context.Context, _ platform.CloudInstance) (string, error) {
+	return func(ctx context.Context, i platform.CloudInstance) (string, error) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return "", daemon.Error.New("cannot listen on a loopback port: %w; close unused processes", err)
 		}
-		engine, orders := modelengine.New(s.Engine), modelengine.NewOrders(s.Orders)
-		server := &http.Server{Handler: orders.Handler(engine.Handler()), ReadHeaderTimeout: headerTimeout}
-		group.Go("hosted engine", func(context.Context) error { return engine.Run(ctx) })
-		group.Go("hosted orders", func(context.Context) error { return orders.Run(ctx) })
+		var handler http.Handler
+		if slices.Contains(s.Plain, i.Service) {
+			handler = hostPlain(ctx, group)
+		} else {
+			handler = hostEngine(ctx, group, s)
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 		group.Go("hosted server", func(context.Context) error {
 			stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 			defer stop()
@@ -60,3 +67,16 @@
 		return listener.Addr().String(), nil
 	}
 }
+
+func hostEngine(ctx context.Context, group *task.Group, s *CloudSettings) http.Handler {
+	engine, orders := modelengine.New(s.Engine), modelengine.NewOrders(s.Orders)
+	group.Go("hosted engine", func(context.Context) error { return engine.Run(ctx) })
+	group.Go("hosted orders", func(context.Context) error { return orders.Run(ctx) })
+	return orders.Handler(engine.Handler())
+}
+
+func hostPlain(ctx context.Context, group *task.Group) http.Handler {
+	service := plainservice.New()
+	group.Go("hosted plain service", func(context.Context) error { return service.Run(ctx) })
+	return service.Handler()
+}
--- a/internal/standin/platformapi/cloud.go
+++ b/internal/standin/platformapi/cloud.go
@@ -79,6 +79,7 @@
 	}
 	cloudWatch struct {
 		after uint64
+		block bool
 		reply chan platform.CloudList
 	}
 	cloudGone struct {
@@ -142,6 +143,10 @@
 			msg.reply <- platform.CloudList{Version: c.version, Instances: append([]platform.CloudInstance(nil), c.instances...)}
 			return
 		}
+		if !msg.block {
+			msg.reply <- platform.CloudList{Version: msg.after}
+			return
+		}
 		c.waiting = append(c.waiting, msg)
 	case cloudGone:
 		c.instances[msg.index].State = platform.StateStopped
@@ -150,7 +155,7 @@
 	case cloudPublish:
 		if msg.version > c.published {
 			c.published = msg.version
-			c.list.mailbox.TrySend(replaceMessage{instances: msg.instances})
+			c.list.mailbox.TrySend(hostedMessage{instances: msg.instances})
 		}
 	case cloudFaults:
 		c.faults = msg.faults
@@ -267,15 +272,19 @@
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	waitMillis, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	reply := make(chan platform.CloudList, 1)
-	if c.mailbox.Send(r.Context(), cloudWatch{after: after, reply: reply}) != nil {
+	if c.mailbox.Send(r.Context(), cloudWatch{after: after, block: waitMillis > 0, reply: reply}) != nil {
 		return
 	}
-	timer := time.NewTimer(min(time.Duration(max(waitMillis, 0))*time.Millisecond, maxWait))
-	defer timer.Stop()
+	var timeout <-chan time.Time
+	if waitMillis > 0 {
+		timer := time.NewTimer(min(time.Duration(waitMillis)*time.Millisecond, maxWait))
+		defer timer.Stop()
+		timeout = timer.C
+	}
 	select {
 	case list := <-reply:
 		writeJSON(w, list)
-	case <-timer.C:
+	case <-timeout:
 		writeJSON(w, platform.CloudList{Version: after})
 	case <-r.Context().Done():
 	}
--- a/internal/standin/platformapi/instances.go
+++ b/internal/standin/platformapi/instances.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,15 +22,20 @@
 )
 
 // Instances is the task that owns the instance list. PUT /v1/instances
-// replaces the list; GET waits for a newer version.
+// replaces the fixed instances; GET waits for a newer version.
 type Instances struct {
 	mailbox task.Mailbox[any]
 	list    platform.InstanceList
+	// fixed instances come from the settings or PUT, hosted ones from the cloud.
+	fixed   []platform.Instance
+	hosted  []platform.Instance
 	waiting []watchMessage
 }
 
 type watchMessage struct {
 	after uint64
+	// block makes the watch wait for a newer version.
+	block bool
 	reply chan platform.InstanceList
 }
 
@@ -37,10 +43,15 @@
 	instances []platform.Instance
 }
 
+type hostedMessage struct {
+	instances []platform.Instance
+}
+
 // NewInstances returns a list with the given instances at version 1.
 func NewInstances(initial []platform.Instance) *Instances {
 	return &Instances{
 		mailbox: task.NewMailbox[any](mailboxCapacity),
+		fixed:   initial,
 		list:    platform.InstanceList{Version: 1, Instances: initial},
 	}
 }
@@ -60,21 +71,34 @@
 func (s *Instances) step(msg any) {
 	switch msg := msg.(type) {
 	case replaceMessage:
-		s.list = platform.InstanceList{Version: s.list.Version + 1, Instances: msg.instances}
-		waiting := s.waiting
-		s.waiting = nil
-		for _, w := range waiting {
-			s.step(w)
-		}
+		s.fixed = msg.instances
+		s.changed()
+	case hostedMessage:
+		s.hosted = msg.instances
+		s.changed()
 	case watchMessage:
 		if s.list.Version > msg.after {
 			msg.reply <- s.list
 			return
 		}
+		if !msg.block {
+			msg.reply <- platform.InstanceList{Version: msg.after}
+			return
+		}
 		s.waiting = append(s.waiting, msg)
 	}
 }
 
+// changed makes a new version of the list and answers the watchers.
+func (s *Instances) changed() {
+	s.list = platform.InstanceList{Version: s.list.Version + 1, Instances: slices.Concat(s.fixed, s.hosted)}
+	waiting := s.waiting
+	s.waiting = nil
+	for _, w := range waiting {
+		s.step(w)
+	}
+}
+
 // Handler returns the HTTP interface of the instance list.
 func (s *Instances) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -87,16 +111,20 @@
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	waitMillis, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	reply := make(chan platform.InstanceList, 1)
-	if s.mailbox.Send(r.Context(), watchMessage{after: after, reply: reply}) != nil {
+	if s.mailbox.Send(r.Context(), watchMessage{after: after, block: waitMillis > 0, reply: reply}) != nil {
 		return
 	}
-	timer := time.NewTimer(min(time.Duration(max(waitMillis, 0))*time.Millisecond, maxWait))
-	defer timer.Stop()
+	var timeout <-chan time.Time
+	if waitMillis > 0 {
+		timer := time.NewTimer(min(time.Duration(waitMillis)*time.Millisecond, maxWait))
+		defer timer.Stop()
+		timeout = timer.C
+	}
 	w.Header().Set("Content-Type", "application/json")
 	select {
 	case list := <-reply:
 		_ = json.NewEncoder(w).Encode(list)
-	case <-timer.C:
+	case <-timeout:
 		_ = json.NewEncoder(w).Encode(platform.InstanceList{Version: after})
 	case <-r.Context().Done():
 	}
