Feed engine load and cache events to the dispatcher and count its decisions

Cause: the dispatcher knew endpoints by its own requests only, and neither queue wait nor refusals nor extra attempts were visible. Change: GET /v1/events (long poll) on the engine stand-in, its client, and the feeds task, which follows at most 64 engines a router. Mutations: ejection limit, weights, limiter release, outstanding count, run state and hedges of calls that may not be repeated each fail their tests when broken; the first run of the last one passed, so the property test now configures such a call.

--- a/internal/core/dispatch/dispatch_property_test.go
+++ b/internal/core/dispatch/dispatch_property_test.go
@@ -44,6 +44,7 @@
 			"m": {Name: "m", Kind: config.ServiceModel, FirstToken: 600 * time.Millisecond, Deadline: 3 * time.Second},
 			"p": {Name: "p", Kind: config.ServicePlain, Deadline: 2 * time.Second, Operations: map[string]*config.Operation{
 				"stock": {Name: "stock", Idempotent: true, Latency: 150 * time.Millisecond},
+				"order": {Name: "order", Latency: 150 * time.Millisecond},
 			}},
 		},
 		Teams: map[fleet.TeamName]*config.Team{
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -20,13 +20,15 @@
 	machine  *dispatch.Machine
 	requests map[fleet.RequestID]requestMailbox
 	alarm    *task.Alarm
+	metrics  *dispatchMetrics
 }
 
-func newDispatcher(clock task.Clock) *dispatcher {
+func newDispatcher(clock task.Clock, options dispatch.Options, metrics *dispatchMetrics) *dispatcher {
 	return &dispatcher{
 		clock:    clock,
 		mailbox:  task.NewMailbox[dispatcherMessage](dispatcherCapacity),
-		machine:  dispatch.New(),
+		machine:  dispatch.NewWith(options),
+		metrics:  metrics,
 		requests: make(map[fleet.RequestID]requestMailbox),
 		alarm:    task.NewAlarm(),
 	}
@@ -65,6 +67,7 @@
 }
 
 func (d *dispatcher) perform(action dispatch.Action) {
+	d.metrics.observe(action)
 	switch a := action.(type) {
 	case dispatch.Grant:
 		d.tell(a.Request, request.Granted{Attempt: a.Attempt, Endpoint: a.Endpoint, Hedge: a.Hedge})
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -53,11 +53,12 @@
 
 func provideTasks(injector do.Injector) {
 	do.Provide(injector, func(i do.Injector) (*dispatcher, error) {
-		return newDispatcher(do.MustInvoke[task.Clock](i)), nil
+		return newDispatcherFrom(i), nil
 	})
 	do.Provide(injector, func(do.Injector) (*registry, error) { return newRegistry(), nil })
 	do.Provide(injector, newFollower)
 	do.Provide(injector, newWatcher)
+	do.Provide(injector, newFeeds)
 	do.Provide(injector, newRouter)
 	provideCalls(injector)
 }
@@ -100,6 +101,7 @@
 		dispatcher: do.MustInvoke[*dispatcher](i).mailbox,
 		quarantine: do.MustInvoke[*quarantineTask](i).mailbox,
 		drainer:    do.MustInvoke[*drainer](i).mailbox,
+		feeds:      do.MustInvoke[*feeds](i).mailbox,
 		self:       fleet.InstanceID(do.MustInvoke[*Settings](i).Instance),
 	}, nil
 }
@@ -109,5 +111,6 @@
 	r.tasks.Go("registry", r.registry.Run)
 	startCalls(r)
 	r.tasks.Go("follower", do.MustInvoke[*follower](i).Run)
+	r.tasks.Go("feeds", do.MustInvoke[*feeds](i).Run)
 	r.tasks.Go("watcher", do.MustInvoke[*watcher](i).Run)
 }
--- a/internal/router/watcher.go
+++ b/internal/router/watcher.go
@@ -19,6 +19,7 @@
 	dispatcher task.Mailbox[dispatcherMessage]
 	quarantine task.Mailbox[any]
 	drainer    task.Mailbox[drainNotice]
+	feeds      task.Mailbox[[]dispatch.Endpoint]
 	self       fleet.InstanceID
 	version    uint64
 }
@@ -42,6 +43,7 @@
 	w.version = list.Version
 	endpoints := dispatch.Endpoints{Version: list.Version, List: lo.Map(list.Instances, toEndpoint)}
 	_ = w.dispatcher.Send(ctx, dispatcherMessage{message: endpoints})
+	_ = w.feeds.Send(ctx, endpoints.List)
 	_ = w.quarantine.Send(ctx, observedList{list: lo.Map(list.Instances, toObserved)})
 	for _, i := range list.Instances {
 		if i.State != platform.StateLeaving || i.ReclaimInMillis <= 0 {
--- a/internal/standin/modelengine/cache.go
+++ b/internal/standin/modelengine/cache.go
@@ -12,6 +12,8 @@
 	limit int
 	uses  uint64
 	used  map[uint64]uint64
+	// stored and evicted are the changes since the last event.
+	stored, evicted []uint64
 }
 
 func newPrefixCache(tokens int) *prefixCache {
@@ -46,9 +48,13 @@
 func (c *prefixCache) store(text string) {
 	c.uses++
 	for _, block := range blocksOf(text) {
-		if _, ok := c.used[block]; !ok && len(c.used) >= c.limit {
+		_, ok := c.used[block]
+		if !ok && len(c.used) >= c.limit {
 			c.evict()
 		}
+		if !ok {
+			c.stored = append(c.stored, block)
+		}
 		c.used[block] = c.uses
 	}
 }
@@ -61,4 +67,12 @@
 		}
 	}
 	delete(c.used, oldest)
+	c.evicted = append(c.evicted, oldest)
+}
+
+// takeChanges returns the changes since the last call.
+func (c *prefixCache) takeChanges() (stored, evicted []uint64) {
+	stored, evicted = c.stored, c.evicted
+	c.stored, c.evicted = nil, nil
+	return stored, evicted
 }
--- a/internal/standin/modelengine/engine.go
+++ b/internal/standin/modelengine/engine.go
@@ -134,6 +134,7 @@
 	mux.HandleFunc("POST "+engine.CancelPath, e.handleCancel)
 	mux.HandleFunc("POST "+engine.ExportPath, e.handleExport)
 	mux.HandleFunc("GET "+engine.KVPath+"{id}", e.handleImport)
+	mux.HandleFunc("GET "+engine.EventsPath, e.handleEvents)
 	mux.HandleFunc("PUT /faults", e.handleFaults)
 	return mux
 }
--- /dev/null
+++ b/internal/standin/modelengine/events.go
@@ -0,0 +1,132 @@
+package modelengine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/engine"
+)
+
+const (
+	// keptEvents bounds the events that a slow reader can still get.
+	keptEvents = 256
+	// maxEventWait bounds a long poll.
+	maxEventWait = 30 * time.Second
+)
+
+// event is a change of load or cache.
+type event struct {
+	sequence        uint64
+	at              time.Duration
+	running         int
+	waiting         int
+	batch           int
+	stored, evicted []uint64
+}
+
+// Messages of readers of events to the state task.
+type (
+	readEvents struct {
+		after uint64
+		reply chan engine.Events
+		// atOnce asks for an answer even if there is no event.
+		atOnce bool
+	}
+	forgetReader struct {
+		reply chan engine.Events
+	}
+)
+
+// eventLog is owned by the state task.
+type eventLog struct {
+	sequence uint64
+	events   []event
+	readers  []readEvents
+}
+
+func (s *state) handleEvents(msg any) {
+	switch msg := msg.(type) {
+	case readEvents:
+		if msg.atOnce || msg.after != s.log.sequence {
+			msg.reply <- s.eventsAfter(msg.after)
+			return
+		}
+		s.log.readers = append(s.log.readers, msg)
+	case forgetReader:
+		s.log.readers = slices.DeleteFunc(s.log.readers, func(r readEvents) bool { return r.reply == msg.reply })
+	}
+}
+
+// publish records the load and the cache changes and answers the readers.
+func (s *state) publish() {
+	e := event{at: s.clock.Now()}
+	e.stored, e.evicted = s.cache.takeChanges()
+	for _, st := range s.streams {
+		if st.running {
+			e.running++
+		} else {
+			e.waiting++
+		}
+		if st.priority >= int(fleet.ClassBatch) {
+			e.batch++
+		}
+	}
+	s.log.sequence++
+	e.sequence = s.log.sequence
+	if len(s.log.events) == keptEvents {
+		s.log.events = slices.Delete(s.log.events, 0, 1)
+	}
+	s.log.events = append(s.log.events, e)
+	for _, r := range s.log.readers {
+		r.reply <- s.eventsAfter(r.after)
+	}
+	s.log.readers = nil
+}
+
+func (s *state) eventsAfter(after uint64) engine.Events {
+	out := engine.Events{Incarnation: fmt.Sprint(s.incarnation), Sequence: s.log.sequence}
+	for _, e := range s.log.events {
+		out.Running, out.Waiting, out.Batch = e.running, e.waiting, e.batch
+		out.AgeMillis = (s.clock.Now() - e.at).Milliseconds()
+		// A reader that is ahead has read from an earlier incarnation.
+		if e.sequence > after || after > s.log.sequence {
+			out.Stored = append(out.Stored, e.stored...)
+			out.Evicted = append(out.Evicted, e.evicted...)
+		}
+	}
+	return out
+}
+
+func (e *Engine) handleEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+	timer := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maxEventWait))
+	defer timer.Stop()
+	reply := make(chan engine.Events, 1)
+	if e.state.mailbox.Send(r.Context(), readEvents{after: after, reply: reply}) != nil {
+		return
+	}
+	for {
+		select {
+		case events := <-reply:
+			w.Header().Set("Content-Type", "application/json")
+			_ = json.NewEncoder(w).Encode(events)
+			return
+		case <-r.Context().Done():
+			e.state.mailbox.TrySend(forgetReader{reply: reply})
+			return
+		case <-timer.C:
+			e.state.mailbox.TrySend(forgetReader{reply: reply})
+			late := make(chan engine.Events, 1)
+			if e.state.mailbox.Send(r.Context(), readEvents{after: after, reply: late, atOnce: true}) != nil {
+				return
+			}
+			reply = late
+		}
+	}
+}
--- a/internal/standin/modelengine/state.go
+++ b/internal/standin/modelengine/state.go
@@ -133,6 +133,7 @@
 	faults      Faults
 	faulty      int
 	prefilled   int
+	log         eventLog
 }
 
 func newState(s Settings) *state {
@@ -150,6 +151,7 @@
 	s.exports = make(map[string]kvEntry)
 	s.cache = newPrefixCache(s.settings.CacheTokens)
 	s.exportBusy = 0
+	s.log.sequence, s.log.events = 0, nil
 }
 
 // Run owns the state until ctx ends.
@@ -171,6 +173,7 @@
 		msg.stream.arrival = s.arrivals
 		s.streams[msg.stream.key] = msg.stream
 		s.admit()
+		s.publish()
 	case prefillMessage:
 		s.prefilled += msg.tokens
 	case tokenMessage:
@@ -199,6 +202,8 @@
 		msg.reply <- s.status()
 	case restartMessage:
 		s.reset()
+	case readEvents, forgetReader:
+		s.handleEvents(msg)
 	}
 }
 
@@ -262,6 +267,7 @@
 	delete(s.streams, st.key)
 	s.cache.store(st.context())
 	s.admit()
+	s.publish()
 }
 
 func (s *state) export(key streamKey) exportReply {
