--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -86,7 +86,7 @@
 	// router uses one that belongs to the part of another, one slot in six.
 	marginDivisor = 4
 	// homeSlack is how far the load of a prompt's home may exceed the mean.
-	homeSlack = 2
+	homeSlack = 8
 	// longPrompt is the number of missing tokens from which an endpoint with
 	// the prefill role is preferred.
 	longPrompt = 1024
