--- a/internal/core/dispatch/dispatch_property_test.go
+++ b/internal/core/dispatch/dispatch_property_test.go
@@ -58,7 +58,8 @@
 		t: t, machine: NewWith(Options{Seed: 7}),
 		leaving: map[fleet.EndpointID]bool{}, open: map[fleet.RequestID]*openRequest{},
 	}
-	m.step(Configure{Spec: propertySpec(), Routers: 2})
+	m.step(Peers{Routers: 2})
+	m.step(Configure{Spec: propertySpec()})
 	for i := range 6 {
 		service := fleet.ServiceName("m")
 		if i >= 4 {
--- a/internal/core/dispatch/machine.go
+++ b/internal/core/dispatch/machine.go
@@ -72,9 +72,11 @@
 	case Endpoints:
 		actions = m.replaceEndpoints(now, msg)
 	case Notice:
-		actions = m.notice(msg)
+		actions = m.notice(now, msg)
 	case Configure:
 		actions = m.configure(now, msg)
+	case Peers:
+		m.peers(now, msg)
 	case Tick:
 		m.armed = 0
 		actions = m.tick(now)
@@ -176,21 +178,34 @@
 
 func (m *Machine) configure(now time.Duration, msg Configure) []Action {
 	m.spec = msg.Spec
-	if msg.Routers > 0 {
-		m.routers, m.router = msg.Routers, msg.Router
-	}
 	weights := make(map[fleet.TeamName]int, len(msg.Spec.Teams))
 	for name, t := range msg.Spec.Teams {
 		weights[name] = t.Weight
-		limit := admit.Limit{PerSecond: t.RequestsPerSecond, InFlight: t.MaxInFlight}
-		m.limiter.Set(now, name, limit.Share(m.routers))
 	}
+	m.setLimits(now)
 	for name := range msg.Spec.Services {
 		m.ensureService(name)
 	}
 	for name, svc := range m.services {
 		svc.configure(msg.Spec.Services[name], weights)
-		svc.table.SetRouters(m.routers, m.router)
 	}
 	return m.refreshEndpoints(now)
 }
+
+// setLimits gives each team its part of the limits in this router.
+func (m *Machine) setLimits(now time.Duration) {
+	for name, t := range m.spec.Teams {
+		limit := admit.Limit{PerSecond: t.RequestsPerSecond, InFlight: t.MaxInFlight}
+		m.limiter.Set(now, name, limit.Share(m.routers))
+	}
+}
+
+func (m *Machine) peers(now time.Duration, msg Peers) {
+	m.routers, m.router = max(msg.Routers, 1), msg.Router
+	for _, svc := range m.services {
+		svc.table.SetRouters(m.routers, m.router)
+	}
+	if m.spec != nil {
+		m.setLimits(now)
+	}
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -40,6 +40,9 @@
 // Spec returns the active configuration, or nil before the first ticket.
 func (a *Active) Spec() *config.Spec { return a.spec.Load() }
 
+// Set replaces the active configuration. The follower task calls it.
+func (a *Active) Set(spec *config.Spec) { a.spec.Store(spec) }
+
 // Options configures a follower.
 type Options struct {
 	Self   config.Node
@@ -202,7 +205,7 @@
 
 func (f *Follower) activate(ctx context.Context, a config.Activate) {
 	spec, skipped := ticket.BuildSpec(a.Snapshot)
-	f.options.Active.spec.Store(spec)
+	f.options.Active.Set(spec)
 	f.metrics.activated(a)
 	f.options.Logger.WithFields(log.Fields{"number": uint64(spec.Number), "skipped_objects": len(skipped)}).
 		Info("configuration active")
--- a/internal/router/export_test.go
+++ b/internal/router/export_test.go
@@ -25,7 +25,7 @@
 	provideTasks(injector)
 	provideStreams(injector)
 	r := do.MustInvoke[*Router](injector)
-	r.active.spec.Store(spec)
+	r.active.Set(spec)
 	r.dispatcher.mailbox.TrySend(dispatcherMessage{message: dispatch.Configure{Spec: spec}})
 	r.dispatcher.mailbox.TrySend(dispatcherMessage{message: dispatch.Endpoints{Version: 1, List: endpoints}})
 	r.tasks.Go("dispatcher", r.dispatcher.Run)
--- a/internal/router/feeds.go
+++ b/internal/router/feeds.go
@@ -13,6 +13,7 @@
 	"github.com/cornelhold/cornelhold/internal/core/dispatch"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/engine"
+	"github.com/cornelhold/cornelhold/internal/peer"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
 
@@ -28,6 +29,8 @@
 	// an endpoint that is not known to be a model engine.
 	feedRetry     = 2 * time.Second
 	feedsCapacity = 16
+	// memberInterval separates looks at the list of own instances.
+	memberInterval = 2 * time.Second
 )
 
 // feeds is the task that follows the load reports and cache events of engines.
@@ -40,6 +43,8 @@
 	self       string
 	tasks      *task.Group
 	followed   map[fleet.EndpointID]context.CancelFunc
+	directory  *peer.Directory
+	peers      dispatch.Peers
 }
 
 func newFeeds(i do.Injector) (*feeds, error) {
@@ -51,21 +56,46 @@
 		self:       do.MustInvoke[*Settings](i).Instance,
 		tasks:      do.MustInvoke[*task.Group](i),
 		followed:   make(map[fleet.EndpointID]context.CancelFunc),
+		directory:  do.MustInvoke[*peer.Directory](i),
 	}, nil
 }
 
 // Run owns the set of followed engines until ctx ends.
 func (f *feeds) Run(ctx context.Context) error {
+	members := time.NewTicker(memberInterval)
+	defer members.Stop()
+	f.announcePeers(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-members.C:
+			f.announcePeers(ctx)
 		case list := <-f.mailbox.Receive():
 			f.follow(ctx, f.choose(list))
 		}
 	}
 }
 
+// announcePeers tells the dispatcher how many routers there are when it has
+// changed. Leaving ones take no more requests.
+func (f *feeds) announcePeers(ctx context.Context) {
+	now := dispatch.Peers{}
+	for _, m := range f.directory.Members() {
+		if m.Leaving {
+			continue
+		}
+		now.Routers++
+		if string(m.Instance) < f.self {
+			now.Router++
+		}
+	}
+	if now != f.peers {
+		f.peers = now
+		_ = f.dispatcher.Send(ctx, dispatcherMessage{message: now})
+	}
+}
+
 // choose returns the live endpoints to follow. Each router follows others when
 // there are more than maxFeeds.
 func (f *feeds) choose(list []dispatch.Endpoint) []dispatch.Endpoint {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -40,6 +40,8 @@
 	// draining is set by the drainer task and read by submissions.
 	draining atomic.Bool
 	calls    *calls
+	// leave announces to the other instances that this one drains.
+	leave func(ctx context.Context)
 }
 
 // Handle gives access to one accepted request. Its holder counts as an
@@ -177,6 +179,13 @@
 		"this router is being reclaimed; retry through the load balancer")
 }
 
+func moved() *fleet.Refusal {
+	refusal := fleet.Refuse(fleet.RefusedNotReady, overloadRetryAfter,
+		"another router is taking the request over, or its record has expired; retry after the stated delay")
+	refusal.Run = fleet.RunUnknown
+	return refusal
+}
+
 func notFound() *fleet.Refusal {
 	return fleet.Refuse(fleet.RefusedNotFound, 0, "no such request is known for this team; check the id")
 }
--- a/internal/router/shutdown.go
+++ b/internal/router/shutdown.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/cornelhold/cornelhold/internal/daemon"
 )
 
@@ -24,19 +26,13 @@
 	dialPatience = 500 * time.Millisecond
 )
 
-func listen(s *Settings) (net.Listener, error) {
-	listener, err := net.Listen("tcp", s.Listen)
-	if err != nil {
-		return nil, daemon.Error.New("cannot listen on %s: %w; free the port or change the listen setting", s.Listen, err)
-	}
-	return listener, nil
-}
-
 // serve serves callers until ctx ends and then stops without cutting a request
 // off: while LameDuck lasts, new and idle connections are served and told to
 // close; then the accept queue is emptied, idle connections are closed, and
 // open requests end.
-func serve(ctx context.Context, env *daemon.Env, s *Settings, r *Router, listener net.Listener, handler http.Handler) error {
+func serve(
+	ctx context.Context, logger log.Interface, gate *startGate, s *Settings, r *Router, listener net.Listener, handler http.Handler,
+) error {
 	var stopping atomic.Bool
 	server := &http.Server{
 		Handler: closeWhen(&stopping, handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -48,8 +44,8 @@
 		return err
 	case <-ctx.Done():
 	}
-	env.Log.Info("stopping: open requests are served to their end")
-	env.Ready.Set("stopping")
+	logger.Info("stopping: open requests are served to their end")
+	gate.leave("stopping")
 	stopping.Store(true)
 	shutdownCtx, cancel := shutdownContext(context.WithoutCancel(ctx), s.ShutdownBound)
 	defer cancel()
@@ -72,6 +68,16 @@
 	return err
 }
 
+// listen opens the callers' address. It comes before the tasks, since one of
+// them reports the process ready.
+func listen(s *Settings) (net.Listener, error) {
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return nil, daemon.Error.New("cannot listen on %s: %w; free the port or change the listen setting", s.Listen, err)
+	}
+	return listener, nil
+}
+
 func shutdownContext(ctx context.Context, bound time.Duration) (context.Context, context.CancelFunc) {
 	if bound <= 0 {
 		return context.WithCancel(ctx)
--- a/internal/router/watcher.go
+++ b/internal/router/watcher.go
@@ -13,6 +13,15 @@
 	"github.com/cornelhold/cornelhold/internal/task"
 )
 
+const (
+	// longPoll is how long a platform service may hold a read open.
+	longPoll = 20 * time.Second
+	// readLimit bounds the records of one read of a log stream.
+	readLimit = 500
+	// retryDelay separates reads while a platform service fails.
+	retryDelay = 200 * time.Millisecond
+)
+
 // watcher is the task that follows the platform's instance list.
 type watcher struct {
 	client     *platform.InstanceClient
@@ -20,6 +29,7 @@
 	quarantine task.Mailbox[any]
 	drainer    task.Mailbox[drainNotice]
 	feeds      task.Mailbox[[]dispatch.Endpoint]
+	gate       *startGate
 	self       fleet.InstanceID
 	version    uint64
 }
@@ -44,6 +54,7 @@
 	endpoints := dispatch.Endpoints{Version: list.Version, List: lo.Map(list.Instances, toEndpoint)}
 	_ = w.dispatcher.Send(ctx, dispatcherMessage{message: endpoints})
 	_ = w.feeds.Send(ctx, endpoints.List)
+	w.gate.instancesArrived()
 	_ = w.quarantine.Send(ctx, observedList{list: lo.Map(list.Instances, toObserved)})
 	for _, i := range list.Instances {
 		if i.State != platform.StateLeaving || i.ReclaimInMillis <= 0 {
@@ -77,3 +88,13 @@
 		Leaving: i.State == platform.StateLeaving,
 	}
 }
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
