Rebuild the candidate rings only when the endpoints change

Cause: each of 0.6 tickets a second rebuilt the rings of all endpoints, 50 ms at 12,000 endpoints, which is 3% of a core and stalls the dispatcher. Change: Table.Replace compares the list with what it holds.

--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -27,6 +27,8 @@
 	Price float64
 }
 
+func (e *Endpoint) near() bool { return e.Distance <= nearBound }
+
 // Roles of engines. An empty role means RoleMixed.
 const (
 	RoleMixed   = "mixed"
--- a/internal/core/route/table.go
+++ b/internal/core/route/table.go
@@ -43,10 +43,13 @@
 // ended, because it may come back while they run.
 func (t *Table) Replace(list []Endpoint) {
 	next := make(map[endpointID]*state, len(list))
+	changed := len(list) != len(t.byID)
 	for _, e := range list {
 		s, ok := t.byID[e.ID]
+		changed = changed || !ok
 		if ok {
 			e.Leaving = e.Leaving || s.Leaving
+			changed = changed || s.absent || e.Leaving != s.Leaving || e.Slots != s.Slots || e.near() != s.near()
 			s.Endpoint = e
 			s.absent = false
 		} else {
@@ -67,7 +70,11 @@
 	}
 	slices.Sort(t.free)
 	t.byID = next
-	t.rebuild()
+	if changed {
+		// A new configuration mostly leaves the endpoints as they are; the rings
+		// of 12,000 endpoints take tens of milliseconds.
+		t.rebuild()
+	}
 }
 
 func (t *Table) drop(s *state) {
@@ -97,7 +104,7 @@
 	for _, s := range t.slots {
 		switch {
 		case s == nil || s.Leaving || s.absent:
-		case s.Distance <= nearBound:
+		case s.near():
 			near = append(near, s)
 		default:
 			far = append(far, s)
