--- a/internal/core/dispatch/dispatch_property_test.go
+++ b/internal/core/dispatch/dispatch_property_test.go
@@ -44,6 +44,7 @@
 			"m": {Name: "m", Kind: config.ServiceModel, FirstToken: 600 * time.Millisecond, Deadline: 3 * time.Second},
 			"p": {Name: "p", Kind: config.ServicePlain, Deadline: 2 * time.Second, Operations: map[string]*config.Operation{
 				"stock": {Name: "stock", Idempotent: true, Latency: 150 * time.Millisecond},
+				"order": {Name: "order", Latency: 150 * time.Millisecond},
 			}},
 		},
 		Teams: map[fleet.TeamName]*config.Team{
@@ -57,7 +58,8 @@
 		t: t, machine: NewWith(Options{Seed: 7}),
 		leaving: map[fleet.EndpointID]bool{}, open: map[fleet.RequestID]*openRequest{},
 	}
-	m.step(Configure{Spec: propertySpec(), Routers: 2})
+	m.step(Peers{Routers: 2})
+	m.step(Configure{Spec: propertySpec()})
 	for i := range 6 {
 		service := fleet.ServiceName("m")
 		if i >= 4 {
--- a/internal/core/dispatch/messages.go
+++ b/internal/core/dispatch/messages.go
@@ -157,9 +157,11 @@
 // Configure replaces the active configuration.
 type Configure struct {
 	Spec *config.Spec
-	// Routers is the number of routers among which the limits of teams and the
-	// free slots of endpoints are divided; 0 keeps the number given before, at
-	// first 1. Router is the position of this router among them, from 0.
+}
+
+// Peers tells among how many routers the limits of teams and the free slots of
+// endpoints are divided, at first 1, and the position of this one, from 0.
+type Peers struct {
 	Routers int
 	Router  int
 }
@@ -177,6 +179,7 @@
 func (Endpoints) isMessage()  {}
 func (Notice) isMessage()     {}
 func (Configure) isMessage()  {}
+func (Peers) isMessage()      {}
 func (Tick) isMessage()       {}
 
 // Grant starts an attempt on an endpoint.
--- a/internal/core/dispatch/service.go
+++ b/internal/core/dispatch/service.go
@@ -150,6 +150,7 @@
 		budget:  budget.New(budget.DefaultRatio, budget.DefaultReserve),
 		latency: make(map[string]*budget.Latency), usages: make(map[fleet.TeamName]*usage), totalWeight: 1,
 	}
+	svc.table.SetRouters(m.routers, m.router)
 	m.services[name] = svc
 	i, _ := slices.BinarySearch(m.names, name)
 	m.names = slices.Insert(m.names, i, name)
--- a/internal/policybench/simulation.go
+++ b/internal/policybench/simulation.go
@@ -84,7 +84,8 @@
 		s.policies = append(s.policies, build(u, i))
 	}
 	for i := range routers {
-		s.step(i, dispatch.Configure{Spec: u.spec(), Routers: routers, Router: i})
+		s.step(i, dispatch.Peers{Routers: routers, Router: i})
+		s.step(i, dispatch.Configure{Spec: u.spec()})
 	}
 	s.publishList()
 	for _, c := range u.generate(scenario) {
