--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -4,10 +4,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,14 +45,18 @@
 // testKey is the API key whose hash is in testTicket.
 const testKey = "foo"
 
+// firstPort is the first port that the tests use, on an address of their own.
+const firstPort = 20000
+
+var lastPort atomic.Int32
+
+// freeAddress returns an address that no other call returns. Asking the system
+// for a free port is not enough: it may name the same one twice, or use it for
+// an outgoing connection before the program listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1:%d", 1+pid>>8%250, pid%256, firstPort+lastPort.Add(1))
 }
 
 func testEnv() *daemon.Env {
--- a/internal/e2e/streams_test.go
+++ b/internal/e2e/streams_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +15,7 @@
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 
+	"github.com/cornelhold/cornelhold/internal/platform"
 	"github.com/cornelhold/cornelhold/internal/standin/modelengine"
 )
 
@@ -185,14 +187,16 @@
 	is.Equal(c.get(1, "/v1/requests/"+strings.Replace(id, "-", "0", 1), "").StatusCode, http.StatusNotFound)
 }
 
-// TestWholeAnswerIsFoundAfterRedirect guards callers without a stream.
+// TestWholeAnswerIsFoundAfterRedirect guards callers without a stream on a
+// router whose reclaim the instance list announces.
 func TestWholeAnswerIsFoundAfterRedirect(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, steady, 2, 2, 0)
 	answered := make(chan *http.Response, 1)
 	go func() { answered <- c.ask(0, "route the cord", 100, false) }()
 	c.busyEngine()
-	c.drain(0, "100")
+	c.instances = append(c.instances, platform.Instance{ID: "r0"})
+	c.reclaim("r0", 100*time.Millisecond)
 	resp := <-answered
 	is.Equal(resp.StatusCode, http.StatusSeeOther)
 	result := c.get(1, resp.Header.Get("Location"), "")
@@ -202,8 +206,8 @@
 	is.True(strings.Contains(string(data), strings.TrimSpace(answer("route the cord", 100))))
 }
 
-// TestStopInterruptsNothing guards G6: a stream and a connection without a
-// request are open when the process is told to stop.
+// TestStopInterruptsNothing guards G6: a stream, an idle connection and one
+// that has not sent its request yet are open when the process is told to stop.
 func TestStopInterruptsNothing(t *testing.T) {
 	const tokens = 60
 	is := is.New(t)
@@ -216,7 +220,14 @@
 	resp := c.ask(0, "route the cord", tokens, true)
 	e := readEvents(resp.Body)
 	e.take(3)
+	fresh, err := net.Dial("tcp", c.routers[0].address)
+	is.NoErr(err)
 	c.routers[0].stop()
+	_, err = io.WriteString(fresh, "GET /openapi.json HTTP/1.1\r\nHost: router\r\n\r\n")
+	is.NoErr(err)
+	served, err := http.ReadResponse(bufio.NewReader(fresh), nil)
+	is.NoErr(err) // a connection that was made before the stop is served
+	is.Equal(served.StatusCode, http.StatusOK)
 	e.rest()
 	is.True(e.ended)
 	is.Equal(e.text.String(), answer("route the cord", tokens))
--- a/internal/router/requesttask.go
+++ b/internal/router/requesttask.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// requestCapacity bounds the messages that wait for one request task. An
-	// engine client that finds it full waits, which slows that stream only.
+	// requestCapacity bounds the messages and the frames that wait for one
+	// request task. An engine client that finds no room waits, which slows that
+	// stream only.
 	requestCapacity = 64
 	// keepEnded is how long the record of an ended request stays readable for
 	// a caller that reconnects.
@@ -33,8 +34,12 @@
 	fingerprint fleet.Fingerprint
 	clock       task.Clock
 	mailbox     requestMailbox
-	done        chan struct{}
-	machine     *request.Machine
+	// frames receives what attempts deliver. It is apart from mailbox, so that
+	// a fast endpoint can't crowd out grants, moves and verdicts, which are
+	// posted without waiting.
+	frames  task.Mailbox[request.Message]
+	done    chan struct{}
+	machine *request.Machine
 	// initial are actions to carry out first.
 	initial    []request.Action
 	dispatcher task.Mailbox[dispatcherMessage]
@@ -79,6 +84,8 @@
 			t.step(ctx, request.Tick{})
 		case msg := <-t.mailbox.Receive():
 			t.handle(ctx, msg)
+		case msg := <-t.frames.Receive():
+			t.step(ctx, msg)
 		}
 	}
 }
@@ -173,9 +180,9 @@
 	}
 	go func() {
 		defer cancel()
-		emit := func(f request.Frame) { _ = t.mailbox.Send(attemptCtx, coreMessage{message: f}) }
+		emit := func(f request.Frame) { _ = t.frames.Send(attemptCtx, f) }
 		if result := t.engine.Stream(attemptCtx, a.Endpoint.Address, body, emit); result != nil {
-			_ = t.mailbox.Send(attemptCtx, coreMessage{message: result})
+			_ = t.frames.Send(attemptCtx, result)
 		}
 	}()
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -76,6 +76,7 @@
 	return &requestTask{
 		id: id, submission: s, fingerprint: fingerprintOf(s), clock: r.clock,
 		mailbox:    task.NewMailbox[any](requestCapacity),
+		frames:     task.NewMailbox[request.Message](requestCapacity),
 		done:       make(chan struct{}),
 		machine:    machine,
 		dispatcher: r.dispatcher.mailbox,
