--- a/internal/router/shutdown.go
+++ b/internal/router/shutdown.go
@@ -39,15 +39,9 @@
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(&drainingListener{Listener: listener, stopping: &stopping}) }()
-	tasks := make(chan error, 1)
-	go func() { tasks <- r.tasks.Wait() }()
 	select {
 	case err := <-failed:
 		return err
-	case err := <-tasks:
-		// Without its tasks the router would accept requests and answer none.
-		_ = server.Close()
-		return err
 	case <-ctx.Done():
 	}
 	logger.Info("stopping: open requests are served to their end")
