Listen before the stand-ins report ready; refuse plain calls in a drain

Cause: TestStartWhileLogIsDown failed once with a refused connection, because the stand-in reported ready before it listened on the log's address. A draining router still took idempotent calls of plain services.

Change: standin.serve listens at once. Router.Call refuses with draining; CallOnce still answers, since a repeated key has an outcome.

--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -76,6 +76,9 @@
 
 // Call runs an idempotent call and tries other endpoints when one fails.
 func (r *Router) Call(ctx context.Context, call PlainCall) CallReply {
+	if r.draining.Load() {
+		return CallReply{Refusal: draining()}
+	}
 	id := fleet.RequestID(uuid.NewString())
 	t := newPlainTask(id, call, r.clock, r.dispatcher.mailbox, r.calls.plain)
 	submit := dispatcherMessage{message: call.submit(id, true), sender: &t.mailbox}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -109,9 +109,11 @@
 	return instances
 }
 
+// serve listens at once, so that the process is not reported ready before, and
+// returns the task that serves.
 func serve(address string, handler http.Handler) func(context.Context) error {
+	listener, err := net.Listen("tcp", address)
 	return func(ctx context.Context) error {
-		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return daemon.Error.New("cannot listen on %s: %w; free the port or change the setting", address, err)
 		}
