--- a/internal/callerapi/calls.go
+++ b/internal/callerapi/calls.go
@@ -39,6 +39,7 @@
 		Summary:      "Call an operation of a plain service; a call that may not be repeated runs at most once for its key",
 		MaxBodyBytes: maxCallBytes,
 	}, a.callService)
+	a.registerDeferred(humaAPI)
 }
 
 func (a *api) callService(_ context.Context, in *callInput) (*huma.StreamResponse, error) {
--- /dev/null
+++ b/internal/core/deferred/deferred_test.go
@@ -0,0 +1,402 @@
+package deferred
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/proptest"
+)
+
+const (
+	epoch LogTime = 1_800_000_000_000
+	// retention is the shortest that the design page allows.
+	retention = 24*time.Hour + 5*time.Minute
+	// answerTexts is the length of each simulated answer.
+	answerTexts = 2*ProgressTexts + 10
+)
+
+type logRecord struct {
+	offset uint64
+	at     LogTime
+	entry  Entry
+}
+
+type activeRun struct {
+	node  int
+	start Start
+	texts []string
+}
+
+// world is several nodes, one log and a model engine whose texts depend on the
+// run, so that a mixture of two runs shows.
+type world struct {
+	now      time.Duration
+	down     bool
+	first    uint64
+	records  []logRecord
+	late     []Entry
+	desks    [3]*Desk
+	members  []fleet.InstanceID
+	queues   [3][]Entry
+	runs     []activeRun
+	nextID   int
+	promised map[JobID]bool
+	denied   map[JobID]bool
+	outcomes map[JobID]*Outcome
+	resumed  int
+}
+
+func newWorld() *world {
+	w := &world{promised: map[JobID]bool{}, denied: map[JobID]bool{}, outcomes: map[JobID]*Outcome{}}
+	for i := range w.desks {
+		w.members = append(w.members, w.name(i))
+		w.desks[i] = NewDesk(w.name(i))
+	}
+	return w
+}
+
+func (w *world) name(node int) fleet.InstanceID { return fleet.InstanceID(fmt.Sprintf("r%d", node)) }
+
+func (w *world) logTime() LogTime { return epoch.add(w.now) }
+
+func (w *world) step(t *rapid.T, node int, msg Message) {
+	for _, action := range w.desks[node].Step(w.now, msg) {
+		switch a := action.(type) {
+		case Append:
+			w.queues[node] = append(w.queues[node], a.Entry)
+		case Start:
+			if len(a.Texts) > 0 {
+				w.resumed++
+			}
+			w.runs = append(w.runs, activeRun{node: node, start: a, texts: a.Texts})
+		case Stop:
+			w.dropRuns(func(r activeRun) bool { return r.node == node && r.start.Run == a.Run })
+		case Reply:
+			if a.Refusal == nil {
+				w.promised[a.Job] = true
+			} else if a.Refusal.Run == fleet.RunNotRun {
+				w.denied[a.Job] = true
+			}
+		}
+	}
+	w.check(t, node)
+}
+
+func (w *world) dropRuns(drop func(activeRun) bool) {
+	var rest []activeRun
+	for _, r := range w.runs {
+		if !drop(r) {
+			rest = append(rest, r)
+		}
+	}
+	w.runs = rest
+}
+
+// check compares what a node knows with what was said before.
+func (w *world) check(t *rapid.T, node int) {
+	for id, job := range w.desks[node].fold.jobs {
+		if w.denied[id] {
+			t.Fatalf("job %s was refused as not run and is in the log", id)
+		}
+		if job.Outcome == nil {
+			continue
+		}
+		if earlier, ok := w.outcomes[id]; ok {
+			if earlier != job.Outcome && !reflect.DeepEqual(earlier, job.Outcome) {
+				t.Fatalf("job %s ended as %v and as %v", id, earlier.Kind, job.Outcome.Kind)
+			}
+			continue
+		}
+		w.outcomes[id] = job.Outcome
+		if job.Outcome.Kind == OutcomeDone && !coherent(job.Outcome.Texts) {
+			t.Fatalf("the result of job %s mixes two runs", id)
+		}
+	}
+}
+
+// text returns the next text of a run. It depends on the run and on the text
+// before it, and so on all texts before it.
+func text(run string, before []string) string {
+	return fmt.Sprintf("%s/%d/%x", run, len(before), PrefixHash(before[max(0, len(before)-1):]))
+}
+
+func coherent(texts []string) bool {
+	for i, s := range texts {
+		var run string
+		if _, err := fmt.Sscanf(s, "%2s", &run); err != nil || s != text(run, texts[:i]) {
+			return false
+		}
+	}
+	return len(texts) == answerTexts
+}
+
+func (w *world) node(t *rapid.T) int { return proptest.Pick(t, len(w.desks)) }
+
+func (w *world) submit(t *rapid.T) {
+	if w.nextID >= 3 {
+		return
+	}
+	w.nextID++
+	w.step(t, w.node(t), Submit{Job: JobID(fmt.Sprintf("job%d", w.nextID)), Work: Work{Team: "proofs", Prompt: "p"}})
+}
+
+func (w *world) store(entry Entry) {
+	w.records = append(w.records, logRecord{offset: w.first + uint64(len(w.records)), at: w.logTime(), entry: entry})
+}
+
+func (w *world) flush(t *rapid.T) {
+	node := w.node(t)
+	if len(w.queues[node]) == 0 {
+		return
+	}
+	entry := w.queues[node][0]
+	w.queues[node] = w.queues[node][1:]
+	w.append(t, node, entry, proptest.Pick(t, 8))
+}
+
+func (w *world) append(t *rapid.T, node int, entry Entry, fault int) {
+	result := AppendStored
+	switch {
+	case fault == 0:
+		w.late = append(w.late, entry)
+		result = AppendUnknown
+	case w.down:
+		result = AppendNotDone
+	case fault == 1:
+		w.store(entry)
+		result = AppendUnknown
+	default:
+		w.store(entry)
+	}
+	w.step(t, node, Appended{Entry: entry, Result: result})
+}
+
+func (w *world) storeLate(*rapid.T) {
+	if len(w.late) > 0 && !w.down {
+		w.store(w.late[0])
+		w.late = w.late[1:]
+	}
+}
+
+func (w *world) read(t *rapid.T) { w.readNode(t, w.node(t)) }
+
+func (w *world) readNode(t *rapid.T, node int) {
+	if w.down {
+		return
+	}
+	for _, r := range w.records {
+		if r.offset >= w.desks[node].Next() {
+			w.step(t, node, Record{Offset: r.offset, At: r.at, Entry: r.entry})
+		}
+	}
+	w.step(t, node, CaughtUp{})
+}
+
+func (w *world) generate(t *rapid.T) {
+	if len(w.runs) == 0 {
+		return
+	}
+	i := proptest.Pick(t, len(w.runs))
+	r := &w.runs[i]
+	var part []string
+	for len(part) < ProgressTexts && len(r.texts) < answerTexts {
+		next := text(fmt.Sprintf("%d%d", r.node, r.start.Run%10), r.texts)
+		r.texts = append(r.texts, next)
+		part = append(part, next)
+	}
+	run := *r
+	w.step(t, run.node, Texts{Job: run.start.Job, Run: run.start.Run, Texts: part})
+	ended := RunEnded{Job: run.start.Job, Run: run.start.Run}
+	switch {
+	case proptest.Pick(t, 6) == 0:
+		ended.Failed = true
+	case len(run.texts) == answerTexts:
+		ended.Outcome = Outcome{Kind: OutcomeDone, Texts: run.texts}
+	default:
+		return
+	}
+	w.dropRuns(func(other activeRun) bool { return other.node == run.node && other.start.Run == run.start.Run })
+	w.step(t, run.node, ended)
+}
+
+func (w *world) advance(t *rapid.T) {
+	pauses := []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, time.Second, 30 * time.Second}
+	pause := pauses[proptest.Pick(t, len(pauses))]
+	w.pass(t, pause)
+}
+
+// night lets hours pass in which the log works, so that jobs can be kept.
+func (w *world) night(t *rapid.T) {
+	if w.down || w.now > 30*time.Hour {
+		return
+	}
+	for range 3 {
+		w.pass(t, 3*time.Hour)
+		w.settle(t)
+	}
+}
+
+// settle appends and reads everything.
+func (w *world) settle(t *rapid.T) {
+	for node := range w.desks {
+		queue := w.queues[node]
+		w.queues[node] = nil
+		for _, entry := range queue {
+			w.append(t, node, entry, 2)
+		}
+	}
+	for node := range w.desks {
+		w.readNode(t, node)
+	}
+}
+
+func (w *world) pass(t *rapid.T, d time.Duration) {
+	w.now += d
+	for node := range w.desks {
+		w.step(t, node, Tick{})
+	}
+	for len(w.records) > 0 && w.records[0].at < w.logTime().add(-retention) {
+		w.records = w.records[1:]
+		w.first++
+	}
+}
+
+func (w *world) crash(t *rapid.T) {
+	if proptest.Pick(t, 3) > 0 {
+		return
+	}
+	node := w.node(t)
+	w.desks[node] = NewDesk(w.name(node))
+	w.queues[node] = nil
+	w.dropRuns(func(r activeRun) bool { return r.node == node })
+	w.view(t, node)
+}
+
+// view gives a node some view of the live members, right or wrong.
+func (w *world) view(t *rapid.T, node int) {
+	list := []fleet.InstanceID{w.name(node)}
+	for i := range w.desks {
+		if i != node && proptest.Pick(t, 3) > 0 {
+			list = append(list, w.name(i))
+		}
+	}
+	w.step(t, node, Members{List: list})
+}
+
+// heal ends all faults and lets the nodes work until every job that was
+// promised has an outcome.
+func (w *world) heal(t *rapid.T) {
+	w.down = false
+	for node := range w.desks {
+		w.step(t, node, Members{List: w.members})
+	}
+	for range 12 {
+		w.settle(t)
+		w.finishRuns(t)
+		w.pass(t, 10*time.Second)
+	}
+	for id := range w.promised {
+		if w.outcomes[id] == nil {
+			t.Fatalf("job %s was accepted and has no outcome", id)
+		}
+	}
+}
+
+func (w *world) finishRuns(t *rapid.T) {
+	runs := w.runs
+	w.runs = nil
+	for _, r := range runs {
+		for len(r.texts) < answerTexts {
+			r.texts = append(r.texts, text(fmt.Sprintf("%d%d", r.node, r.start.Run%10), r.texts))
+		}
+		w.step(t, r.node, RunEnded{Job: r.start.Job, Run: r.start.Run, Outcome: Outcome{Kind: OutcomeDone, Texts: r.texts}})
+	}
+}
+
+// TestJobsAreNotLost guards against an accepted job without an outcome, two
+// different outcomes of a job, a result that mixes two runs and a false "not
+// run", over random interleavings of three nodes with wrong views of each
+// other, crashes, lost and late appends, log outages and retention.
+func TestJobsAreNotLost(t *testing.T) {
+	promised, resumed, expired := 0, 0, 0
+	proptest.Check(t, proptest.Bounds{Seed: 3, Checks: 150, Steps: 1}, func(t *rapid.T) {
+		w := newWorld()
+		actions := []func(*rapid.T){
+			w.submit, w.flush, w.flush, w.flush, w.read, w.read, w.storeLate, w.generate, w.generate,
+			w.advance, w.crash, w.submit,
+			func(t *rapid.T) { w.view(t, w.node(t)) },
+			func(t *rapid.T) { w.down = proptest.Pick(t, 4) == 0 },
+		}
+		for range 150 {
+			actions[proptest.Pick(t, len(actions))](t)
+			if proptest.Pick(t, 60) == 0 {
+				w.night(t)
+			}
+		}
+		w.heal(t)
+		promised += len(w.promised)
+		resumed += w.resumed
+		if w.first > 0 {
+			expired++
+		}
+	})
+	if promised < 50 || resumed < 20 || expired < 5 {
+		t.Fatalf("too few jobs were promised (%d) or resumed (%d), or too few runs saw expired records (%d)", promised, resumed, expired)
+	}
+	t.Logf("%d jobs promised, %d runs resumed, %d cases saw expired records", promised, resumed, expired)
+}
+
+// TestRunnerVanishes guards against a job that stays with a node that is gone.
+func TestRunnerVanishes(t *testing.T) {
+	is := is.New(t)
+	members := []fleet.InstanceID{"a", "b", "c"}
+	desk := NewDesk("a")
+	desk.Step(0, CaughtUp{})
+	desk.Step(0, Members{List: members})
+	var foreign JobID
+	for i := 0; foreign == ""; i++ {
+		if id := JobID(fmt.Sprint(i)); desk.owner(id) != "a" {
+			foreign = id
+		}
+	}
+	is.Equal(starts(desk.Step(0, Record{At: epoch, Entry: Accepted{Job: foreign}})), 0)
+	is.Equal(starts(desk.Step(0, Members{List: []fleet.InstanceID{"a"}})), 1) // the runner vanished
+	is.Equal(desk.Running(), 1)
+	desk.Step(0, Members{List: members})
+	is.Equal(desk.Running(), 0) // it came back
+}
+
+func starts(actions []Action) (n int) {
+	for _, a := range actions {
+		if _, ok := a.(Start); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// TestFoldRules guards single rules that the simulation reaches too rarely.
+func TestFoldRules(t *testing.T) {
+	is := is.New(t)
+	fold := NewFold()
+	fold.Apply(0, epoch, Accepted{Job: "j"})
+	fold.Apply(1, epoch, Progress{Job: "j", Prefix: PrefixHash(nil), Texts: []string{"a"}})
+	fold.Apply(2, epoch, Progress{Job: "j", From: 1, Prefix: PrefixHash([]string{"b"}), Texts: []string{"c"}})
+	job, _ := fold.Find("j")
+	is.Equal(job.Texts, []string{"a"}) // a part that continues another run's texts is ignored
+
+	late := NewFold()
+	late.Apply(5, epoch, Kept{Job: "j", Accepted: epoch, AsOf: 4})
+	_, known := late.Find("j")
+	is.True(!known) // record 4 was not seen and may hold the first outcome
+	late.Apply(6, epoch, Result{Job: "j", Outcome: Outcome{Kind: OutcomeDone}})
+	late.Apply(7, epoch, Kept{Job: "j", Accepted: epoch, AsOf: 6})
+	job, _ = late.Find("j")
+	is.Equal(job.Outcome.Kind, OutcomeDone) // the outcome between the state and its record counts
+}
--- /dev/null
+++ b/internal/core/deferred/entries.go
@@ -0,0 +1,159 @@
+// Package deferred runs work that may wait, such as overnight batches, and
+// keeps its result until a stated time.
+//
+// Fold is the pure fold of the deferred stream. Desk decides, on every node
+// that reads the stream, which jobs this node runs. The stream holds
+// everything that is needed to continue a job, so that a job survives the loss
+// of all nodes.
+package deferred
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+const (
+	// RunFor is the log time after acceptance in which a job must end.
+	RunFor = 48 * time.Hour
+	// ReadableFor is the log time after acceptance until which the result of a
+	// job can be read.
+	ReadableFor = 72 * time.Hour
+	// KeepAfter is the age by log time at which a job is appended again. It is
+	// a fraction of the log's retention, which exceeds 24 h.
+	KeepAfter = 6 * time.Hour
+	// MaxWorkBytes bounds the prompt or body of one job.
+	MaxWorkBytes = 256 << 10
+	// MaxResultBytes bounds the result of one job.
+	MaxResultBytes = 1 << 20
+	// MaxJobs bounds the jobs that a reader keeps in memory.
+	MaxJobs = 1000
+)
+
+// LogTime is the log service's append time, Unix milliseconds.
+type LogTime int64
+
+func (t LogTime) add(d time.Duration) LogTime { return t + LogTime(d.Milliseconds()) }
+
+// JobID identifies a job. It is a UUID in text form.
+type JobID string
+
+// Work is what a job runs: a completion of a model service, or an idempotent
+// operation of a plain service.
+type Work struct {
+	Team    fleet.TeamName
+	Service fleet.ServiceName
+	// Operation, ContentType and Body are set for plain services.
+	Operation   string
+	ContentType string
+	Body        []byte
+	// Adapter, Prompt and MaxTokens are set for model services.
+	Adapter   string
+	Prompt    string
+	MaxTokens int
+}
+
+func (w Work) size() int { return len(w.Body) + len(w.Prompt) }
+
+// OutcomeKind tells how a job ended.
+type OutcomeKind uint8
+
+// Outcome kinds.
+const (
+	// OutcomeDone: the result is complete.
+	OutcomeDone OutcomeKind = iota + 1
+	// OutcomeFailed: the job can't be run; Detail tells why.
+	OutcomeFailed
+	// OutcomeExpired: the job did not end within RunFor.
+	OutcomeExpired
+)
+
+// Outcome is the end of a job.
+type Outcome struct {
+	Kind   OutcomeKind
+	Detail string
+	// Texts and Finish are the answer of a model service.
+	Texts  []string
+	Finish string
+	// Status, ContentType and Body are the response of a plain service.
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+func (o Outcome) size() int {
+	size := len(o.Body)
+	for _, text := range o.Texts {
+		size += len(text)
+	}
+	return size
+}
+
+// Entry is one record of the deferred stream.
+type Entry interface {
+	isEntry()
+	// Subject returns the job that the entry is about.
+	Subject() JobID
+}
+
+// Accepted makes a job part of the system. Only then is it acknowledged.
+type Accepted struct {
+	Job  JobID
+	Work Work
+}
+
+// Progress records a part of a model's answer, so that another node can
+// continue after it. Prefix is PrefixHash of the texts before From: a part
+// that continues another run's texts is ignored.
+type Progress struct {
+	Job    JobID
+	From   int
+	Prefix uint64
+	Texts  []string
+}
+
+// Result ends a job. The first one in log order counts.
+type Result struct {
+	Job     JobID
+	Outcome Outcome
+}
+
+// Kept repeats the state of a job before its records expire. AsOf is the
+// offset of the first record that the state does not cover.
+type Kept struct {
+	Job      JobID
+	Work     Work
+	Accepted LogTime
+	Texts    []string
+	Outcome  *Outcome
+	AsOf     uint64
+}
+
+func (Accepted) isEntry() {}
+func (Progress) isEntry() {}
+func (Result) isEntry()   {}
+func (Kept) isEntry()     {}
+
+// Subject implements Entry.
+func (e Accepted) Subject() JobID { return e.Job }
+
+// Subject implements Entry.
+func (e Progress) Subject() JobID { return e.Job }
+
+// Subject implements Entry.
+func (e Result) Subject() JobID { return e.Job }
+
+// Subject implements Entry.
+func (e Kept) Subject() JobID { return e.Job }
+
+// PrefixHash identifies a sequence of texts.
+func PrefixHash(texts []string) uint64 {
+	digest := xxhash.New()
+	for _, text := range texts {
+		_, _ = digest.WriteString(text)
+		_, _ = digest.Write([]byte{0})
+	}
+	return digest.Sum64()
+}
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -59,8 +59,9 @@
 
 // calls holds the parts of a router that run calls of plain services.
 type calls struct {
-	claims *claims
-	plain  *engine.PlainClient
+	claims   *claims
+	plain    *engine.PlainClient
+	deferred *deferredTask
 }
 
 // CallOnce runs a call that may not be repeated at most once for its key. The
--- a/internal/router/calls_test.go
+++ b/internal/router/calls_test.go
@@ -61,7 +61,9 @@
 			Address: s.serve(s.guard(replica.Handler())).Listener.Addr().String(), DataCentre: "kyushu-a",
 		})
 	}
-	engine := s.serve(modelengine.New(modelengine.Settings{}).Handler())
+	model := modelengine.New(modelengine.Settings{})
+	go func() { _ = model.Run(t.Context()) }()
+	engine := s.serve(model.Handler())
 	s.list = append(s.list, dispatch.Endpoint{
 		ID: "m0", Service: "dial-advisor", Slots: 64, Address: engine.Listener.Addr().String(), DataCentre: "kyushu-a",
 	})
--- a/internal/router/callwiring.go
+++ b/internal/router/callwiring.go
@@ -1,9 +1,14 @@
 package router
 
 import (
+	"context"
+
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
 
 	"github.com/cornelhold/cornelhold/internal/core/claim"
+	"github.com/cornelhold/cornelhold/internal/core/deferred"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/daemon"
 	"github.com/cornelhold/cornelhold/internal/engine"
 	"github.com/cornelhold/cornelhold/internal/platform"
@@ -14,7 +19,9 @@
 	do.Provide(injector, func(do.Injector) (*engine.PlainClient, error) { return engine.NewPlainClient(), nil })
 	do.Provide(injector, newClaims)
 	do.Provide(injector, func(i do.Injector) (*calls, error) {
-		return &calls{claims: do.MustInvoke[*claims](i), plain: do.MustInvoke[*engine.PlainClient](i)}, nil
+		return &calls{
+			claims: do.MustInvoke[*claims](i), plain: do.MustInvoke[*engine.PlainClient](i), deferred: newDeferred(i),
+		}, nil
 	})
 }
 
@@ -37,7 +44,32 @@
 	}, nil
 }
 
+// newDeferred returns the task without its router, which startCalls sets. The
+// configured peers count as live until SetMembers replaces them.
+func newDeferred(i do.Injector) *deferredTask {
+	s := do.MustInvoke[*Settings](i)
+	d := &deferredTask{
+		clock:   do.MustInvoke[task.Clock](i),
+		mailbox: task.NewMailbox[any](deferredCapacity),
+		desk:    deferred.NewDesk(fleet.InstanceID(s.Instance)),
+		client:  platform.NewLogClient(s.Log),
+		alarm:   task.NewAlarm(),
+		replies: make(map[deferred.JobID]chan JobReply),
+		cancel:  make(map[deferred.RunID]context.CancelFunc),
+	}
+	members := []fleet.InstanceID{fleet.InstanceID(s.Instance)}
+	for _, peer := range s.Peers {
+		members = append(members, fleet.InstanceID(peer.Instance))
+	}
+	d.mailbox.TrySend(deferred.Members{List: lo.Uniq(members)})
+	return d
+}
+
 func startCalls(r *Router) {
+	r.calls.deferred.router = r
+	r.tasks.Go("deferred", r.calls.deferred.Run)
+	jobs := &deferredFollower{client: r.calls.deferred.client, deferred: r.calls.deferred.mailbox}
+	r.tasks.Go("deferred follower", jobs.Run)
 	r.tasks.Go("claims", r.calls.claims.Run)
 	follower := &claimsFollower{client: r.calls.claims.client, claims: r.calls.claims.mailbox}
 	r.tasks.Go("claims follower", follower.Run)
--- /dev/null
+++ b/internal/router/deferred.go
@@ -0,0 +1,307 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/cornelhold/cornelhold/internal/core/deferred"
+	"github.com/cornelhold/cornelhold/internal/core/dispatch"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/request"
+	"github.com/cornelhold/cornelhold/internal/platform"
+	"github.com/cornelhold/cornelhold/internal/task"
+)
+
+const (
+	// deferredCapacity bounds the messages that wait for the deferred task.
+	deferredCapacity = 1024
+	// deferredWait is the longest time until a run must be granted; batch work
+	// waits for spare capacity.
+	deferredWait = 10 * time.Minute
+	// deferredRetryDelay separates reads of the deferred stream while the log fails.
+	deferredRetryDelay = time.Second
+	// deferredTimeout bounds an append of up to 1 MiB.
+	deferredTimeout = 5 * time.Second
+)
+
+// JobReply answers the submission of a job.
+type JobReply struct {
+	Job           deferred.JobID
+	ReadableUntil time.Time
+	Refusal       *fleet.Refusal
+}
+
+type submitJob struct {
+	work  deferred.Work
+	reply chan JobReply
+}
+
+type findJob struct {
+	id    deferred.JobID
+	team  fleet.TeamName
+	reply chan *deferred.Job
+}
+
+// deferredRecords delivers records of the deferred stream.
+type deferredRecords struct {
+	records  []platform.Record
+	caughtUp bool
+}
+
+// deferredTask is the task that owns deferred.Desk.
+type deferredTask struct {
+	clock   task.Clock
+	mailbox task.Mailbox[any]
+	desk    *deferred.Desk
+	client  *platform.LogClient
+	router  *Router
+	alarm   *task.Alarm
+	// wakeAt is when the alarm fires; 0 if it is not armed.
+	wakeAt  time.Duration
+	replies map[deferred.JobID]chan JobReply
+	cancel  map[deferred.RunID]context.CancelFunc
+}
+
+// Run owns the desk until ctx ends.
+func (d *deferredTask) Run(ctx context.Context) error {
+	defer d.alarm.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.alarm.C():
+			d.wakeAt = 0
+			d.step(ctx, deferred.Tick{})
+		case msg := <-d.mailbox.Receive():
+			d.handle(ctx, msg)
+		}
+	}
+}
+
+func (d *deferredTask) handle(ctx context.Context, msg any) {
+	switch msg := msg.(type) {
+	case submitJob:
+		id := deferred.JobID(uuid.NewString())
+		d.replies[id] = msg.reply
+		d.step(ctx, deferred.Submit{Job: id, Work: msg.work})
+	case findJob:
+		// Another team's job is reported as absent, so that ids can't be probed.
+		var found *deferred.Job
+		if job, ok := d.desk.Find(msg.id); ok && job.Work.Team == msg.team {
+			clone := *job
+			found = &clone
+		}
+		msg.reply <- found
+	case deferredRecords:
+		for _, r := range msg.records {
+			d.step(ctx, deferred.Record{Offset: r.Offset, At: deferred.LogTime(r.TimeMillis), Entry: decodeDeferred(r.Data)})
+		}
+		if msg.caughtUp {
+			d.step(ctx, deferred.CaughtUp{})
+		}
+	case deferred.Message:
+		d.step(ctx, msg)
+	}
+}
+
+func (d *deferredTask) step(ctx context.Context, msg deferred.Message) {
+	for _, action := range d.desk.Step(d.clock.Now(), msg) {
+		switch a := action.(type) {
+		case deferred.Append:
+			d.append(a.Entry)
+		case deferred.Start:
+			d.start(ctx, a)
+		case deferred.Stop:
+			if cancel, ok := d.cancel[a.Run]; ok {
+				cancel()
+				delete(d.cancel, a.Run)
+			}
+		case deferred.Reply:
+			d.replies[a.Job] <- JobReply{Job: a.Job, ReadableUntil: time.UnixMilli(int64(a.ReadableUntil)), Refusal: a.Refusal}
+			delete(d.replies, a.Job)
+		case deferred.Wake:
+			if d.wakeAt == 0 || a.At < d.wakeAt {
+				d.wakeAt = a.At
+				d.alarm.Arm(a.At - d.clock.Now())
+			}
+		}
+	}
+}
+
+// append stores an entry in a task of its own. Deferred work appends a few
+// records for each job, so that they are not grouped.
+func (d *deferredTask) append(entry deferred.Entry) {
+	d.router.tasks.Go("append deferred", func(ctx context.Context) error {
+		appendCtx, cancel := context.WithTimeout(ctx, deferredTimeout)
+		defer cancel()
+		result := deferred.AppendStored
+		_, err := d.client.Append(appendCtx, platform.StreamDeferred, encodeDeferred(entry))
+		switch {
+		case platform.ErrNotDone.Has(err):
+			result = deferred.AppendNotDone
+		case err != nil:
+			result = deferred.AppendUnknown
+		}
+		return d.mailbox.Send(ctx, deferred.Appended{Entry: entry, Result: result})
+	})
+}
+
+func (d *deferredTask) start(ctx context.Context, a deferred.Start) {
+	runCtx, cancel := context.WithCancel(ctx)
+	d.cancel[a.Run] = cancel
+	d.router.tasks.Go("deferred run", func(context.Context) error {
+		defer cancel()
+		ended := deferred.RunEnded{Job: a.Job, Run: a.Run}
+		if a.Work.Operation != "" {
+			ended.Outcome, ended.Failed = d.runCall(runCtx, a.Work)
+		} else {
+			ended.Outcome, ended.Failed = d.runModel(runCtx, a)
+		}
+		if runCtx.Err() != nil {
+			return nil
+		}
+		return d.mailbox.Send(runCtx, ended)
+	})
+}
+
+func (d *deferredTask) runCall(ctx context.Context, w deferred.Work) (deferred.Outcome, bool) {
+	reply := d.router.Call(ctx, PlainCall{
+		Team: w.Team, Service: w.Service, Operation: w.Operation, Class: fleet.ClassBatch,
+		ContentType: w.ContentType, Body: w.Body, Wait: deferredWait,
+	})
+	if reply.Refusal != nil {
+		return deferred.Outcome{Detail: reply.Refusal.Error()}, true
+	}
+	return deferred.Outcome{
+		Kind: deferred.OutcomeDone, Status: reply.Response.Status, ContentType: reply.Response.ContentType, Body: reply.Response.Body,
+	}, false
+}
+
+// runModel runs a completion that continues after the recorded texts.
+func (d *deferredTask) runModel(ctx context.Context, a deferred.Start) (deferred.Outcome, bool) {
+	handle, refusal := d.router.submitRestored(ctx, Submission{
+		Team: a.Work.Team, Service: a.Work.Service, Class: fleet.ClassBatch, Adapter: a.Work.Adapter,
+		Prompt: a.Work.Prompt, MaxTokens: a.Work.MaxTokens,
+	}, a.Texts)
+	if refusal != nil {
+		return deferred.Outcome{Detail: refusal.Error()}, true
+	}
+	texts := append([]string(nil), a.Texts...)
+	for {
+		frames, err := handle.Read(ctx, len(texts))
+		if err != nil {
+			handle.Abandon()
+			return deferred.Outcome{Detail: err.Error()}, true
+		}
+		if len(frames.Texts) > 0 {
+			texts = append(texts, frames.Texts...)
+			_ = d.mailbox.Send(ctx, deferred.Texts{Job: a.Job, Run: a.Run, Texts: frames.Texts})
+		}
+		switch {
+		case frames.Refusal != nil:
+			return deferred.Outcome{Detail: frames.Refusal.Error()}, true
+		case frames.Ended:
+			return deferred.Outcome{Kind: deferred.OutcomeDone, Texts: texts, Finish: frames.Finish, Status: http.StatusOK}, false
+		}
+	}
+}
+
+// submitRestored submits a request whose answer continues after texts.
+func (r *Router) submitRestored(ctx context.Context, s Submission, texts []string) (*Handle, *fleet.Refusal) {
+	id := fleet.RequestID(uuid.NewString())
+	machine, _ := request.Restore(r.clock.Now(), id, request.Record{Frames: texts})
+	machine.Step(r.clock.Now(), request.CallerAttached{})
+	t := &requestTask{
+		id: id, submission: s, clock: r.clock, mailbox: task.NewMailbox[any](requestCapacity), machine: machine,
+		dispatcher: r.dispatcher.mailbox, engine: r.engine, cancel: make(map[fleet.AttemptNumber]context.CancelFunc),
+	}
+	submit := dispatch.Submit{
+		Request: id, Team: s.Team, Service: s.Service, Class: s.Class, Adapter: s.Adapter,
+		Prompt: DescribePrompt(s.Prompt), MaxTokens: s.MaxTokens, Idempotent: true, Wait: deferredWait,
+	}
+	if r.dispatcher.mailbox.Send(ctx, dispatcherMessage{message: submit, sender: &t.mailbox}) != nil {
+		return nil, overloaded()
+	}
+	r.tasks.Go("deferred request", func(ctx context.Context) error {
+		t.Run(ctx)
+		return nil
+	})
+	return &Handle{ID: id, mailbox: t.mailbox}, nil
+}
+
+// Defer accepts a job, or refuses it.
+func (r *Router) Defer(ctx context.Context, work deferred.Work) JobReply {
+	reply := make(chan JobReply, 1)
+	if !r.calls.deferred.mailbox.TrySend(submitJob{work: work, reply: reply}) {
+		return JobReply{Refusal: overloaded()}
+	}
+	select {
+	case answer := <-reply:
+		return answer
+	case <-ctx.Done():
+		return JobReply{Refusal: &fleet.Refusal{
+			Kind: fleet.RefusedOutcomeUnknown, Run: fleet.RunUnknown, Remedy: "the caller left before the job was accepted",
+		}}
+	}
+}
+
+// Job returns a job of the team.
+func (r *Router) Job(ctx context.Context, id deferred.JobID, team fleet.TeamName) (*deferred.Job, *fleet.Refusal) {
+	reply := make(chan *deferred.Job, 1)
+	if !r.calls.deferred.mailbox.TrySend(findJob{id: id, team: team, reply: reply}) {
+		return nil, overloaded()
+	}
+	select {
+	case job := <-reply:
+		if job != nil {
+			return job, nil
+		}
+	case <-ctx.Done():
+	}
+	return nil, fleet.Refuse(fleet.RefusedNotFound, 0,
+		"no such job is known for this team; check the id and the time until which the result can be read")
+}
+
+// SetMembers tells the deferred task which instances are alive.
+func (r *Router) SetMembers(ctx context.Context, list []fleet.InstanceID) error {
+	return r.calls.deferred.mailbox.Send(ctx, deferred.Members{List: list})
+}
+
+// deferredFollower is the task that reads the deferred stream.
+type deferredFollower struct {
+	client   *platform.LogClient
+	deferred task.Mailbox[any]
+}
+
+// Run reads until ctx ends. When records have expired it continues with the
+// oldest one.
+func (f *deferredFollower) Run(ctx context.Context) error {
+	next := uint64(0)
+	wait := time.Duration(0)
+	for ctx.Err() == nil {
+		batch, err := f.client.Read(ctx, platform.StreamDeferred, next, readLimit, wait)
+		if err != nil {
+			if first, ok := platform.FirstOffset(err); ok {
+				next = first
+				continue
+			}
+			pause(ctx, deferredRetryDelay)
+			continue
+		}
+		if n := len(batch.Records); n > 0 {
+			next = batch.Records[n-1].Offset + 1
+		}
+		caughtUp := next >= batch.Next
+		wait = 0
+		if caughtUp {
+			wait = longPoll
+		}
+		if f.deferred.Send(ctx, deferredRecords{records: batch.Records, caughtUp: caughtUp}) != nil {
+			return nil
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/router/deferredcodec.go
@@ -0,0 +1,50 @@
+package router
+
+import (
+	"encoding/json"
+
+	"github.com/cornelhold/cornelhold/internal/core/deferred"
+)
+
+// deferredRecord is the log form of an entry: exactly one field is set.
+type deferredRecord struct {
+	Accepted *deferred.Accepted `json:"accepted,omitempty"`
+	Progress *deferred.Progress `json:"progress,omitempty"`
+	Result   *deferred.Result   `json:"result,omitempty"`
+	Kept     *deferred.Kept     `json:"kept,omitempty"`
+}
+
+func encodeDeferred(entry deferred.Entry) deferredRecord {
+	switch e := entry.(type) {
+	case deferred.Accepted:
+		return deferredRecord{Accepted: &e}
+	case deferred.Progress:
+		return deferredRecord{Progress: &e}
+	case deferred.Result:
+		return deferredRecord{Result: &e}
+	case deferred.Kept:
+		return deferredRecord{Kept: &e}
+	default:
+		return deferredRecord{}
+	}
+}
+
+// decodeDeferred returns nil for a malformed record or one of an unknown kind.
+func decodeDeferred(data []byte) deferred.Entry {
+	var r deferredRecord
+	if json.Unmarshal(data, &r) != nil {
+		return nil
+	}
+	switch {
+	case r.Accepted != nil:
+		return *r.Accepted
+	case r.Progress != nil:
+		return *r.Progress
+	case r.Result != nil:
+		return *r.Result
+	case r.Kept != nil:
+		return *r.Kept
+	default:
+		return nil
+	}
+}
