Connect deferred work to the membership and to draining routers

The membership now knows the live instances. Counting failures would end a job during a long outage of its service, and it must not be lost.

Its requests are not handed over in a drain: the job continues from the log on another router. A failed run is repeated, with a delay of up to 5 min, until the job expires; the expiry names the last failure. A draining router refuses new calls and jobs. A router with too many open calls says "unknown" about a key that another attempt is known to hold.

Result: make test passes. In one earlier run of the same tree TestControllerIsReplaced failed with "never: the stand-ins answer"; it passed alone and in the next full run. Its addresses are chosen by opening and closing a listener, so that another process can take them.

--- a/internal/core/claim/table.go
+++ b/internal/core/claim/table.go
@@ -149,7 +149,11 @@
 	if r, ok := t.live[s.Key]; ok {
 		return t.join(r, s)
 	}
+	holding, held := t.fold.Lookup(s.Key)
 	if len(t.live) >= MaxAttempts {
+		if held {
+			return refuse(s.Submission, inUse())
+		}
 		return refuse(s.Submission, fleet.Refuse(fleet.RefusedOverload, retryAfterFull,
 			"the router has too many open calls; repeat the call with the same key after the stated delay"))
 	}
@@ -158,7 +162,6 @@
 		first: s.Submission, waiting: []SubmissionID{s.Submission},
 	}
 	t.live[s.Key] = r
-	holding, held := t.fold.Lookup(s.Key)
 	return t.deliver(now, s.Key, s.Attempt, Start{Held: held, Holding: holding, Expired: t.fold.Expired(s.Key)})
 }
 
--- a/internal/core/deferred/desk.go
+++ b/internal/core/deferred/desk.go
@@ -21,8 +21,6 @@
 	MaxRunning = 4
 	// ProgressTexts is the number of texts in one progress record.
 	ProgressTexts = 256
-	// MaxFailures ends a job whose runs fail again and again.
-	MaxFailures = 20
 	// minBackoff and maxBackoff bound the delay before a failed job runs again.
 	minBackoff = 5 * time.Second
 	maxBackoff = 5 * time.Minute
@@ -157,10 +155,12 @@
 	retryAt   time.Duration
 }
 
-// failure remembers failed runs of a job.
+// failure remembers failed runs of a job. However many fail, the job is run
+// again until it expires, since an outage may last for hours.
 type failure struct {
 	count     int
 	notBefore time.Duration
+	detail    string
 }
 
 // Desk is the part of one node in deferred work. Invariants: a submission is
@@ -325,12 +325,10 @@
 		f := d.failures[msg.Job]
 		f.count++
 		f.notBefore = now + min(minBackoff<<min(f.count-1, 10), maxBackoff)
+		f.detail = outcome.Detail
 		d.failures[msg.Job] = f
-		if f.count < MaxFailures {
-			delete(d.runs, msg.Job)
-			return
-		}
-		outcome = Outcome{Kind: OutcomeFailed, Detail: outcome.Detail}
+		delete(d.runs, msg.Job)
+		return
 	}
 	if outcome.size() > MaxResultBytes {
 		outcome = Outcome{Kind: OutcomeFailed, Detail: "the result exceeds 1 MiB; ask for fewer tokens"}
@@ -397,7 +395,11 @@
 		if running {
 			actions = append(actions, Stop{Job: job.ID, Run: r.id})
 		}
-		d.runs[job.ID] = &run{outcome: &Outcome{Kind: OutcomeExpired, Detail: "the job did not end within 48 h"}, retryAt: now}
+		detail := "the job did not end within 48 h; submit it again"
+		if failed, ok := d.failures[job.ID]; ok {
+			detail += " (last failure: " + failed.detail + ")"
+		}
+		d.runs[job.ID] = &run{outcome: &Outcome{Kind: OutcomeExpired, Detail: detail}, retryAt: now}
 		return append(actions, d.storeOutcome(now, job.ID)...)
 	case running:
 		return append(actions, d.storeOutcome(now, job.ID)...)
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -67,6 +67,9 @@
 // CallOnce runs a call that may not be repeated at most once for its key. The
 // call goes on when ctx ends; a repetition with the same key gets its outcome.
 func (r *Router) CallOnce(ctx context.Context, call PlainCall, key claim.KeyID) CallReply {
+	if r.draining.Load() {
+		return CallReply{Refusal: draining()}
+	}
 	reply := make(chan CallReply, 1)
 	msg := submitCall{call: call, key: claim.Key{Team: call.Team, ID: key}, reply: reply}
 	if !r.calls.claims.mailbox.TrySend(msg) {
@@ -77,6 +80,9 @@
 
 // Call runs an idempotent call and tries other endpoints when one fails.
 func (r *Router) Call(ctx context.Context, call PlainCall) CallReply {
+	if r.draining.Load() {
+		return CallReply{Refusal: draining()}
+	}
 	id := fleet.RequestID(uuid.NewString())
 	t := newPlainTask(id, call, r.clock, r.dispatcher.mailbox, r.calls.plain)
 	submit := dispatcherMessage{message: call.submit(id, true), sender: &t.mailbox}
--- a/internal/router/callwiring.go
+++ b/internal/router/callwiring.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/samber/do/v2"
-	"github.com/samber/lo"
 
 	"github.com/cornelhold/cornelhold/internal/core/claim"
 	"github.com/cornelhold/cornelhold/internal/core/deferred"
@@ -44,11 +43,10 @@
 	}, nil
 }
 
-// newDeferred returns the task without its router, which startCalls sets. The
-// configured peers count as live until SetMembers replaces them.
+// newDeferred returns the task without its router, which startCalls sets.
 func newDeferred(i do.Injector) *deferredTask {
 	s := do.MustInvoke[*Settings](i)
-	d := &deferredTask{
+	return &deferredTask{
 		clock:   do.MustInvoke[task.Clock](i),
 		mailbox: task.NewMailbox[any](deferredCapacity),
 		desk:    deferred.NewDesk(fleet.InstanceID(s.Instance)),
@@ -57,12 +55,6 @@
 		replies: make(map[deferred.JobID]chan JobReply),
 		cancel:  make(map[deferred.RunID]context.CancelFunc),
 	}
-	members := []fleet.InstanceID{fleet.InstanceID(s.Instance)}
-	for _, peer := range s.Peers {
-		members = append(members, fleet.InstanceID(peer.Instance))
-	}
-	d.mailbox.TrySend(deferred.Members{List: lo.Uniq(members)})
-	return d
 }
 
 func startCalls(r *Router) {
--- a/internal/router/deferred.go
+++ b/internal/router/deferred.go
@@ -6,11 +6,12 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/samber/lo"
 
 	"github.com/cornelhold/cornelhold/internal/core/deferred"
-	"github.com/cornelhold/cornelhold/internal/core/dispatch"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/request"
+	"github.com/cornelhold/cornelhold/internal/peer"
 	"github.com/cornelhold/cornelhold/internal/platform"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
@@ -68,12 +69,14 @@
 // Run owns the desk until ctx ends.
 func (d *deferredTask) Run(ctx context.Context) error {
 	defer d.alarm.Stop()
+	d.step(ctx, d.members())
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-d.alarm.C():
 			d.wakeAt = 0
+			d.step(ctx, d.members())
 			d.step(ctx, deferred.Tick{})
 		case msg := <-d.mailbox.Receive():
 			d.handle(ctx, msg)
@@ -81,6 +84,12 @@
 	}
 }
 
+// members returns the instances that run jobs: all live ones that don't leave.
+func (d *deferredTask) members() deferred.Members {
+	staying := lo.Reject(d.router.directory.Members(), func(m peer.Member, _ int) bool { return m.Leaving })
+	return deferred.Members{List: lo.Map(staying, func(m peer.Member, _ int) fleet.InstanceID { return m.Instance })}
+}
+
 func (d *deferredTask) handle(ctx context.Context, msg any) {
 	switch msg := msg.(type) {
 	case submitJob:
@@ -189,11 +198,11 @@
 	if refusal != nil {
 		return deferred.Outcome{Detail: refusal.Error()}, true
 	}
+	defer handle.Release()
 	texts := append([]string(nil), a.Texts...)
 	for {
 		frames, err := handle.Read(ctx, len(texts))
 		if err != nil {
-			handle.Abandon()
 			return deferred.Outcome{Detail: err.Error()}, true
 		}
 		if len(frames.Texts) > 0 {
@@ -201,6 +210,8 @@
 			_ = d.mailbox.Send(ctx, deferred.Texts{Job: a.Job, Run: a.Run, Texts: frames.Texts})
 		}
 		switch {
+		case frames.Moved:
+			return deferred.Outcome{Detail: "the run was given up"}, true
 		case frames.Refusal != nil:
 			return deferred.Outcome{Detail: frames.Refusal.Error()}, true
 		case frames.Ended:
@@ -209,19 +220,16 @@
 	}
 }
 
-// submitRestored submits a request whose answer continues after texts.
+// submitRestored submits a request whose answer continues after texts. It is
+// not registered, so that a reclaim does not hand it over: the job continues
+// from the log.
 func (r *Router) submitRestored(ctx context.Context, s Submission, texts []string) (*Handle, *fleet.Refusal) {
-	id := fleet.RequestID(uuid.NewString())
+	id := newRequestID(r.self)
 	machine, _ := request.Restore(r.clock.Now(), id, request.Record{Frames: texts})
 	machine.Step(r.clock.Now(), request.CallerAttached{})
-	t := &requestTask{
-		id: id, submission: s, clock: r.clock, mailbox: task.NewMailbox[any](requestCapacity), machine: machine,
-		dispatcher: r.dispatcher.mailbox, engine: r.engine, cancel: make(map[fleet.AttemptNumber]context.CancelFunc),
-	}
-	submit := dispatch.Submit{
-		Request: id, Team: s.Team, Service: s.Service, Class: s.Class, Adapter: s.Adapter,
-		Prompt: DescribePrompt(s.Prompt), MaxTokens: s.MaxTokens, Idempotent: true, Wait: deferredWait,
-	}
+	t := r.newTask(id, s, machine)
+	submit := submitMessage(id, s, t.fingerprint)
+	submit.Wait = deferredWait
 	if r.dispatcher.mailbox.Send(ctx, dispatcherMessage{message: submit, sender: &t.mailbox}) != nil {
 		return nil, overloaded()
 	}
@@ -229,11 +237,14 @@
 		t.Run(ctx)
 		return nil
 	})
-	return &Handle{ID: id, mailbox: t.mailbox}, nil
+	return &Handle{ID: id, mailbox: t.mailbox, done: t.done}, nil
 }
 
 // Defer accepts a job, or refuses it.
 func (r *Router) Defer(ctx context.Context, work deferred.Work) JobReply {
+	if r.draining.Load() {
+		return JobReply{Refusal: draining()}
+	}
 	reply := make(chan JobReply, 1)
 	if !r.calls.deferred.mailbox.TrySend(submitJob{work: work, reply: reply}) {
 		return JobReply{Refusal: overloaded()}
@@ -265,11 +276,6 @@
 		"no such job is known for this team; check the id and the time until which the result can be read")
 }
 
-// SetMembers tells the deferred task which instances are alive.
-func (r *Router) SetMembers(ctx context.Context, list []fleet.InstanceID) error {
-	return r.calls.deferred.mailbox.Send(ctx, deferred.Members{List: list})
-}
-
 // deferredFollower is the task that reads the deferred stream.
 type deferredFollower struct {
 	client   *platform.LogClient
