--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -59,13 +59,17 @@
 
 // calls holds the parts of a router that run calls of plain services.
 type calls struct {
-	claims *claims
-	plain  *engine.PlainClient
+	claims   *claims
+	plain    *engine.PlainClient
+	deferred *deferredTask
 }
 
 // CallOnce runs a call that may not be repeated at most once for its key. The
 // call goes on when ctx ends; a repetition with the same key gets its outcome.
 func (r *Router) CallOnce(ctx context.Context, call PlainCall, key claim.KeyID) CallReply {
+	if r.draining.Load() {
+		return CallReply{Refusal: draining()}
+	}
 	reply := make(chan CallReply, 1)
 	msg := submitCall{call: call, key: claim.Key{Team: call.Team, ID: key}, reply: reply}
 	if !r.calls.claims.mailbox.TrySend(msg) {
