Take test addresses outside the range of outgoing connections

Cause: TestStreamContinuesAtAnotherRouter failed in 2 of 248 runs under load, with 'bind: address already in use' in the run that printed the error: the port that a test had found free was taken by an outgoing connection before the router bound it. The membership binds the same port for UDP too.

Change: freeAddress takes ports below the range of outgoing connections, checks TCP and UDP, and separates test processes.

--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -7,7 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,14 +46,45 @@
 // testKey is the API key whose hash is in testTicket.
 const testKey = "foo"
 
+const (
+	// firstTestPort and testPorts name ports below the range from which the
+	// system takes the ports of outgoing connections (32768 on Linux).
+	firstTestPort = 10_000
+	testPorts     = 20_000
+	// portsPerProcess separates the ports of test processes that run at once.
+	portsPerProcess = 100
+)
+
+var portsTaken atomic.Int32
+
+// freeAddress returns an address that is free for TCP and UDP. A port from the
+// range of outgoing connections could be taken before the program binds it.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	first := firstTestPort + os.Getpid()*portsPerProcess%testPorts
+	for range portsPerProcess {
+		port := first + int(portsTaken.Add(1))%portsPerProcess
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		if isFree(address) {
+			return address
+		}
+	}
+	t.Fatal("no free port for the test")
+	return ""
+}
+
+func isFree(address string) bool {
+	stream, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = stream.Close() }()
+	packets, err := net.ListenPacket("udp", address)
 	if err != nil {
-		t.Fatal(err)
+		return false
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	_ = packets.Close()
+	return true
 }
 
 func testEnv() *daemon.Env {
