Name the winner of a lost race, complete the deployments and the demo

Cause: filing starts at the newest checkpoint, so an operator who lost a race was no longer told who holds the number. deploy/ lacked settings of the controller and load experiments.

The demo submits deferred work and shows the state.

--- /dev/null
+++ b/demo/deferred.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/procs"
+)
+
+const (
+	proofTokens   = 40
+	proofQuestion = "Proof the bilingual sign of aisle 7."
+	proofLimit    = 10 * time.Second
+)
+
+// job is the status of deferred work.
+type job struct {
+	ID        string `json:"id"`
+	Status    string `json:"status"`
+	StatusURL string `json:"status_url"`
+	Text      string `json:"text"`
+}
+
+func (d *demo) deferProof(ctx context.Context) error {
+	body := fmt.Sprintf(`{"service":"dial-advisor","max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, proofTokens, proofQuestion)
+	resp, err := post(ctx, "http://"+d.fleet.Routers[0].Listen+"/v1/deferred", body, nil) //nolint:bodyclose // closed by decodeJob
+	if err != nil {
+		return err
+	}
+	accepted, err := decodeJob(resp)
+	if err != nil {
+		return err
+	}
+	say("   router-1: %d, job %s is %s", resp.StatusCode, accepted.ID, accepted.Status)
+	var last job
+	err = procs.WaitFor(ctx, proofLimit, "the proof batch", func() bool {
+		last = d.readJob(ctx, 1, accepted.StatusURL)
+		return last.Status == "done"
+	})
+	if err != nil {
+		return err
+	}
+	say("   router-2: job %s is %s", last.ID, last.Status)
+	if last.Text != expected(proofQuestion, proofTokens) {
+		return fmt.Errorf("the result differs from what the engine generated: %q", last.Text)
+	}
+	return nil
+}
+
+// readJob returns the status of a job, or a zero job if it can't be read.
+func (d *demo) readJob(ctx context.Context, router int, statusURL string) job {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.fleet.Routers[router].Listen+statusURL, nil)
+	if err != nil {
+		return job{}
+	}
+	req.Header.Set("Authorization", "Bearer "+teamKey)
+	resp, err := http.DefaultClient.Do(req) //nolint:bodyclose // closed by decodeJob
+	if err != nil {
+		return job{}
+	}
+	found, _ := decodeJob(resp)
+	return found
+}
+
+func decodeJob(resp *http.Response) (job, error) {
+	defer func() { _ = resp.Body.Close() }()
+	var j job
+	if err := json.NewDecoder(resp.Body).Decode(&j); err != nil {
+		return job{}, err
+	}
+	if j.ID == "" {
+		return job{}, fmt.Errorf("the router refused with %s", resp.Status)
+	}
+	return j, nil
+}
--- a/demo/ticket.go
+++ b/demo/ticket.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"os/exec"
+	"strings"
 )
 
 // firstTicket configures the services and the team of the demo.
@@ -66,3 +67,13 @@
 	say("   cornelctl %s %s: %s", args[2], args[3], firstLine(output))
 	return cmd.ProcessState.ExitCode(), err
 }
+
+// showState prints the number that each router serves with.
+func (d *demo) showState(ctx context.Context) error {
+	cmd := exec.CommandContext(ctx, d.fleet.Program("cornelctl"), "--router", d.fleet.Routers[0].Peer, "state")
+	output, err := cmd.CombinedOutput()
+	for line := range strings.Lines(string(output)) {
+		say("   %s", strings.TrimRight(line, "\n"))
+	}
+	return err
+}
--- a/internal/e2e/deploy_test.go
+++ b/internal/e2e/deploy_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cornelhold/cornelhold/internal/controller"
+	"github.com/cornelhold/cornelhold/internal/load"
 	"github.com/cornelhold/cornelhold/internal/router"
 	"github.com/cornelhold/cornelhold/internal/settings"
 	"github.com/cornelhold/cornelhold/internal/ticket"
@@ -21,8 +23,9 @@
 		is.NoErr(err)
 		doc, err := ticket.ParseFile("ticket.yaml", data)
 		is.NoErr(err)
-		_, err = doc.Objects()
-		is.NoErr(err)
+		is.NoErr(ticket.CheckAlone("ticket.yaml", doc))
 		is.NoErr(settings.Load(filepath.Join(dir, "router.yaml"), &router.Settings{}))
+		is.NoErr(settings.Load(filepath.Join(dir, "controller.yaml"), controller.DefaultSettings()))
+		is.NoErr(settings.Load(filepath.Join(dir, "load.yaml"), &load.Experiment{}))
 	}
 }
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -191,7 +191,7 @@
 			return Entry{}, ErrUnresolved.New("the ticket with id %s may have been filed; run cornelctl ticket show %s before filing again: %w", t.ID, t.ID, err)
 		}
 		if entry, found := h.Find(t.ID); found {
-			return entry, verdictError(entry, h)
+			return entry, f.verdictError(ctx, entry, h)
 		}
 	}
 	return Entry{}, ErrUnresolved.New("the ticket with id %s is not in the log yet; run cornelctl ticket show %s before filing again (append: %v)", t.ID, t.ID, appendErr)
@@ -212,20 +212,33 @@
 	return Entry{}, false
 }
 
-func verdictError(entry Entry, history *History) error {
-	current := history.Fold.Current().Number
+func (f *Filer) verdictError(ctx context.Context, entry Entry, h *History) error {
+	current := h.Fold.Current().Number
+	number := entry.Ticket.Number
 	switch entry.Verdict {
 	case config.VerdictAccepted:
 		return nil
 	case config.VerdictGap:
 		return Error.New("ticket number %d is not the next number; the active number is %d, file again with number %d",
-			entry.Ticket.Number, current, current+1)
+			number, current, current+1)
 	default:
-		holder := "an earlier ticket"
-		if winner, found := history.Find(strconv.FormatUint(uint64(entry.Ticket.Number), 10)); found {
-			holder = "ticket " + winner.Ticket.ID + " of " + winner.Ticket.Author
-		}
 		return ErrLost.New("number %d is held by %s; read it with cornelctl ticket show %d, rebase your change and file it again",
-			entry.Ticket.Number, holder, entry.Ticket.Number)
+			number, f.holder(ctx, h, number), number)
+	}
+}
+
+// holder names the accepted ticket of a number. A history that starts at a
+// checkpoint may lack it, so the whole stream is read then.
+func (f *Filer) holder(ctx context.Context, h *History, number config.Number) string {
+	text := strconv.FormatUint(uint64(number), 10)
+	winner, found := h.Find(text)
+	if !found {
+		if whole, err := f.History(ctx); err == nil {
+			winner, found = whole.Find(text)
+		}
+	}
+	if !found {
+		return "a ticket whose record has expired"
 	}
+	return "ticket " + winner.Ticket.ID + " of " + winner.Ticket.Author
 }
