--- a/internal/router/claims_bench_test.go
+++ b/internal/router/claims_bench_test.go
@@ -17,7 +17,8 @@
 const benchAppendLimit = 300
 
 // BenchmarkClaims measures calls that may not be repeated, from submission to
-// answer, against a log that accepts benchAppendLimit appends a second.
+// answer, against a log that accepts benchAppendLimit appends a second. The
+// endpoints have room for all callers, so that admission sets no limit.
 func BenchmarkClaims(b *testing.B) {
 	s := startSite(b, logservice.Settings{AppendsPerSecond: benchAppendLimit})
 	r, _, metrics := s.start(b.Context())
