--- /dev/null
+++ b/bench/control.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/localfleet"
+)
+
+const (
+	// controlRouters is the number of own instances of today's users.
+	controlRouters = 9
+	// settleTime passes before the measurement: a joining node gets larger
+	// answers for its first 20 s.
+	settleTime = 30 * time.Second
+	// controlTime is the length of the measurement.
+	controlTime   = 20 * time.Second
+	bytesPerMiB   = 1 << 20
+	sentMetric    = "cornelhold_membership_sent_bytes_total"
+	maxMetricSize = 4 << 20
+)
+
+// measureControl runs routers without callers and reads what control costs each
+// of them: processor time, memory and membership traffic.
+func measureControl(ctx context.Context, bin string) error {
+	var routers []*localfleet.Router
+	for i := range controlRouters {
+		routers = append(routers, &localfleet.Router{Name: fmt.Sprint("router-", i), DataCentre: fmt.Sprint("dc-", i%3)})
+	}
+	fleet, err := localfleet.New(bin, localfleet.Layout{Region: "region", Routers: routers})
+	if err != nil {
+		return err
+	}
+	defer fleet.Stop(false)
+	if err := startAll(ctx, fleet, controlTicket()); err != nil {
+		return err
+	}
+	if err := wait(ctx, settleTime); err != nil {
+		return err
+	}
+	cpu, sent := totals(fleet)
+	if err := wait(ctx, controlTime); err != nil {
+		return err
+	}
+	cpuAfter, sentAfter := totals(fleet)
+	perRouter := controlTime.Seconds() * controlRouters
+	figure("control: share of a core for each router", 100*(cpuAfter-cpu).Seconds()/perRouter, "%")
+	figure("control: membership sent by each router", (sentAfter-sent)/perRouter, "B/s")
+	figure("control: resident memory of a router", float64(largestMemory(fleet))/bytesPerMiB, "MiB")
+	return nil
+}
+
+func controlTicket() string {
+	return `
+models: [{name: m, version: "1", weight_bytes: 1, context_tokens: 1000}]
+data_centres: [{name: dc-0, region: region}, {name: dc-1, region: region}, {name: dc-2, region: region}]
+`
+}
+
+func startAll(ctx context.Context, fleet *localfleet.Fleet, ticket string) error {
+	if err := fleet.StartStandins(ctx); err != nil {
+		return err
+	}
+	if err := fleet.StartRouters(ctx); err != nil {
+		return err
+	}
+	if err := fleet.File(ctx, ticket); err != nil {
+		return err
+	}
+	return fleet.WaitReady(ctx)
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+func totals(fleet *localfleet.Fleet) (cpu time.Duration, sent float64) {
+	for _, r := range fleet.Routers {
+		cpu += cpuTime(r.Process.PID())
+		sent += metric("http://"+r.Admin+"/metrics", sentMetric)
+	}
+	return cpu, sent
+}
+
+func largestMemory(fleet *localfleet.Fleet) int64 {
+	largest := int64(0)
+	for _, r := range fleet.Routers {
+		largest = max(largest, residentBytes(r.Process.PID()))
+	}
+	return largest
+}
+
+// metric returns the value of a metric without labels, 0 if it is absent.
+func metric(url, name string) float64 {
+	resp, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, _ := io.ReadAll(io.LimitReader(resp.Body, maxMetricSize))
+	for line := range strings.Lines(string(data)) {
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
+			f, _ := strconv.ParseFloat(strings.TrimSpace(value), 64)
+			return f
+		}
+	}
+	return 0
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -1,6 +1,7 @@
 // Command bench measures the router process over loopback: the latency that it
 // adds against a client that talks to the engine stand-in directly, the
-// processor time of a request and the memory of an open stream.
+// processor time of a request, the memory of an open stream, and what control
+// costs routers without callers.
 package main
 
 import (
@@ -13,7 +14,7 @@
 )
 
 // timeLimit bounds the whole run.
-const timeLimit = 3 * time.Minute
+const timeLimit = 5 * time.Minute
 
 func main() {
 	bin := ".bin"
@@ -31,6 +32,9 @@
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, timeLimit)
 	defer cancel()
+	if err := measureControl(ctx, bin); err != nil {
+		return err
+	}
 	b, err := newBench(bin)
 	if err != nil {
 		return err
--- a/bench/measure.go
+++ b/bench/measure.go
@@ -25,10 +25,14 @@
 	requests = 3000
 	workers  = 8
 	tokens   = 4
+	// longTokens is the length of the answers that tell the cost of a token.
+	longTokens = 24
 	// openStreams stays below the limit of file descriptors of one process:
 	// the router holds two connections for each stream.
 	openStreams  = 9000
 	streamTokens = 100000
+	// openingStreams bounds the streams that wait for their first token.
+	openingStreams = 2000
 	// clockTick is the kernel's unit of processor time in /proc.
 	clockTick     = 10 * time.Millisecond
 	highestMicros = 60_000_000
@@ -55,11 +59,24 @@
 		cpu := cpuTime(b.router.Process.PID()) - before
 		if round == rounds-1 {
 			printLatency(direct, through, elapsed, cpu)
+			return b.measureTokens(ctx, cpu)
 		}
 	}
 	return nil
 }
 
+// measureTokens prints the processor time of one token: the difference between
+// long and short answers.
+func (b *bench) measureTokens(ctx context.Context, short time.Duration) error {
+	before := cpuTime(b.router.Process.PID())
+	if _, err := latencies(ctx, b.throughRouterLong); err != nil {
+		return err
+	}
+	long := cpuTime(b.router.Process.PID()) - before
+	figure("router processor time a token", float64((long-short).Microseconds())/(requests*(longTokens-tokens)), "us")
+	return nil
+}
+
 func printLatency(direct, through *hdrhistogram.Histogram, elapsed, cpu time.Duration) {
 	micros := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) }
 	figure("first token direct p50", micros(direct, 50), "us")
@@ -113,6 +130,10 @@
 	return firstToken(ctx, c, "http://"+b.router.Listen+"/v1/chat/completions", chatBody("model", tokens))
 }
 
+func (b *bench) throughRouterLong(ctx context.Context, c *http.Client) (time.Duration, error) {
+	return firstToken(ctx, c, "http://"+b.router.Listen+"/v1/chat/completions", chatBody("model", longTokens))
+}
+
 func chatBody(service string, maxTokens int) string {
 	return fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`, service, maxTokens)
 }
@@ -164,7 +185,7 @@
 	client := &http.Client{Transport: &http.Transport{}}
 	before := residentBytes(b.router.Process.PID())
 	results := make(chan error, openStreams)
-	gate := make(chan struct{}, 256)
+	gate := make(chan struct{}, openingStreams)
 	for range openStreams {
 		go func() {
 			gate <- struct{}{}
--- a/bench/setup.go
+++ b/bench/setup.go
@@ -36,16 +36,7 @@
 }
 
 func (b *bench) start(ctx context.Context) error {
-	if err := b.fleet.StartStandins(ctx); err != nil {
-		return err
-	}
-	if err := b.fleet.StartRouters(ctx); err != nil {
-		return err
-	}
-	if err := b.fleet.File(ctx, ticketYAML()); err != nil {
-		return err
-	}
-	return b.fleet.WaitReady(ctx)
+	return startAll(ctx, b.fleet, ticketYAML())
 }
 
 func ticketYAML() string {
--- a/internal/e2e/deploy_test.go
+++ b/internal/e2e/deploy_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cornelhold/cornelhold/internal/controller"
+	"github.com/cornelhold/cornelhold/internal/core/config"
 	"github.com/cornelhold/cornelhold/internal/load"
 	"github.com/cornelhold/cornelhold/internal/router"
 	"github.com/cornelhold/cornelhold/internal/settings"
@@ -23,7 +24,7 @@
 		is.NoErr(err)
 		doc, err := ticket.ParseFile("ticket.yaml", data)
 		is.NoErr(err)
-		is.NoErr(ticket.CheckAlone("ticket.yaml", doc))
+		is.NoErr(ticket.Check("ticket.yaml", doc, config.NewFold().Current()))
 		is.NoErr(settings.Load(filepath.Join(dir, "router.yaml"), &router.Settings{}))
 		is.NoErr(settings.Load(filepath.Join(dir, "controller.yaml"), controller.DefaultSettings()))
 		is.NoErr(settings.Load(filepath.Join(dir, "load.yaml"), &load.Experiment{}))
