Share the task loop, the stand-ins' HTTP code and the property tests' main

Change: task.Serve, internal/standin/httpjson and proptest.Main take their place; seeds and numbers of checks are as before. Tests and stand-ins no longer sleep.

--- a/internal/core/capacity/capacity_test.go
+++ b/internal/core/capacity/capacity_test.go
@@ -1,10 +1,8 @@
 package capacity
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -14,17 +12,11 @@
 	"github.com/cornelhold/cornelhold/internal/core/config"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/lease"
+	"github.com/cornelhold/cornelhold/internal/proptest"
 )
 
 // TestMain fixes the seed, so that every run has the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20260103")
-	_ = flag.Set("rapid.checks", "150")
-	_ = flag.Set("rapid.shrinktime", "1s")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, 20260103, 150) }
 
 const startsPerTick = 3
 
--- a/internal/core/config/follower_test.go
+++ b/internal/core/config/follower_test.go
@@ -1,26 +1,19 @@
 package config
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"reflect"
 	"testing"
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/proptest"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
 // TestMain fixes the seed, so that every run has the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "500")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, 20261204, 500) }
 
 // world is a log service, several followers and the calls between them. Calls
 // wait in a list and take effect in random order.
--- a/internal/core/dispatch/main_test.go
+++ b/internal/core/dispatch/main_test.go
@@ -1,16 +1,11 @@
 package dispatch
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/cornelhold/cornelhold/internal/proptest"
 )
 
 // TestMain fixes the seed of the property tests, so that every run has the
 // same verdict.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "300")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, 20261204, 300) }
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -1,27 +1,19 @@
 package lease
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/proptest"
 )
 
 // TestMain fixes the seed, so that every run has the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20260101")
-	_ = flag.Set("rapid.checks", "400")
-	_ = flag.Set("rapid.shrinktime", "1s")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, 20260101, 400) }
 
 var testShard = Shard{Service: "dial-advisor", DataCentre: "kyushu-a"}
 
--- a/internal/core/member/sim_test.go
+++ b/internal/core/member/sim_test.go
@@ -2,25 +2,19 @@
 
 import (
 	"container/heap"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/member"
 	"github.com/cornelhold/cornelhold/internal/peer"
+	"github.com/cornelhold/cornelhold/internal/proptest"
 )
 
 // TestMain fixes the seed, so that every run has the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, 20261204, 100) }
 
 // datagramOverhead is the size of the IPv4 and UDP headers in bytes.
 const datagramOverhead = 28
--- a/internal/core/quarantine/property_test.go
+++ b/internal/core/quarantine/property_test.go
@@ -1,9 +1,7 @@
 package quarantine_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -13,18 +11,11 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/quarantine"
+	"github.com/cornelhold/cornelhold/internal/proptest"
 )
 
 // TestMain fixes the seed of the property tests, so that every run has the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "1000", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, 20261204, 1000) }
 
 const poison fleet.Fingerprint = 1
 
--- a/internal/core/reclaim/plan_test.go
+++ b/internal/core/reclaim/plan_test.go
@@ -1,9 +1,7 @@
 package reclaim_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -12,18 +10,11 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/reclaim"
+	"github.com/cornelhold/cornelhold/internal/proptest"
 )
 
 // TestMain fixes the seed of the property tests, so that every run has the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "500", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proptest.Main(m, 20261204, 500) }
 
 // fits replays transfers in the given order and reports whether each is done
 // within its notice.
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -69,13 +69,9 @@
 
 func waitReady(t *testing.T, env *daemon.Env) {
 	t.Helper()
-	deadline := time.Now().Add(10 * time.Second)
-	for env.Ready.Reason() != "" {
-		if time.Now().After(deadline) {
-			t.Fatal("not ready: " + env.Ready.Reason())
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	until(ctx, t, "the program is ready", func() bool { return env.Ready.Reason() == "" })
 }
 
 // TestStreamedAnswerReachesCaller guards the whole path: ticket, instance
--- a/internal/proptest/proptest.go
+++ b/internal/proptest/proptest.go
@@ -4,6 +4,7 @@
 
 import (
 	"flag"
+	"os"
 	"strconv"
 	"testing"
 
@@ -30,6 +31,27 @@
 	rapid.Check(t, property)
 }
 
+// shrinkTime bounds the search for a smaller failing case.
+const shrinkTime = "1s"
+
+// Main runs the tests of a package whose property tests call package rapid
+// directly, with one seed and number of checks for all of them. Call it from
+// TestMain.
+func Main(m *testing.M, seed uint64, checks int) {
+	flag.Parse()
+	for name, value := range map[string]string{
+		"rapid.seed":       strconv.FormatUint(seed, 10),
+		"rapid.checks":     strconv.Itoa(checks),
+		"rapid.shrinktime": shrinkTime,
+		"rapid.nofailfile": "true",
+	} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 func set(t *testing.T, name, value string) {
 	t.Helper()
 	if err := flag.Set(name, value); err != nil {
--- a/internal/router/registry.go
+++ b/internal/router/registry.go
@@ -26,14 +26,7 @@
 
 // Run owns the map until ctx ends.
 func (r *registry) Run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case msg := <-r.mailbox.Receive():
-			r.handle(msg)
-		}
-	}
+	return task.Serve(ctx, r.mailbox, r.handle)
 }
 
 func (r *registry) handle(msg any) {
--- a/internal/standin/logservice/http.go
+++ b/internal/standin/logservice/http.go
@@ -2,19 +2,16 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/platform"
+	"github.com/cornelhold/cornelhold/internal/standin/httpjson"
 )
 
-const (
-	maxBodyBytes = 4 << 20
-	maxLimit     = 1000
-	maxWait      = 30 * time.Second
-)
+// maxLimit bounds the records of one read.
+const maxLimit = 1000
 
 // Handler returns the HTTP interface of the service.
 func (s *Service) Handler() http.Handler {
@@ -26,10 +23,13 @@
 }
 
 func (s *Service) handleAppend(w http.ResponseWriter, r *http.Request) {
-	var body struct {
+	body, ok := httpjson.Decode[struct {
 		Data json.RawMessage `json:"data"`
+	}](w, r)
+	if !ok {
+		return
 	}
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&body); err != nil || len(body.Data) == 0 {
+	if len(body.Data) == 0 {
 		http.Error(w, "body must be a JSON object with the key data", http.StatusBadRequest)
 		return
 	}
@@ -39,7 +39,7 @@
 		return
 	}
 	answer := <-reply
-	time.Sleep(answer.delay)
+	httpjson.Delay(r, answer.delay)
 	if answer.lose {
 		panic(http.ErrAbortHandler)
 	}
@@ -47,7 +47,7 @@
 		refuse(w, answer.refused)
 		return
 	}
-	writeJSON(w, answer.record)
+	httpjson.Write(w, answer.record)
 }
 
 func (s *Service) handleRead(w http.ResponseWriter, r *http.Request) {
@@ -58,7 +58,7 @@
 	}
 	limit, _ := strconv.Atoi(r.URL.Query().Get("limit"))
 	waitMillis, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
-	wait := min(time.Duration(max(waitMillis, 0))*time.Millisecond, maxWait)
+	wait := time.Duration(max(waitMillis, 0)) * time.Millisecond
 	cancel := make(chan struct{})
 	defer close(cancel)
 	reply := make(chan readReply, 1)
@@ -69,23 +69,19 @@
 	if s.mailbox.Send(r.Context(), msg) != nil {
 		return
 	}
-	var timeout <-chan time.Time
-	if wait > 0 {
-		timer := time.NewTimer(wait)
-		defer timer.Stop()
-		timeout = timer.C
-	}
+	timeout, release := httpjson.Timeout(wait)
+	defer release()
 	select {
 	case answer := <-reply:
-		writeRead(w, answer)
+		writeRead(w, r, answer)
 	case <-timeout:
-		writeJSON(w, platform.Batch{Next: from})
+		httpjson.Write(w, platform.Batch{Next: from})
 	case <-r.Context().Done():
 	}
 }
 
-func writeRead(w http.ResponseWriter, answer readReply) {
-	time.Sleep(answer.delay)
+func writeRead(w http.ResponseWriter, r *http.Request, answer readReply) {
+	httpjson.Delay(r, answer.delay)
 	switch {
 	case answer.refused != "":
 		refuse(w, answer.refused)
@@ -93,14 +89,13 @@
 		w.WriteHeader(http.StatusGone)
 		_ = json.NewEncoder(w).Encode(answer.batch)
 	default:
-		writeJSON(w, answer.batch)
+		httpjson.Write(w, answer.batch)
 	}
 }
 
 func (s *Service) handleFaults(w http.ResponseWriter, r *http.Request) {
-	var faults Faults
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&faults); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	faults, ok := httpjson.Decode[Faults](w, r)
+	if !ok {
 		return
 	}
 	done := make(chan struct{})
@@ -114,8 +109,3 @@
 	w.Header().Set("Retry-After", "0.2")
 	http.Error(w, message, http.StatusServiceUnavailable)
 }
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
-}
--- a/internal/standin/logservice/service.go
+++ b/internal/standin/logservice/service.go
@@ -101,14 +101,7 @@
 
 // Run owns the streams until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case msg := <-s.mailbox.Receive():
-			s.step(msg)
-		}
-	}
+	return task.Serve(ctx, s.mailbox, s.step)
 }
 
 func (s *Service) step(msg any) {
--- a/internal/standin/modelengine/engine.go
+++ b/internal/standin/modelengine/engine.go
@@ -8,9 +8,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -20,6 +18,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/cornelhold/cornelhold/internal/engine"
+	"github.com/cornelhold/cornelhold/internal/standin/httpjson"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
 
@@ -27,7 +26,6 @@
 var Error = errs.Class("model engine stand-in")
 
 const (
-	maxBodyBytes      = 8 << 20
 	heartbeatInterval = time.Second
 	headerTimeout     = 5 * time.Second
 	importTimeout     = 2 * time.Second
@@ -156,19 +154,19 @@
 func (e *Engine) handleStatus(w http.ResponseWriter, r *http.Request) {
 	reply := make(chan engine.Status, 1)
 	if status, ok := ask(r.Context(), e, statusMessage{reply: reply}, reply); ok {
-		writeJSON(w, status)
+		httpjson.Write(w, status)
 	}
 }
 
 func (e *Engine) handleCancel(w http.ResponseWriter, r *http.Request) {
-	if ref, ok := decode[engine.StreamRef](w, r); ok {
+	if ref, ok := httpjson.Decode[engine.StreamRef](w, r); ok {
 		_ = e.state.mailbox.Send(r.Context(), cancelMessage{key: keyOf(ref)})
 		w.WriteHeader(http.StatusNoContent)
 	}
 }
 
 func (e *Engine) handleExport(w http.ResponseWriter, r *http.Request) {
-	ref, ok := decode[engine.StreamRef](w, r)
+	ref, ok := httpjson.Decode[engine.StreamRef](w, r)
 	if !ok {
 		return
 	}
@@ -179,7 +177,7 @@
 		return
 	}
 	pause(r.Context(), export.wait)
-	writeJSON(w, engine.Exported{Path: engine.KVPath + export.id, Tokens: export.tokens})
+	httpjson.Write(w, engine.Exported{Path: engine.KVPath + export.id, Tokens: export.tokens})
 }
 
 func (e *Engine) handleImport(w http.ResponseWriter, r *http.Request) {
@@ -189,11 +187,11 @@
 		http.NotFound(w, r)
 		return
 	}
-	writeJSON(w, entry)
+	httpjson.Write(w, entry)
 }
 
 func (e *Engine) handleFaults(w http.ResponseWriter, r *http.Request) {
-	faults, ok := decode[Faults](w, r)
+	faults, ok := httpjson.Decode[Faults](w, r)
 	if !ok {
 		return
 	}
@@ -220,17 +218,3 @@
 		return zero, false
 	}
 }
-
-func decode[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
-	var body T
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&body); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return body, false
-	}
-	return body, true
-}
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
-}
--- a/internal/standin/modelengine/orders.go
+++ b/internal/standin/modelengine/orders.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 
 	"github.com/cornelhold/cornelhold/internal/engine"
+	"github.com/cornelhold/cornelhold/internal/standin/httpjson"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
 
@@ -123,13 +124,13 @@
 	}
 	select {
 	case state := <-reply:
-		writeJSON(w, state)
+		httpjson.Write(w, state)
 	case <-r.Context().Done():
 	}
 }
 
 func (o *Orders) handleOrder(w http.ResponseWriter, r *http.Request) {
-	record, ok := decode[engine.OrderRecord](w, r)
+	record, ok := httpjson.Decode[engine.OrderRecord](w, r)
 	if !ok {
 		return
 	}
@@ -152,7 +153,7 @@
 }
 
 func (o *Orders) handleFaults(w http.ResponseWriter, r *http.Request) {
-	if faults, ok := decode[OrderFaults](w, r); ok {
+	if faults, ok := httpjson.Decode[OrderFaults](w, r); ok {
 		_ = o.mailbox.Send(r.Context(), orderFaults{faults: faults})
 		w.WriteHeader(http.StatusNoContent)
 	}
--- a/internal/standin/modelengine/state.go
+++ b/internal/standin/modelengine/state.go
@@ -156,14 +156,7 @@
 
 // Run owns the state until ctx ends.
 func (s *state) Run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case msg := <-s.mailbox.Receive():
-			s.handle(msg)
-		}
-	}
+	return task.Serve(ctx, s.mailbox, s.handle)
 }
 
 func (s *state) handle(msg any) {
--- a/internal/standin/modelengine/stream.go
+++ b/internal/standin/modelengine/stream.go
@@ -9,10 +9,11 @@
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/engine"
+	"github.com/cornelhold/cornelhold/internal/standin/httpjson"
 )
 
 func (e *Engine) handleCompletion(w http.ResponseWriter, r *http.Request) {
-	body, ok := decode[engine.CompletionRequest](w, r)
+	body, ok := httpjson.Decode[engine.CompletionRequest](w, r)
 	if !ok {
 		return
 	}
--- a/internal/standin/plainservice/service.go
+++ b/internal/standin/plainservice/service.go
@@ -4,18 +4,14 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
+	"github.com/cornelhold/cornelhold/internal/standin/httpjson"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
 
-const (
-	mailboxCapacity = 1024
-	maxBodyBytes    = 4 << 20
-)
+const mailboxCapacity = 1024
 
 // Faults are switched on by tests through PUT /faults.
 type Faults struct {
@@ -92,14 +88,7 @@
 
 // Run owns the state until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case msg := <-s.mailbox.Receive():
-			s.step(msg)
-		}
-	}
+	return task.Serve(ctx, s.mailbox, s.step)
 }
 
 func (s *Service) step(msg any) {
@@ -190,10 +179,13 @@
 }
 
 func (s *Service) handleCall(w http.ResponseWriter, r *http.Request) {
-	var body struct {
+	body, ok := httpjson.Decode[struct {
 		CallID string `json:"call_id"`
+	}](w, r)
+	if !ok {
+		return
 	}
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&body); err != nil || body.CallID == "" {
+	if body.CallID == "" {
 		http.Error(w, "body must be a JSON object with the key call_id", http.StatusBadRequest)
 		return
 	}
@@ -212,11 +204,7 @@
 		http.Error(w, "internal error", http.StatusInternalServerError)
 		return
 	}
-	if a.delay > 0 {
-		timer := time.NewTimer(a.delay)
-		defer timer.Stop()
-		<-timer.C
-	}
+	httpjson.Delay(r, a.delay)
 	ran := make(chan int, 1)
 	if s.mailbox.Send(r.Context(), runMessage{id: body.CallID, reply: ran}) != nil {
 		return
@@ -225,8 +213,7 @@
 	if a.fault == faultLoseAnswer {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(Result{CallID: body.CallID, Operation: r.PathValue("operation"), Run: number})
+	httpjson.Write(w, Result{CallID: body.CallID, Operation: r.PathValue("operation"), Run: number})
 }
 
 // Result is the answer to a call. Run counts the executions of the call id.
@@ -238,14 +225,12 @@
 
 func (s *Service) handleCounts(w http.ResponseWriter, r *http.Request) {
 	counts := s.Await(r.Context(), r.PathValue("id"), 0)
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(counts)
+	httpjson.Write(w, counts)
 }
 
 func (s *Service) handleFaults(w http.ResponseWriter, r *http.Request) {
-	var faults Faults
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&faults); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	faults, ok := httpjson.Decode[Faults](w, r)
+	if !ok {
 		return
 	}
 	s.SetFaults(r.Context(), faults)
--- a/internal/standin/platformapi/cloud.go
+++ b/internal/standin/platformapi/cloud.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,6 +10,7 @@
 	"github.com/samber/lo"
 
 	"github.com/cornelhold/cornelhold/internal/platform"
+	"github.com/cornelhold/cornelhold/internal/standin/httpjson"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
 
@@ -251,12 +250,12 @@
 	mux.HandleFunc("POST /v1/cloud/instances", c.handleStart)
 	mux.HandleFunc("DELETE /v1/cloud/instances/{id}", c.handleStop)
 	mux.HandleFunc("PUT /v1/cloud/faults", func(w http.ResponseWriter, r *http.Request) {
-		if faults, ok := decode[CloudFaults](w, r); ok {
+		if faults, ok := httpjson.Decode[CloudFaults](w, r); ok {
 			c.post(w, r, cloudFaults{faults: faults})
 		}
 	})
 	mux.HandleFunc("POST /v1/cloud/reclaim", func(w http.ResponseWriter, r *http.Request) {
-		if reclaim, ok := decode[Reclaim](w, r); ok {
+		if reclaim, ok := httpjson.Decode[Reclaim](w, r); ok {
 			c.post(w, r, cloudReclaim{reclaim: reclaim})
 		}
 	})
@@ -275,23 +274,19 @@
 	if c.mailbox.Send(r.Context(), cloudWatch{after: after, block: waitMillis > 0, reply: reply}) != nil {
 		return
 	}
-	var timeout <-chan time.Time
-	if waitMillis > 0 {
-		timer := time.NewTimer(min(time.Duration(waitMillis)*time.Millisecond, maxWait))
-		defer timer.Stop()
-		timeout = timer.C
-	}
+	timeout, release := httpjson.Timeout(time.Duration(waitMillis) * time.Millisecond)
+	defer release()
 	select {
 	case list := <-reply:
-		writeJSON(w, list)
+		httpjson.Write(w, list)
 	case <-timeout:
-		writeJSON(w, platform.CloudList{Version: after})
+		httpjson.Write(w, platform.CloudList{Version: after})
 	case <-r.Context().Done():
 	}
 }
 
 func (c *Cloud) handleStart(w http.ResponseWriter, r *http.Request) {
-	request, ok := decode[platform.StartRequest](w, r)
+	request, ok := httpjson.Decode[platform.StartRequest](w, r)
 	if !ok {
 		return
 	}
@@ -322,22 +317,8 @@
 		case a.refused != "":
 			http.Error(w, a.refused, http.StatusConflict)
 		default:
-			writeJSON(w, a.instance)
+			httpjson.Write(w, a.instance)
 		}
 	case <-r.Context().Done():
 	}
 }
-
-func decode[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
-	var body T
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&body); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return body, false
-	}
-	return body, true
-}
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
-}
--- a/internal/standin/platformapi/instances.go
+++ b/internal/standin/platformapi/instances.go
@@ -4,22 +4,17 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/platform"
+	"github.com/cornelhold/cornelhold/internal/standin/httpjson"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
 
-const (
-	mailboxCapacity = 256
-	maxBodyBytes    = 8 << 20
-	maxWait         = 30 * time.Second
-)
+const mailboxCapacity = 256
 
 // Instances is the task that owns the instance list. PUT /v1/instances
 // replaces the fixed instances; GET waits for a newer version.
@@ -58,14 +53,7 @@
 
 // Run owns the list until ctx ends.
 func (s *Instances) Run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case msg := <-s.mailbox.Receive():
-			s.step(msg)
-		}
-	}
+	return task.Serve(ctx, s.mailbox, s.step)
 }
 
 func (s *Instances) step(msg any) {
@@ -114,26 +102,20 @@
 	if s.mailbox.Send(r.Context(), watchMessage{after: after, block: waitMillis > 0, reply: reply}) != nil {
 		return
 	}
-	var timeout <-chan time.Time
-	if waitMillis > 0 {
-		timer := time.NewTimer(min(time.Duration(waitMillis)*time.Millisecond, maxWait))
-		defer timer.Stop()
-		timeout = timer.C
-	}
-	w.Header().Set("Content-Type", "application/json")
+	timeout, release := httpjson.Timeout(time.Duration(waitMillis) * time.Millisecond)
+	defer release()
 	select {
 	case list := <-reply:
-		_ = json.NewEncoder(w).Encode(list)
+		httpjson.Write(w, list)
 	case <-timeout:
-		_ = json.NewEncoder(w).Encode(platform.InstanceList{Version: after})
+		httpjson.Write(w, platform.InstanceList{Version: after})
 	case <-r.Context().Done():
 	}
 }
 
 func (s *Instances) handleReplace(w http.ResponseWriter, r *http.Request) {
-	var instances []platform.Instance
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&instances); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	instances, ok := httpjson.Decode[[]platform.Instance](w, r)
+	if !ok {
 		return
 	}
 	_ = s.mailbox.Send(r.Context(), replaceMessage{instances: instances})
--- a/internal/standin/platformapi/weights.go
+++ b/internal/standin/platformapi/weights.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/platform"
+	"github.com/cornelhold/cornelhold/internal/standin/httpjson"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
 
@@ -56,18 +57,15 @@
 
 // Run owns the slots until ctx ends.
 func (s *Weights) Run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case msg := <-s.mailbox.Receive():
-			switch msg := msg.(type) {
-			case slotMessage:
-				msg.reply <- s.answer(msg)
-			case weightFaults:
-				s.faults = msg.faults
-			}
-		}
+	return task.Serve(ctx, s.mailbox, s.step)
+}
+
+func (s *Weights) step(msg any) {
+	switch msg := msg.(type) {
+	case slotMessage:
+		msg.reply <- s.answer(msg)
+	case weightFaults:
+		s.faults = msg.faults
 	}
 }
 
@@ -102,7 +100,7 @@
 	mux.HandleFunc("PUT /v1/slots/{endpoint}", func(w http.ResponseWriter, r *http.Request) { s.handle(w, r, false) })
 	mux.HandleFunc("DELETE /v1/slots/{endpoint}", func(w http.ResponseWriter, r *http.Request) { s.handle(w, r, true) })
 	mux.HandleFunc("PUT /v1/weights/faults", func(w http.ResponseWriter, r *http.Request) {
-		if faults, ok := decode[WeightFaults](w, r); ok {
+		if faults, ok := httpjson.Decode[WeightFaults](w, r); ok {
 			_ = s.mailbox.Send(r.Context(), weightFaults{faults: faults})
 			w.WriteHeader(http.StatusNoContent)
 		}
@@ -126,7 +124,7 @@
 			http.Error(w, "all download slots are in use", http.StatusTooManyRequests)
 			return
 		}
-		writeJSON(w, platform.DownloadSlot{TTLMillis: s.settings.TTL.Milliseconds()})
+		httpjson.Write(w, platform.DownloadSlot{TTLMillis: s.settings.TTL.Milliseconds()})
 	case <-r.Context().Done():
 	}
 }
--- a/internal/task/mailbox.go
+++ b/internal/task/mailbox.go
@@ -42,3 +42,16 @@
 
 // Len returns the number of waiting messages.
 func (m Mailbox[T]) Len() int { return len(m.ch) }
+
+// Serve passes each message to handle until ctx ends. It is the loop of a task
+// that waits for nothing but its mailbox.
+func Serve[T any](ctx context.Context, m Mailbox[T], handle func(T)) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case msg := <-m.ch:
+			handle(msg)
+		}
+	}
+}
