Hold back a flooding team at its guaranteed share at once

Cause: a team could use twice its guaranteed share before the 10 s average held it back. Under flood these bursts filled slots that the other teams then lacked.

Change: the burst is the guaranteed share plus one attempt.

--- a/internal/core/dispatch/service.go
+++ b/internal/core/dispatch/service.go
@@ -49,9 +49,10 @@
 	// usageWindow is the time over which the usage of a team is averaged. Few of
 	// a team's requests run in one router, so their number varies.
 	usageWindow = 10 * time.Second
-	// burstFactor is how many times its guaranteed share a team may use at once
-	// before it is held back without averaging.
-	burstFactor = 2
+	// burstFactor is how many times its guaranteed share a team may use at once,
+	// plus one attempt, before it is held back without averaging. A larger burst
+	// of a flooding team takes slots that other teams miss until it ends.
+	burstFactor = 1
 	// reservePart is the part of unused guaranteed shares that is kept free, and
 	// maxReserve the largest part of the slots.
 	reservePart = 1.0
