Hold batch work while other requests wait

A router started it as soon as its own queue was empty. Batch work that found no endpoint also marked the service as queued for 2 s, which took the exemption for cached prefixes from other requests.

Change: batch work does not start until queuedMemory after the last wait of another request, with a wake-up at that time, and its own waits do not count.

--- a/internal/core/dispatch/requests.go
+++ b/internal/core/dispatch/requests.go
@@ -60,6 +60,7 @@
 // that can't be served in time.
 func (m *Machine) pump(now time.Duration, svc *service) []Action {
 	var actions []Action
+	svc.batchHeld = false
 	for _, l := range svc.lanes {
 		for _, e := range l.queue.Expire(now) {
 			actions = append(actions, m.expire(now, m.outstanding[e.Request])...)
@@ -76,7 +77,9 @@
 	return actions
 }
 
-// tryGrant grants a waiting request if an endpoint has room for it.
+// tryGrant grants a waiting request if an endpoint has room for it. Batch work
+// does not start while requests wait or did a moment ago: it would be displaced
+// and its tokens computed again.
 func (m *Machine) tryGrant(now time.Duration, r *requestState) (Action, bool) {
 	svc, team := r.service, r.submit.Team
 	request := r.routed()
@@ -85,10 +88,17 @@
 	request.Spare = svc.exceedsShare(now, team, m.routers)
 	if r.submit.Class == fleet.ClassBatch {
 		request.Spare, request.Reserve = true, batchReserve
+		if request.Queued {
+			svc.batchHeld = true
+			return nil, false
+		}
 	}
 	choice, ok := svc.table.Choose(now, &request)
 	if !ok {
-		svc.queuedUntil = now + queuedMemory
+		if r.submit.Class != fleet.ClassBatch {
+			// Waiting batch work says nothing about the slots that others may use.
+			svc.queuedUntil = now + queuedMemory
+		}
 		return nil, false
 	}
 	return m.grant(now, r, choice, &request), true
--- a/internal/core/dispatch/service.go
+++ b/internal/core/dispatch/service.go
@@ -32,6 +32,8 @@
 	reserveUntil time.Duration
 	// queuedUntil is when the last wait for an endpoint is forgotten.
 	queuedUntil time.Duration
+	// batchHeld tells that batch work waits until queuedUntil.
+	batchHeld bool
 }
 
 // lane is the queue of requests that the same endpoints can serve, so that a
@@ -215,7 +217,12 @@
 	return s.spec.FirstToken
 }
 
+// nextExpiry is the next time at which pump has something to do without a
+// message.
 func (s *service) nextExpiry() (at time.Duration, ok bool) {
+	if s.batchHeld {
+		at, ok = s.queuedUntil, true
+	}
 	for _, l := range s.lanes {
 		if expiry, waits := l.queue.NextExpiry(); waits && (!ok || expiry < at) {
 			at, ok = expiry, true
