Keep twice the unused guaranteed shares free

Cause: a router sees few requests of a team. The reserve equalled the average unused share, so a burst of a team within its share found the slots taken by the flooding team.

Change: the reserve is twice the unused shares, still at most 0.4 of the slots.

--- a/internal/core/dispatch/service.go
+++ b/internal/core/dispatch/service.go
@@ -55,9 +55,10 @@
 	// plus one attempt, before it is held back without averaging. A larger burst
 	// of a flooding team takes slots that other teams miss until it ends.
 	burstFactor = 1
-	// reservePart is the part of unused guaranteed shares that is kept free, and
-	// maxReserve the largest part of the slots.
-	reservePart = 1.0
+	// reservePart is how many times the unused guaranteed shares are kept free, and
+	// maxReserve the largest part of the slots. Each router sees few requests of a
+	// team, and its bursts exceed the average.
+	reservePart = 2.0
 	maxReserve  = 0.4
 	// batchReserve is the part of the slots that batch work leaves free, so that
 	// it is rarely displaced and computed again.
