--- a/internal/core/dispatch/service.go
+++ b/internal/core/dispatch/service.go
@@ -32,6 +32,8 @@
 	reserveUntil time.Duration
 	// queuedUntil is when the last wait for an endpoint is forgotten.
 	queuedUntil time.Duration
+	// batchHeld tells that batch work waits until queuedUntil.
+	batchHeld bool
 }
 
 // lane is the queue of requests that the same endpoints can serve, so that a
@@ -49,12 +51,14 @@
 	// usageWindow is the time over which the usage of a team is averaged. Few of
 	// a team's requests run in one router, so their number varies.
 	usageWindow = 10 * time.Second
-	// burstFactor is how many times its guaranteed share a team may use at once
-	// before it is held back without averaging.
-	burstFactor = 2
-	// reservePart is the part of unused guaranteed shares that is kept free, and
-	// maxReserve the largest part of the slots.
-	reservePart = 1.0
+	// burstFactor is how many times its guaranteed share a team may use at once,
+	// plus one attempt, before it is held back without averaging. A larger burst
+	// of a flooding team takes slots that other teams miss until it ends.
+	burstFactor = 1
+	// reservePart is how many times the unused guaranteed shares are kept free, and
+	// maxReserve the largest part of the slots. Each router sees few requests of a
+	// team, and its bursts exceed the average.
+	reservePart = 2.0
 	maxReserve  = 0.4
 	// batchReserve is the part of the slots that batch work leaves free, so that
 	// it is rarely displaced and computed again.
@@ -214,7 +218,12 @@
 	return s.spec.FirstToken
 }
 
+// nextExpiry is the next time at which pump has something to do without a
+// message.
 func (s *service) nextExpiry() (at time.Duration, ok bool) {
+	if s.batchHeld {
+		at, ok = s.queuedUntil, true
+	}
 	for _, l := range s.lanes {
 		if expiry, waits := l.queue.NextExpiry(); waits && (!ok || expiry < at) {
 			at, ok = expiry, true
