--- a/bench/measure.go
+++ b/bench/measure.go
@@ -25,8 +25,10 @@
 	requests = 3000
 	workers  = 8
 	tokens   = 4
-	// longTokens is the length of the answers that tell the cost of a token.
-	longTokens = 24
+	// longTokens is the length of the answers that tell the cost of a token, and
+	// busyWorkers the number of streams at once while it is measured.
+	longTokens  = 104
+	busyWorkers = 64
 	// openStreams stays below the limit of file descriptors of one process:
 	// the router holds two connections for each stream.
 	openStreams  = 9000
@@ -45,13 +47,13 @@
 func (b *bench) measureLatency(ctx context.Context) error {
 	const rounds = 2 // the first warms up connections and is not printed
 	for round := range rounds {
-		direct, err := latencies(ctx, b.direct)
+		direct, err := latencies(ctx, workers, b.direct)
 		if err != nil {
 			return err
 		}
 		before := cpuTime(b.router.Process.PID())
 		start := time.Now()
-		through, err := latencies(ctx, b.throughRouter)
+		through, err := latencies(ctx, workers, b.throughRouter)
 		if err != nil {
 			return err
 		}
@@ -59,24 +61,34 @@
 		cpu := cpuTime(b.router.Process.PID()) - before
 		if round == rounds-1 {
 			printLatency(direct, through, elapsed, cpu)
-			return b.measureTokens(ctx, cpu)
+			return b.measureTokens(ctx)
 		}
 	}
 	return nil
 }
 
-// measureTokens prints the processor time of one token: the difference between
-// long and short answers.
-func (b *bench) measureTokens(ctx context.Context, short time.Duration) error {
-	before := cpuTime(b.router.Process.PID())
-	if _, err := latencies(ctx, b.throughRouterLong); err != nil {
+// measureTokens prints the processor time of one token at many streams: the
+// difference between long and short answers.
+func (b *bench) measureTokens(ctx context.Context) error {
+	short, err := b.cpuOf(ctx, b.throughRouter)
+	if err != nil {
+		return err
+	}
+	long, err := b.cpuOf(ctx, b.throughRouterLong)
+	if err != nil {
 		return err
 	}
-	long := cpuTime(b.router.Process.PID()) - before
 	figure("router processor time a token", float64((long-short).Microseconds())/(requests*(longTokens-tokens)), "us")
 	return nil
 }
 
+// cpuOf returns the router's processor time for one measurement.
+func (b *bench) cpuOf(ctx context.Context, send sender) (time.Duration, error) {
+	before := cpuTime(b.router.Process.PID())
+	_, err := latencies(ctx, busyWorkers, send)
+	return cpuTime(b.router.Process.PID()) - before, err
+}
+
 func printLatency(direct, through *hdrhistogram.Histogram, elapsed, cpu time.Duration) {
 	micros := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) }
 	figure("first token direct p50", micros(direct, 50), "us")
@@ -90,7 +102,7 @@
 	figure("requests a second and core", requests/cpu.Seconds(), "1/s")
 }
 
-func latencies(ctx context.Context, send sender) (*hdrhistogram.Histogram, error) {
+func latencies(ctx context.Context, workers int, send sender) (*hdrhistogram.Histogram, error) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workers}}
 	defer client.CloseIdleConnections()
 	results := make(chan time.Duration, requests)
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -22,6 +22,7 @@
 	"github.com/cornelhold/cornelhold/internal/engine"
 	"github.com/cornelhold/cornelhold/internal/operator"
 	"github.com/cornelhold/cornelhold/internal/platform"
+	"github.com/cornelhold/cornelhold/internal/procs"
 	"github.com/cornelhold/cornelhold/internal/standin"
 	"github.com/cornelhold/cornelhold/internal/standin/modelengine"
 	"github.com/cornelhold/cornelhold/internal/standin/platformapi"
@@ -62,7 +63,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), testLimit)
 	t.Cleanup(cancel)
-	b := &bed{t: t, ctx: ctx, log: freeAddress(t), cloud: freeAddress(t), weights: freeAddress(t)}
+	b := &bed{t: t, ctx: ctx, log: procs.FreeAddress(), cloud: procs.FreeAddress(), weights: procs.FreeAddress()}
 	go func() {
 		_ = standin.Run(ctx, testEnv(), &standin.Settings{
 			Log:     &standin.LogSettings{Listen: b.log},
@@ -91,16 +92,6 @@
 	return b
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 func testEnv() *daemon.Env {
 	return &daemon.Env{
 		Log:     &log.Logger{Handler: discard.New(), Level: log.ErrorLevel},
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -14,6 +14,7 @@
 	"github.com/cornelhold/cornelhold/internal/daemon"
 	"github.com/cornelhold/cornelhold/internal/operator"
 	"github.com/cornelhold/cornelhold/internal/platform"
+	"github.com/cornelhold/cornelhold/internal/procs"
 	"github.com/cornelhold/cornelhold/internal/router"
 	"github.com/cornelhold/cornelhold/internal/standin"
 	"github.com/cornelhold/cornelhold/internal/standin/modelengine"
@@ -44,13 +45,13 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	t.Cleanup(cancel)
-	c := &cluster{t: t, ctx: ctx, list: freeAddress(t)}
-	logAddr := freeAddress(t)
+	c := &cluster{t: t, ctx: ctx, list: procs.FreeAddress()}
+	logAddr := procs.FreeAddress()
 	settings := &standin.Settings{
 		Log: &standin.LogSettings{Listen: logAddr}, Instances: &standin.InstancesSettings{Listen: c.list},
 	}
 	for i := range engines {
-		address := freeAddress(t)
+		address := procs.FreeAddress()
 		c.engines = append(c.engines, address)
 		settings.Engines = append(settings.Engines, standin.EngineSettings{Listen: address, Engine: engine})
 		c.instances = append(c.instances, platform.Instance{
@@ -75,7 +76,7 @@
 	var peers []router.PeerSettings
 	for i := range routers + deadPeers {
 		peers = append(peers, router.PeerSettings{
-			Instance: fmt.Sprint("r", i), DataCentre: "kyushu-" + string(rune('a'+i)), Region: "kyushu", Address: freeAddress(t),
+			Instance: fmt.Sprint("r", i), DataCentre: "kyushu-" + string(rune('a'+i)), Region: "kyushu", Address: procs.FreeAddress(),
 		})
 	}
 	for i := range routers {
@@ -85,7 +86,7 @@
 }
 
 func (c *cluster) startRouter(peers []router.PeerSettings, i int, logAddr string) {
-	r := &testRouter{address: freeAddress(c.t), env: testEnv(), done: make(chan error, 1)}
+	r := &testRouter{address: procs.FreeAddress(), env: testEnv(), done: make(chan error, 1)}
 	r.env.Admin = http.NewServeMux()
 	var ctx context.Context
 	ctx, r.stop = context.WithCancel(c.ctx)
--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -14,6 +14,7 @@
 	"github.com/cornelhold/cornelhold/internal/cli"
 	"github.com/cornelhold/cornelhold/internal/core/config"
 	"github.com/cornelhold/cornelhold/internal/operator"
+	"github.com/cornelhold/cornelhold/internal/procs"
 	"github.com/cornelhold/cornelhold/internal/router"
 	"github.com/cornelhold/cornelhold/internal/standin"
 	"github.com/cornelhold/cornelhold/internal/ticket"
@@ -28,7 +29,7 @@
 
 func startSite(t *testing.T) *site {
 	t.Helper()
-	s := &site{ctx: t.Context(), logAddr: freeAddress(t), instances: freeAddress(t)}
+	s := &site{ctx: t.Context(), logAddr: procs.FreeAddress(), instances: procs.FreeAddress()}
 	env := testEnv()
 	go func() {
 		_ = standin.Run(s.ctx, env, &standin.Settings{
@@ -45,10 +46,10 @@
 // startRouter starts a router and returns its peer address.
 func (s *site) startRouter(t *testing.T, name string, peers ...router.PeerSettings) router.PeerSettings {
 	t.Helper()
-	self := router.PeerSettings{Instance: name, DataCentre: "kyushu-a", Region: "kyushu", Address: freeAddress(t)}
+	self := router.PeerSettings{Instance: name, DataCentre: "kyushu-a", Region: "kyushu", Address: procs.FreeAddress()}
 	go func() {
 		_ = router.Run(s.ctx, testEnv(), &router.Settings{
-			Instance: name, DataCentre: self.DataCentre, Region: self.Region, Listen: freeAddress(t),
+			Instance: name, DataCentre: self.DataCentre, Region: self.Region, Listen: procs.FreeAddress(),
 			PeerListen: self.Address, Peers: peers, Log: s.logURL(), Instances: "http://" + s.instances,
 		}, callerapi.New)
 	}()
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -4,12 +4,9 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +18,7 @@
 	"github.com/cornelhold/cornelhold/internal/callerapi"
 	"github.com/cornelhold/cornelhold/internal/daemon"
 	"github.com/cornelhold/cornelhold/internal/operator"
+	"github.com/cornelhold/cornelhold/internal/procs"
 	"github.com/cornelhold/cornelhold/internal/router"
 	"github.com/cornelhold/cornelhold/internal/standin"
 	"github.com/cornelhold/cornelhold/internal/standin/modelengine"
@@ -45,20 +43,6 @@
 // testKey is the API key whose hash is in testTicket.
 const testKey = "foo"
 
-// firstPort is the first port that the tests use, on an address of their own.
-const firstPort = 20000
-
-var lastPort atomic.Int32
-
-// freeAddress returns an address that no other call returns. Asking the system
-// for a free port is not enough: it may name the same one twice, or use it for
-// an outgoing connection before the program listens.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.1:%d", 1+pid>>8%250, pid%256, firstPort+lastPort.Add(1))
-}
-
 func testEnv() *daemon.Env {
 	return &daemon.Env{
 		Log:     &log.Logger{Handler: discard.New(), Level: log.ErrorLevel},
@@ -80,7 +64,7 @@
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	logAddr, listAddr, engineAddr, routerAddr := freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t)
+	logAddr, listAddr, engineAddr, routerAddr := procs.FreeAddress(), procs.FreeAddress(), procs.FreeAddress(), procs.FreeAddress()
 	standinEnv, routerEnv := testEnv(), testEnv()
 	go func() {
 		_ = standin.Run(ctx, standinEnv, &standin.Settings{
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -91,22 +91,28 @@
 		return nil, err
 	}
 	f := &Fleet{Runner: runner, Layout: layout}
-	targets := []*string{&f.Log, &f.List, &f.Cloud, &f.Weights, &f.StandinAdmin}
+	for _, address := range f.addresses() {
+		*address = procs.FreeAddress()
+	}
+	return f, nil
+}
+
+// addresses lists the addresses that New assigns.
+func (f *Fleet) addresses() []*string {
+	list := []*string{&f.Log, &f.List, &f.Cloud, &f.Weights, &f.StandinAdmin}
 	for _, e := range f.Engines {
-		targets = append(targets, &e.Address)
+		list = append(list, &e.Address)
 	}
 	for _, p := range f.Plains {
-		targets = append(targets, &p.Address)
+		list = append(list, &p.Address)
 	}
 	for _, r := range f.Routers {
-		targets = append(targets, &r.Listen, &r.Admin, &r.Peer)
+		list = append(list, &r.Listen, &r.Admin, &r.Peer)
 	}
 	for _, c := range f.Controllers {
-		targets = append(targets, &c.Admin)
+		list = append(list, &c.Admin)
 	}
-	var ports procs.Addresses
-	defer ports.Release()
-	return f, ports.Assign(targets...)
+	return list
 }
 
 // StartStandins starts the stand-in process.
--- a/internal/procs/procs.go
+++ b/internal/procs/procs.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -159,39 +158,3 @@
 	_ = resp.Body.Close()
 	return resp.StatusCode
 }
-
-// Addresses hands out free loopback addresses. Release frees the ports for the
-// processes once all addresses are assigned.
-type Addresses struct {
-	held []net.Listener
-}
-
-// Next returns an address that no other call returns before Release.
-func (a *Addresses) Next() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", Error.Wrap(err)
-	}
-	a.held = append(a.held, l)
-	return l.Addr().String(), nil
-}
-
-// Assign fills each target with a free address.
-func (a *Addresses) Assign(targets ...*string) error {
-	for _, target := range targets {
-		next, err := a.Next()
-		if err != nil {
-			return err
-		}
-		*target = next
-	}
-	return nil
-}
-
-// Release frees the ports.
-func (a *Addresses) Release() {
-	for _, l := range a.held {
-		_ = l.Close()
-	}
-	a.held = nil
-}
