--- a/internal/core/deferred/deferred_test.go
+++ b/internal/core/deferred/deferred_test.go
@@ -36,27 +36,27 @@
 // world is several nodes, one log and a model engine whose texts depend on the
 // run, so that a mixture of two runs shows.
 type world struct {
-	now      time.Duration
-	down     bool
-	first    uint64
-	records  []logRecord
-	late     []Entry
-	desks    [3]*Desk
-	members  []fleet.InstanceID
-	queues   [3][]Entry
-	runs     []activeRun
-	nextID   int
-	promised map[JobID]bool
-	denied   map[JobID]bool
-	outcomes map[JobID]*Outcome
-	resumed  int
+	now        time.Duration
+	down       bool
+	first      uint64
+	records    []logRecord
+	late       []Entry
+	schedulers [3]*Scheduler
+	members    []fleet.InstanceID
+	queues     [3][]Entry
+	runs       []activeRun
+	nextID     int
+	promised   map[JobID]bool
+	denied     map[JobID]bool
+	outcomes   map[JobID]*Outcome
+	resumed    int
 }
 
 func newWorld() *world {
 	w := &world{promised: map[JobID]bool{}, denied: map[JobID]bool{}, outcomes: map[JobID]*Outcome{}}
-	for i := range w.desks {
+	for i := range w.schedulers {
 		w.members = append(w.members, w.name(i))
-		w.desks[i] = NewDesk(w.name(i))
+		w.schedulers[i] = NewScheduler(w.name(i))
 	}
 	return w
 }
@@ -66,7 +66,7 @@
 func (w *world) logTime() LogTime { return epoch.add(w.now) }
 
 func (w *world) step(t *rapid.T, node int, msg Message) {
-	for _, action := range w.desks[node].Step(w.now, msg) {
+	for _, action := range w.schedulers[node].Step(w.now, msg) {
 		switch a := action.(type) {
 		case Append:
 			w.queues[node] = append(w.queues[node], a.Entry)
@@ -100,7 +100,7 @@
 
 // check compares what a node knows with what was said before.
 func (w *world) check(t *rapid.T, node int) {
-	for id, job := range w.desks[node].fold.jobs {
+	for id, job := range w.schedulers[node].fold.jobs {
 		if w.denied[id] {
 			t.Fatalf("job %s was refused as not run and is in the log", id)
 		}
@@ -136,7 +136,7 @@
 	return len(texts) == answerTexts
 }
 
-func (w *world) node(t *rapid.T) int { return proptest.Pick(t, len(w.desks)) }
+func (w *world) node(t *rapid.T) int { return proptest.Pick(t, len(w.schedulers)) }
 
 func (w *world) submit(t *rapid.T) {
 	if w.nextID >= 3 {
@@ -191,7 +191,7 @@
 		return
 	}
 	for _, r := range w.records {
-		if r.offset >= w.desks[node].Next() {
+		if r.offset >= w.schedulers[node].Next() {
 			w.step(t, node, Record{Offset: r.offset, At: r.at, Entry: r.entry})
 		}
 	}
@@ -244,21 +244,21 @@
 
 // settle appends and reads everything.
 func (w *world) settle(t *rapid.T) {
-	for node := range w.desks {
+	for node := range w.schedulers {
 		queue := w.queues[node]
 		w.queues[node] = nil
 		for _, entry := range queue {
 			w.append(t, node, entry, 2)
 		}
 	}
-	for node := range w.desks {
+	for node := range w.schedulers {
 		w.readNode(t, node)
 	}
 }
 
 func (w *world) pass(t *rapid.T, d time.Duration) {
 	w.now += d
-	for node := range w.desks {
+	for node := range w.schedulers {
 		w.step(t, node, Tick{})
 	}
 	for len(w.records) > 0 && w.records[0].at < w.logTime().add(-retention) {
@@ -272,7 +272,7 @@
 		return
 	}
 	node := w.node(t)
-	w.desks[node] = NewDesk(w.name(node))
+	w.schedulers[node] = NewScheduler(w.name(node))
 	w.queues[node] = nil
 	w.dropRuns(func(r activeRun) bool { return r.node == node })
 	w.view(t, node)
@@ -281,7 +281,7 @@
 // view gives a node some view of the live members, right or wrong.
 func (w *world) view(t *rapid.T, node int) {
 	list := []fleet.InstanceID{w.name(node)}
-	for i := range w.desks {
+	for i := range w.schedulers {
 		if i != node && proptest.Pick(t, 3) > 0 {
 			list = append(list, w.name(i))
 		}
@@ -293,7 +293,7 @@
 // promised has an outcome.
 func (w *world) heal(t *rapid.T) {
 	w.down = false
-	for node := range w.desks {
+	for node := range w.schedulers {
 		w.step(t, node, Members{List: w.members})
 	}
 	for range 12 {
@@ -356,20 +356,20 @@
 func TestRunnerVanishes(t *testing.T) {
 	is := is.New(t)
 	members := []fleet.InstanceID{"a", "b", "c"}
-	desk := NewDesk("a")
-	desk.Step(0, CaughtUp{})
-	desk.Step(0, Members{List: members})
+	scheduler := NewScheduler("a")
+	scheduler.Step(0, CaughtUp{})
+	scheduler.Step(0, Members{List: members})
 	var foreign JobID
 	for i := 0; foreign == ""; i++ {
-		if id := JobID(fmt.Sprint(i)); desk.owner(id) != "a" {
+		if id := JobID(fmt.Sprint(i)); scheduler.owner(id) != "a" {
 			foreign = id
 		}
 	}
-	is.Equal(starts(desk.Step(0, Record{At: epoch, Entry: Accepted{Job: foreign}})), 0)
-	is.Equal(starts(desk.Step(0, Members{List: []fleet.InstanceID{"a"}})), 1) // the runner vanished
-	is.Equal(desk.Running(), 1)
-	desk.Step(0, Members{List: members})
-	is.Equal(desk.Running(), 0) // it came back
+	is.Equal(starts(scheduler.Step(0, Record{At: epoch, Entry: Accepted{Job: foreign}})), 0)
+	is.Equal(starts(scheduler.Step(0, Members{List: []fleet.InstanceID{"a"}})), 1) // the runner vanished
+	is.Equal(scheduler.Running(), 1)
+	scheduler.Step(0, Members{List: members})
+	is.Equal(scheduler.Running(), 0) // it came back
 }
 
 func starts(actions []Action) (n int) {
--- a/internal/core/deferred/entries.go
+++ b/internal/core/deferred/entries.go
@@ -1,7 +1,7 @@
 // Package deferred runs work that may wait, such as overnight batches, and
 // keeps its result until a stated time.
 //
-// Fold is the pure fold of the deferred stream. Desk decides, on every node
+// Fold is the pure fold of the deferred stream. Scheduler decides, on every node
 // that reads the stream, which jobs this node runs. The stream holds
 // everything that is needed to continue a job, so that a job survives the loss
 // of all nodes.
--- a/internal/core/deferred/desk.go
+++ b/internal/core/deferred/scheduler.go
@@ -30,10 +30,10 @@
 	retryAfterLog = 2 * time.Second
 )
 
-// Message is an input of a desk.
+// Message is an input of a scheduler.
 type Message interface{ isMessage() }
 
-// Action is an output of a desk.
+// Action is an output of a scheduler.
 type Action interface{ isAction() }
 
 // Submit asks to accept a job with a new id.
@@ -77,7 +77,7 @@
 	Result AppendResult
 }
 
-// RunID tells the runs of a desk apart.
+// RunID tells the runs of a scheduler apart.
 type RunID uint64
 
 // Texts delivers the next part of a model's answer.
@@ -96,7 +96,7 @@
 	Outcome Outcome
 }
 
-// Tick lets the desk act on deadlines that have passed.
+// Tick lets the scheduler act on deadlines that have passed.
 type Tick struct{}
 
 func (Submit) isMessage()   {}
@@ -163,12 +163,12 @@
 	detail    string
 }
 
-// Desk is the part of one node in deferred work. Invariants: a submission is
+// Scheduler is the part of one node in deferred work. Invariants: a submission is
 // acknowledged only after its record was read back; a node runs only jobs
 // that rendezvous hashing over the members that it knows assigns to it, so
 // that a job normally runs on one node. Two nodes with different views may run
 // the same job; the first outcome in log order counts.
-type Desk struct {
+type Scheduler struct {
 	self     fleet.InstanceID
 	members  []fleet.InstanceID
 	fold     *Fold
@@ -182,58 +182,58 @@
 	keepAt   map[JobID]time.Duration
 }
 
-// NewDesk returns a desk that has read no record and knows no other member.
-func NewDesk(self fleet.InstanceID) *Desk {
-	return &Desk{
+// NewScheduler returns a scheduler that has read no record and knows no other member.
+func NewScheduler(self fleet.InstanceID) *Scheduler {
+	return &Scheduler{
 		self: self, members: []fleet.InstanceID{self}, fold: NewFold(),
 		runs: make(map[JobID]*run), failures: make(map[JobID]failure),
 		pending: make(map[JobID]time.Duration), keepAt: make(map[JobID]time.Duration),
 	}
 }
 
-// Next returns the offset of the next record that the desk needs.
-func (d *Desk) Next() uint64 { return d.fold.Next() }
+// Next returns the offset of the next record that the scheduler needs.
+func (s *Scheduler) Next() uint64 { return s.fold.Next() }
 
 // Find returns a job, which must not be modified.
-func (d *Desk) Find(id JobID) (*Job, bool) { return d.fold.Find(id) }
+func (s *Scheduler) Find(id JobID) (*Job, bool) { return s.fold.Find(id) }
 
 // Running returns the number of jobs that run on this node.
-func (d *Desk) Running() int { return len(d.runs) }
+func (s *Scheduler) Running() int { return len(s.runs) }
 
 // Step applies one message at monotonic time now and returns what to do.
-func (d *Desk) Step(now time.Duration, msg Message) []Action {
+func (s *Scheduler) Step(now time.Duration, msg Message) []Action {
 	var actions []Action
 	switch msg := msg.(type) {
 	case Submit:
-		return d.submit(now, msg)
+		return s.submit(now, msg)
 	case Texts:
-		return d.texts(msg)
+		return s.texts(msg)
 	case Record:
-		actions = d.record(now, msg)
+		actions = s.record(now, msg)
 	case CaughtUp:
-		d.caughtUp = true
+		s.caughtUp = true
 	case Members:
-		d.members = msg.List
+		s.members = msg.List
 	case Appended:
-		actions = d.appended(now, msg)
+		actions = s.appended(now, msg)
 	case RunEnded:
-		d.runEnded(now, msg)
+		s.runEnded(now, msg)
 	case Tick:
-		actions = d.tick(now)
+		actions = s.tick(now)
 	}
-	return append(actions, d.review(now)...)
+	return append(actions, s.review(now)...)
 }
 
-func (d *Desk) submit(now time.Duration, msg Submit) []Action {
+func (s *Scheduler) submit(now time.Duration, msg Submit) []Action {
 	switch {
 	case msg.Work.size() > MaxWorkBytes:
 		return refuse(msg.Job, fleet.Refuse(fleet.RefusedInvalid, 0,
 			"deferred work is limited to 256 KiB; split it into several jobs"))
-	case len(d.fold.jobs) >= MaxJobs:
+	case len(s.fold.jobs) >= MaxJobs:
 		return refuse(msg.Job, fleet.Refuse(fleet.RefusedOverload, maxBackoff,
 			"too many jobs are open or readable; submit the job again after the stated delay"))
 	}
-	d.pending[msg.Job] = now + AcceptWait
+	s.pending[msg.Job] = now + AcceptWait
 	return []Action{Append{Entry: Accepted(msg)}, Wake{At: now + AcceptWait}}
 }
 
@@ -241,68 +241,68 @@
 	return []Action{Reply{Job: id, Refusal: r}}
 }
 
-func (d *Desk) record(now time.Duration, msg Record) []Action {
-	d.fold.Apply(msg.Offset, msg.At, msg.Entry)
-	d.seenAt = now
+func (s *Scheduler) record(now time.Duration, msg Record) []Action {
+	s.fold.Apply(msg.Offset, msg.At, msg.Entry)
+	s.seenAt = now
 	if msg.Entry == nil {
 		return nil
 	}
 	id := msg.Entry.Subject()
-	job, ok := d.fold.Find(id)
+	job, ok := s.fold.Find(id)
 	if _, isProgress := msg.Entry.(Progress); isProgress {
-		return d.progressRead(id)
+		return s.progressRead(id)
 	}
-	if _, waits := d.pending[id]; !waits || !ok {
+	if _, waits := s.pending[id]; !waits || !ok {
 		return nil
 	}
-	delete(d.pending, id)
+	delete(s.pending, id)
 	return []Action{Reply{Job: id, ReadableUntil: job.ReadableUntil()}}
 }
 
-func (d *Desk) appended(now time.Duration, msg Appended) []Action {
+func (s *Scheduler) appended(now time.Duration, msg Appended) []Action {
 	id := msg.Entry.Subject()
 	switch msg.Entry.(type) {
 	case Accepted:
-		if _, waits := d.pending[id]; waits && msg.Result == AppendNotDone {
-			delete(d.pending, id)
+		if _, waits := s.pending[id]; waits && msg.Result == AppendNotDone {
+			delete(s.pending, id)
 			return refuse(id, fleet.Refuse(fleet.RefusedLogUnavailable, retryAfterLog,
 				"the job was not accepted, because the log service is unavailable; submit it again"))
 		}
 	case Progress:
 		if msg.Result != AppendStored {
-			return d.progressRead(id)
+			return s.progressRead(id)
 		}
 	case Result:
-		if r, ok := d.runs[id]; ok && msg.Result != AppendStored {
+		if r, ok := s.runs[id]; ok && msg.Result != AppendStored {
 			r.retryAt = now + AppendRetry
 		}
 	}
 	return nil
 }
 
-func (d *Desk) texts(msg Texts) []Action {
-	r, ok := d.runs[msg.Job]
+func (s *Scheduler) texts(msg Texts) []Action {
+	r, ok := s.runs[msg.Job]
 	if !ok || r.id != msg.Run {
 		return nil
 	}
 	r.texts = append(r.texts, msg.Texts...)
-	return d.recordProgress(msg.Job, r)
+	return s.recordProgress(msg.Job, r)
 }
 
 // progressRead allows the next progress record of a run.
-func (d *Desk) progressRead(id JobID) []Action {
-	r, ok := d.runs[id]
+func (s *Scheduler) progressRead(id JobID) []Action {
+	r, ok := s.runs[id]
 	if !ok {
 		return nil
 	}
 	r.recording = false
-	return d.recordProgress(id, r)
+	return s.recordProgress(id, r)
 }
 
 // recordProgress appends the texts that follow the recorded ones. A run whose
 // texts differ from the recorded ones appends only its result.
-func (d *Desk) recordProgress(id JobID, r *run) []Action {
-	job, ok := d.fold.Find(id)
+func (s *Scheduler) recordProgress(id JobID, r *run) []Action {
+	job, ok := s.fold.Find(id)
 	if !ok || r.recording || r.outcome != nil || len(r.texts)-len(job.Texts) < ProgressTexts {
 		return nil
 	}
@@ -315,19 +315,19 @@
 	return []Action{Append{Entry: Progress{Job: id, From: from, Prefix: prefix, Texts: slices.Clone(r.texts[from:])}}}
 }
 
-func (d *Desk) runEnded(now time.Duration, msg RunEnded) {
-	r, ok := d.runs[msg.Job]
+func (s *Scheduler) runEnded(now time.Duration, msg RunEnded) {
+	r, ok := s.runs[msg.Job]
 	if !ok || r.id != msg.Run || r.outcome != nil {
 		return
 	}
 	outcome := msg.Outcome
 	if msg.Failed {
-		f := d.failures[msg.Job]
+		f := s.failures[msg.Job]
 		f.count++
 		f.notBefore = now + min(minBackoff<<min(f.count-1, 10), maxBackoff)
 		f.detail = outcome.Detail
-		d.failures[msg.Job] = f
-		delete(d.runs, msg.Job)
+		s.failures[msg.Job] = f
+		delete(s.runs, msg.Job)
 		return
 	}
 	if outcome.size() > MaxResultBytes {
@@ -337,13 +337,13 @@
 	r.retryAt = now
 }
 
-func (d *Desk) tick(now time.Duration) []Action {
+func (s *Scheduler) tick(now time.Duration) []Action {
 	var actions []Action
-	for _, id := range slices.Sorted(maps.Keys(d.pending)) {
-		if now < d.pending[id] {
+	for _, id := range slices.Sorted(maps.Keys(s.pending)) {
+		if now < s.pending[id] {
 			continue
 		}
-		delete(d.pending, id)
+		delete(s.pending, id)
 		actions = append(actions, Reply{Job: id, Refusal: &fleet.Refusal{
 			Kind: fleet.RefusedLogUnavailable, Run: fleet.RunUnknown, RetryAfter: retryAfterLog,
 			Remedy: "the job may have been accepted as " + string(id) + "; read /v1/deferred/" + string(id) + " before submitting it again",
@@ -353,67 +353,67 @@
 }
 
 // review compares the jobs with what this node does about them.
-func (d *Desk) review(now time.Duration) []Action {
-	if !d.caughtUp {
+func (s *Scheduler) review(now time.Duration) []Action {
+	if !s.caughtUp {
 		return nil
 	}
-	actions := d.stopLost()
-	maps.DeleteFunc(d.failures, func(id JobID, _ failure) bool { return d.fold.jobs[id] == nil })
-	maps.DeleteFunc(d.keepAt, func(id JobID, _ time.Duration) bool { return d.fold.jobs[id] == nil })
-	for _, id := range slices.Sorted(maps.Keys(d.fold.jobs)) {
-		if d.owner(id) == d.self {
-			actions = append(actions, d.reviewJob(now, d.fold.jobs[id])...)
+	actions := s.stopLost()
+	maps.DeleteFunc(s.failures, func(id JobID, _ failure) bool { return s.fold.jobs[id] == nil })
+	maps.DeleteFunc(s.keepAt, func(id JobID, _ time.Duration) bool { return s.fold.jobs[id] == nil })
+	for _, id := range slices.Sorted(maps.Keys(s.fold.jobs)) {
+		if s.owner(id) == s.self {
+			actions = append(actions, s.reviewJob(now, s.fold.jobs[id])...)
 		}
 	}
 	return append(actions, Wake{At: now + reviewInterval})
 }
 
 // stopLost ends runs of jobs that have an outcome or belong to another node.
-func (d *Desk) stopLost() []Action {
+func (s *Scheduler) stopLost() []Action {
 	var actions []Action
-	for _, id := range slices.Sorted(maps.Keys(d.runs)) {
-		job, known := d.fold.Find(id)
-		if known && job.Outcome == nil && d.owner(id) == d.self {
+	for _, id := range slices.Sorted(maps.Keys(s.runs)) {
+		job, known := s.fold.Find(id)
+		if known && job.Outcome == nil && s.owner(id) == s.self {
 			continue
 		}
-		actions = append(actions, Stop{Job: id, Run: d.runs[id].id})
-		delete(d.runs, id)
-		delete(d.failures, id)
+		actions = append(actions, Stop{Job: id, Run: s.runs[id].id})
+		delete(s.runs, id)
+		delete(s.failures, id)
 	}
 	return actions
 }
 
-func (d *Desk) reviewJob(now time.Duration, job *Job) []Action {
-	actions := d.keep(now, job)
+func (s *Scheduler) reviewJob(now time.Duration, job *Job) []Action {
+	actions := s.keep(now, job)
 	if job.Outcome != nil {
 		return actions
 	}
-	r, running := d.runs[job.ID]
-	expired := d.logNow(now) >= job.Accepted.add(RunFor)
+	r, running := s.runs[job.ID]
+	expired := s.logNow(now) >= job.Accepted.add(RunFor)
 	switch {
 	case expired && (!running || r.outcome == nil):
 		if running {
 			actions = append(actions, Stop{Job: job.ID, Run: r.id})
 		}
 		detail := "the job did not end within 48 h; submit it again"
-		if failed, ok := d.failures[job.ID]; ok {
+		if failed, ok := s.failures[job.ID]; ok {
 			detail += " (last failure: " + failed.detail + ")"
 		}
-		d.runs[job.ID] = &run{outcome: &Outcome{Kind: OutcomeExpired, Detail: detail}, retryAt: now}
-		return append(actions, d.storeOutcome(now, job.ID)...)
+		s.runs[job.ID] = &run{outcome: &Outcome{Kind: OutcomeExpired, Detail: detail}, retryAt: now}
+		return append(actions, s.storeOutcome(now, job.ID)...)
 	case running:
-		return append(actions, d.storeOutcome(now, job.ID)...)
-	case len(d.runs) >= MaxRunning || now < d.failures[job.ID].notBefore:
+		return append(actions, s.storeOutcome(now, job.ID)...)
+	case len(s.runs) >= MaxRunning || now < s.failures[job.ID].notBefore:
 		return actions
 	}
-	d.nextRun++
-	d.runs[job.ID] = &run{id: d.nextRun, texts: slices.Clone(job.Texts)}
-	return append(actions, Start{Job: job.ID, Run: d.nextRun, Work: job.Work, Texts: slices.Clone(job.Texts)})
+	s.nextRun++
+	s.runs[job.ID] = &run{id: s.nextRun, texts: slices.Clone(job.Texts)}
+	return append(actions, Start{Job: job.ID, Run: s.nextRun, Work: job.Work, Texts: slices.Clone(job.Texts)})
 }
 
 // storeOutcome appends the outcome until it, or another one, is read back.
-func (d *Desk) storeOutcome(now time.Duration, id JobID) []Action {
-	r := d.runs[id]
+func (s *Scheduler) storeOutcome(now time.Duration, id JobID) []Action {
+	r := s.runs[id]
 	if r.outcome == nil || now < r.retryAt {
 		return nil
 	}
@@ -422,26 +422,26 @@
 }
 
 // keep appends the job again before its records expire.
-func (d *Desk) keep(now time.Duration, job *Job) []Action {
-	if d.logNow(now) < job.kept.add(KeepAfter) || now < d.keepAt[job.ID] {
+func (s *Scheduler) keep(now time.Duration, job *Job) []Action {
+	if s.logNow(now) < job.kept.add(KeepAfter) || now < s.keepAt[job.ID] {
 		return nil
 	}
-	d.keepAt[job.ID] = now + KeepRetry
+	s.keepAt[job.ID] = now + KeepRetry
 	return []Action{Append{Entry: Kept{
 		Job: job.ID, Work: job.Work, Accepted: job.Accepted, Texts: slices.Clone(job.Texts),
-		Outcome: job.Outcome, AsOf: d.fold.Next(),
+		Outcome: job.Outcome, AsOf: s.fold.Next(),
 	}}}
 }
 
 // logNow estimates the log time: the newest record's plus the time since it
 // was read.
-func (d *Desk) logNow(now time.Duration) LogTime { return d.fold.last.add(now - d.seenAt) }
+func (s *Scheduler) logNow(now time.Duration) LogTime { return s.fold.last.add(now - s.seenAt) }
 
 // owner returns the member that runs the job, by rendezvous hashing.
-func (d *Desk) owner(id JobID) fleet.InstanceID {
+func (s *Scheduler) owner(id JobID) fleet.InstanceID {
 	var best fleet.InstanceID
 	var bestHash uint64
-	for _, member := range d.members {
+	for _, member := range s.members {
 		hash := xxhash.Sum64String(string(id) + "/" + string(member))
 		if best == "" || hash > bestHash || (hash == bestHash && member < best) {
 			best, bestHash = member, hash
--- a/internal/router/callwiring.go
+++ b/internal/router/callwiring.go
@@ -47,13 +47,13 @@
 func newDeferred(i do.Injector) *deferredTask {
 	s := do.MustInvoke[*Settings](i)
 	return &deferredTask{
-		clock:   do.MustInvoke[task.Clock](i),
-		mailbox: task.NewMailbox[any](deferredCapacity),
-		desk:    deferred.NewDesk(fleet.InstanceID(s.Instance)),
-		client:  platform.NewLogClient(s.Log),
-		alarm:   task.NewAlarm(),
-		replies: make(map[deferred.JobID]chan JobReply),
-		cancel:  make(map[deferred.RunID]context.CancelFunc),
+		clock:     do.MustInvoke[task.Clock](i),
+		mailbox:   task.NewMailbox[any](deferredCapacity),
+		scheduler: deferred.NewScheduler(fleet.InstanceID(s.Instance)),
+		client:    platform.NewLogClient(s.Log),
+		alarm:     task.NewAlarm(),
+		replies:   make(map[deferred.JobID]chan JobReply),
+		cancel:    make(map[deferred.RunID]context.CancelFunc),
 	}
 }
 
--- a/internal/router/deferred.go
+++ b/internal/router/deferred.go
@@ -52,21 +52,21 @@
 	caughtUp bool
 }
 
-// deferredTask is the task that owns deferred.Desk.
+// deferredTask is the task that owns deferred.Scheduler.
 type deferredTask struct {
-	clock   task.Clock
-	mailbox task.Mailbox[any]
-	desk    *deferred.Desk
-	client  *platform.LogClient
-	router  *Router
-	alarm   *task.Alarm
+	clock     task.Clock
+	mailbox   task.Mailbox[any]
+	scheduler *deferred.Scheduler
+	client    *platform.LogClient
+	router    *Router
+	alarm     *task.Alarm
 	// wakeAt is when the alarm fires; 0 if it is not armed.
 	wakeAt  time.Duration
 	replies map[deferred.JobID]chan JobReply
 	cancel  map[deferred.RunID]context.CancelFunc
 }
 
-// Run owns the desk until ctx ends.
+// Run owns the scheduler until ctx ends.
 func (d *deferredTask) Run(ctx context.Context) error {
 	defer d.alarm.Stop()
 	d.step(ctx, d.members())
@@ -99,7 +99,7 @@
 	case findJob:
 		// Another team's job is reported as absent, so that ids can't be probed.
 		var found *deferred.Job
-		if job, ok := d.desk.Find(msg.id); ok && job.Work.Team == msg.team {
+		if job, ok := d.scheduler.Find(msg.id); ok && job.Work.Team == msg.team {
 			clone := *job
 			found = &clone
 		}
@@ -117,7 +117,7 @@
 }
 
 func (d *deferredTask) step(ctx context.Context, msg deferred.Message) {
-	for _, action := range d.desk.Step(d.clock.Now(), msg) {
+	for _, action := range d.scheduler.Step(d.clock.Now(), msg) {
 		switch a := action.(type) {
 		case deferred.Append:
 			d.append(a.Entry)
