Report malformed requests as problems with a stable type and run state

Cause: huma's own validation errors and unknown addresses had neither the stable type nor the run state that every error promises. A chat sent to a plain service reached its endpoint. Clients that send content as a list of text parts were refused.

Change: huma.NewError and a fallback handler write this interface's problems; content may be a string, null or a list of text parts; a chat to a plain service or with more tokens than the model's context is refused before it is accepted.

--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/http"
+	"sync"
 
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
@@ -24,6 +25,8 @@
 // New returns the handler of the callers' interface.
 func New(r *router.Router, active *router.Active) http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("/", notFound)
+	setProblems()
 	config := huma.DefaultConfig("cornelhold", "1")
 	config.DocsPath = ""
 	humaAPI := humago.New(mux, config)
@@ -56,3 +59,7 @@
 	a.registerCalls(humaAPI)
 	return mux
 }
+
+// setProblems makes huma report malformed requests as problems of this
+// interface. The hook is a variable of package huma, so it is set once.
+var setProblems = sync.OnceFunc(func() { huma.NewError = newInputProblem })
--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"time"
 
 	"github.com/danielgtaylor/huma/v2"
 
+	"github.com/cornelhold/cornelhold/internal/core/config"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/router"
 )
@@ -32,9 +34,9 @@
 }
 
 type chatMessage struct {
-	_       struct{} `additionalProperties:"true"`
-	Role    string   `json:"role"`
-	Content string   `json:"content"`
+	_       struct{}    `additionalProperties:"true"`
+	Role    string      `json:"role"`
+	Content chatContent `json:"content" required:"false"`
 }
 
 type chatChunk struct {
@@ -59,7 +61,12 @@
 			writeProblem(ctx, refusal)
 			return
 		}
-		handle, refusal := a.router.Submit(ctx.Context(), a.submission(team.Name, in.Body))
+		submission := a.submission(team.Name, in.Body)
+		if refusal := checkSubmission(a.active.Spec(), submission); refusal != nil {
+			writeProblem(ctx, refusal)
+			return
+		}
+		handle, refusal := a.router.Submit(ctx.Context(), submission)
 		if refusal != nil {
 			writeProblem(ctx, refusal)
 			return
@@ -94,12 +101,30 @@
 	return s
 }
 
+// checkSubmission refuses what no endpoint of the service could answer.
+func checkSubmission(spec *config.Spec, s router.Submission) *fleet.Refusal {
+	service, ok := spec.Services[s.Service]
+	if !ok {
+		return nil // refused by the dispatcher
+	}
+	if service.Kind != config.ServiceModel {
+		return fleet.Refuse(fleet.RefusedUnknownService, 0, "service "+string(s.Service)+
+			" is not a model service; call it at /v1/services/"+string(s.Service)+"/calls/OPERATION")
+	}
+	model, ok := spec.Models[service.Model]
+	if ok && s.MaxTokens > model.ContextTokens {
+		return fleet.Refuse(fleet.RefusedInvalid, 0, fmt.Sprintf(
+			"max_tokens is %d, the model's context has %d tokens; ask for fewer", s.MaxTokens, model.ContextTokens))
+	}
+	return nil
+}
+
 func promptOf(messages []chatMessage) string {
 	var b strings.Builder
 	for _, m := range messages {
 		b.WriteString(m.Role)
 		b.WriteString(": ")
-		b.WriteString(m.Content)
+		b.WriteString(string(m.Content))
 		b.WriteString("\n")
 	}
 	return b.String()
@@ -138,6 +163,6 @@
 	ctx.SetHeader("Content-Type", "application/json")
 	_ = json.NewEncoder(ctx.BodyWriter()).Encode(chatChunk{
 		ID: string(handle.ID), Object: "chat.completion", Created: time.Now().Unix(), Model: handle.Model,
-		Choices: []chatChoice{{Message: &chatMessage{Role: "assistant", Content: text}, FinishReason: &finish}},
+		Choices: []chatChoice{{Message: &chatMessage{Role: "assistant", Content: chatContent(text)}, FinishReason: &finish}},
 	})
 }
--- a/internal/callerapi/events.go
+++ b/internal/callerapi/events.go
@@ -116,7 +116,7 @@
 }
 
 func writeEvent(ctx huma.Context, handle *router.Handle, id int, text, finish string) bool {
-	choice := chatChoice{Delta: &chatMessage{Role: "assistant", Content: text}}
+	choice := chatChoice{Delta: &chatMessage{Role: "assistant", Content: chatContent(text)}}
 	if finish != "" {
 		choice.FinishReason = &finish
 	}
--- a/internal/callerapi/problem.go
+++ b/internal/callerapi/problem.go
@@ -14,6 +14,9 @@
 // problemTypePrefix precedes the refusal kind in the problem type (RFC 9457).
 const problemTypePrefix = "urn:cornelhold:problem:"
 
+// problemContentType is the media type of RFC 9457.
+const problemContentType = "application/problem+json"
+
 // Problem is the body of an error response, application/problem+json.
 type Problem struct {
 	Type   string `json:"type"`
@@ -60,9 +63,40 @@
 	}
 }
 
+// Error implements the error interface.
+func (p Problem) Error() string { return p.Detail }
+
+// GetStatus implements huma.StatusError.
+func (p Problem) GetStatus() int { return p.Status }
+
+// ContentType implements huma.ContentTypeFilter.
+func (Problem) ContentType(string) string { return problemContentType }
+
+// newInputProblem is the problem of a request that huma refused before a
+// handler saw it, so it was not run.
+func newInputProblem(status int, message string, details ...error) huma.StatusError {
+	for _, detail := range details {
+		if detail != nil {
+			message += "; " + detail.Error()
+		}
+	}
+	problem := problemOf(fleet.Refuse(fleet.RefusedInvalid, 0, message+"; correct the request, see /openapi.json"))
+	problem.Status = status
+	problem.Title = http.StatusText(status)
+	return problem
+}
+
+// notFound answers addresses that the interface does not have.
+func notFound(w http.ResponseWriter, _ *http.Request) {
+	problem := problemOf(fleet.Refuse(fleet.RefusedNotFound, 0, "no such address or method; see /openapi.json"))
+	w.Header().Set("Content-Type", problemContentType)
+	w.WriteHeader(problem.Status)
+	_ = json.NewEncoder(w).Encode(problem)
+}
+
 func writeProblem(ctx huma.Context, r *fleet.Refusal) {
 	problem := problemOf(r)
-	ctx.SetHeader("Content-Type", "application/problem+json")
+	ctx.SetHeader("Content-Type", problemContentType)
 	if r.RetryAfter > 0 {
 		ctx.SetHeader("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
 	}
