--- a/internal/callerapi/auth.go
+++ b/internal/callerapi/auth.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 
+	"github.com/danielgtaylor/huma/v2"
+
 	"github.com/cornelhold/cornelhold/internal/core/config"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 )
@@ -29,3 +31,26 @@
 	}
 	return nil, fleet.Refuse(fleet.RefusedUnauthorized, 0, "the API key belongs to no team; ask an operator for a valid key")
 }
+
+// exchange is one request of an identified team. The configuration is read
+// once, so that all checks of a request see the same one.
+type exchange struct {
+	ctx  huma.Context
+	spec *config.Spec
+	team *config.Team
+}
+
+// respond returns a response that identifies the team and lets answer write the
+// rest. A refusal that answer returns is written as a problem.
+func (a *api) respond(authorization string, answer func(e exchange) *fleet.Refusal) *huma.StreamResponse {
+	return &huma.StreamResponse{Body: func(ctx huma.Context) {
+		spec := a.active.Spec()
+		team, refusal := authenticate(spec, authorization)
+		if refusal == nil {
+			refusal = answer(exchange{ctx: ctx, spec: spec, team: team})
+		}
+		if refusal != nil {
+			writeProblem(ctx, refusal)
+		}
+	}}
+}
--- a/internal/callerapi/calls.go
+++ b/internal/callerapi/calls.go
@@ -43,32 +43,26 @@
 }
 
 func (a *api) callService(_ context.Context, in *callInput) (*huma.StreamResponse, error) {
-	return &huma.StreamResponse{Body: func(ctx huma.Context) {
-		team, refusal := authenticate(a.active.Spec(), in.Authorization)
+	return a.respond(in.Authorization, func(e exchange) *fleet.Refusal {
+		service, operation, refusal := findOperation(e.spec, in.Service, in.Operation)
 		if refusal != nil {
-			writeProblem(ctx, refusal)
-			return
-		}
-		service, operation, refusal := findOperation(a.active.Spec(), in.Service, in.Operation)
-		if refusal != nil {
-			writeProblem(ctx, refusal)
-			return
+			return refusal
 		}
 		call := router.PlainCall{
-			Team: team.Name, Service: service.Name, Operation: operation.Name, Class: operation.Class,
+			Team: e.team.Name, Service: service.Name, Operation: operation.Name, Class: operation.Class,
 			ContentType: in.ContentType, Body: in.RawBody, Wait: service.Deadline,
 		}
 		if operation.Idempotent {
-			writeCall(ctx, a.router.Call(ctx.Context(), call))
-			return
+			writeCall(e.ctx, a.router.Call(e.ctx.Context(), call))
+			return nil
 		}
 		key, refusal := parseKey(in.IdempotencyKey)
 		if refusal != nil {
-			writeProblem(ctx, refusal)
-			return
+			return refusal
 		}
-		writeCall(ctx, a.router.CallOnce(ctx.Context(), call, key))
-	}}, nil
+		writeCall(e.ctx, a.router.CallOnce(e.ctx.Context(), call, key))
+		return nil
+	}), nil
 }
 
 func findOperation(spec *config.Spec, service, operation string) (*config.Service, *config.Operation, *fleet.Refusal) {
--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -55,36 +55,30 @@
 }
 
 func (a *api) chatCompletion(_ context.Context, in *chatInput) (*huma.StreamResponse, error) {
-	return &huma.StreamResponse{Body: func(ctx huma.Context) {
-		team, refusal := authenticate(a.active.Spec(), in.Authorization)
-		if refusal != nil {
-			writeProblem(ctx, refusal)
-			return
-		}
-		submission := a.submission(team.Name, in.Body)
-		if refusal := checkSubmission(a.active.Spec(), submission); refusal != nil {
-			writeProblem(ctx, refusal)
-			return
+	return a.respond(in.Authorization, func(e exchange) *fleet.Refusal {
+		submission := submissionOf(e, in.Body)
+		if refusal := checkSubmission(e.spec, submission); refusal != nil {
+			return refusal
 		}
-		handle, refusal := a.router.Submit(ctx.Context(), submission)
+		handle, refusal := a.router.Submit(e.ctx.Context(), submission)
 		if refusal != nil {
-			writeProblem(ctx, refusal)
-			return
+			return refusal
 		}
 		defer handle.Release()
-		ctx.SetHeader("X-Request-Id", string(handle.ID))
+		e.ctx.SetHeader("X-Request-Id", string(handle.ID))
 		if in.Body.Stream {
-			streamEvents(ctx, handle, 0)
-			return
+			streamEvents(e.ctx, handle, 0)
+			return nil
 		}
-		writeWhole(ctx, handle)
-	}}, nil
+		writeWhole(e.ctx, handle)
+		return nil
+	}), nil
 }
 
-func (a *api) submission(team fleet.TeamName, body chatRequest) router.Submission {
+func submissionOf(e exchange, body chatRequest) router.Submission {
 	service, adapter, _ := strings.Cut(body.Model, ":")
 	s := router.Submission{
-		Team:      team,
+		Team:      e.team.Name,
 		Service:   fleet.ServiceName(service),
 		Adapter:   adapter,
 		Prompt:    promptOf(body.Messages),
@@ -95,7 +89,7 @@
 	if s.MaxTokens == 0 {
 		s.MaxTokens = defaultMaxTokens
 	}
-	if configured, ok := a.active.Spec().Services[s.Service]; ok {
+	if configured, ok := e.spec.Services[s.Service]; ok {
 		s.Class = configured.Class
 	}
 	return s
@@ -111,10 +105,15 @@
 		return fleet.Refuse(fleet.RefusedUnknownService, 0, "service "+string(s.Service)+
 			" is not a model service; call it at /v1/services/"+string(s.Service)+"/calls/OPERATION")
 	}
+	return checkTokens(spec, service, s.MaxTokens)
+}
+
+// checkTokens refuses an answer that is longer than the model's context.
+func checkTokens(spec *config.Spec, service *config.Service, maxTokens int) *fleet.Refusal {
 	model, ok := spec.Models[service.Model]
-	if ok && s.MaxTokens > model.ContextTokens {
+	if ok && maxTokens > model.ContextTokens {
 		return fleet.Refuse(fleet.RefusedInvalid, 0, fmt.Sprintf(
-			"max_tokens is %d, the model's context has %d tokens; ask for fewer", s.MaxTokens, model.ContextTokens))
+			"max_tokens is %d, the model's context has %d tokens; ask for fewer", maxTokens, model.ContextTokens))
 	}
 	return nil
 }
--- a/internal/callerapi/deferred.go
+++ b/internal/callerapi/deferred.go
@@ -70,27 +70,21 @@
 }
 
 func (a *api) deferWork(_ context.Context, in *deferInput) (*huma.StreamResponse, error) {
-	return &huma.StreamResponse{Body: func(ctx huma.Context) {
-		team, refusal := authenticate(a.active.Spec(), in.Authorization)
+	return a.respond(in.Authorization, func(e exchange) *fleet.Refusal {
+		work, refusal := workOf(e.spec, e.team.Name, in.Body)
 		if refusal != nil {
-			writeProblem(ctx, refusal)
-			return
+			return refusal
 		}
-		work, refusal := workOf(a.active.Spec(), team.Name, in.Body)
-		if refusal != nil {
-			writeProblem(ctx, refusal)
-			return
-		}
-		reply := a.router.Defer(ctx.Context(), work)
+		reply := a.router.Defer(e.ctx.Context(), work)
 		if reply.Refusal != nil {
-			writeProblem(ctx, reply.Refusal)
-			return
+			return reply.Refusal
 		}
-		ctx.SetHeader("Location", statusPrefix+string(reply.Job))
-		writeJob(ctx, http.StatusAccepted, jobState{
+		e.ctx.SetHeader("Location", statusPrefix+string(reply.Job))
+		writeJob(e.ctx, http.StatusAccepted, jobState{
 			ID: string(reply.Job), Status: "open", StatusURL: statusPrefix + string(reply.Job), ReadableUntil: reply.ReadableUntil.UTC(),
 		})
-	}}, nil
+		return nil
+	}), nil
 }
 
 func workOf(spec *config.Spec, team fleet.TeamName, in deferRequest) (deferred.Work, *fleet.Refusal) {
@@ -124,23 +118,18 @@
 	if work.MaxTokens == 0 {
 		work.MaxTokens = defaultMaxTokens
 	}
-	return work, nil
+	return work, checkTokens(spec, service, work.MaxTokens)
 }
 
 func (a *api) deferredStatus(_ context.Context, in *jobInput) (*huma.StreamResponse, error) {
-	return &huma.StreamResponse{Body: func(ctx huma.Context) {
-		team, refusal := authenticate(a.active.Spec(), in.Authorization)
-		if refusal != nil {
-			writeProblem(ctx, refusal)
-			return
-		}
-		job, refusal := a.router.Job(ctx.Context(), deferred.JobID(in.ID), team.Name)
+	return a.respond(in.Authorization, func(e exchange) *fleet.Refusal {
+		job, refusal := a.router.Job(e.ctx.Context(), deferred.JobID(in.ID), e.team.Name)
 		if refusal != nil {
-			writeProblem(ctx, refusal)
-			return
+			return refusal
 		}
-		writeJob(ctx, http.StatusOK, stateOf(job))
-	}}, nil
+		writeJob(e.ctx, http.StatusOK, stateOf(job))
+		return nil
+	}), nil
 }
 
 func stateOf(job *deferred.Job) jobState {
--- a/internal/callerapi/events.go
+++ b/internal/callerapi/events.go
@@ -27,26 +27,20 @@
 // requestEvents continues the stream of a request. Event ids count frames from
 // 1, so Last-Event-ID is the number of frames that the caller already has.
 func (a *api) requestEvents(_ context.Context, in *eventsInput) (*huma.StreamResponse, error) {
-	return &huma.StreamResponse{Body: func(ctx huma.Context) {
-		team, refusal := authenticate(a.active.Spec(), in.Authorization)
-		if refusal != nil {
-			writeProblem(ctx, refusal)
-			return
-		}
+	return a.respond(in.Authorization, func(e exchange) *fleet.Refusal {
 		from, refusal := parseEventID(in.LastEventID)
 		if refusal != nil {
-			writeProblem(ctx, refusal)
-			return
+			return refusal
 		}
-		handle, refusal := a.router.Find(ctx.Context(), fleet.RequestID(in.ID), team.Name)
+		handle, refusal := a.router.Find(e.ctx.Context(), fleet.RequestID(in.ID), e.team.Name)
 		if refusal != nil {
-			writeProblem(ctx, refusal)
-			return
+			return refusal
 		}
 		defer handle.Release()
-		ctx.SetHeader("X-Request-Id", string(handle.ID))
-		streamEvents(ctx, handle, from)
-	}}, nil
+		e.ctx.SetHeader("X-Request-Id", string(handle.ID))
+		streamEvents(e.ctx, handle, from)
+		return nil
+	}), nil
 }
 
 func parseEventID(id string) (int, *fleet.Refusal) {
--- a/internal/callerapi/result.go
+++ b/internal/callerapi/result.go
@@ -30,35 +30,24 @@
 
 // requestResult waits for the whole answer of a request.
 func (a *api) requestResult(_ context.Context, in *requestInput) (*huma.StreamResponse, error) {
-	return &huma.StreamResponse{Body: func(ctx huma.Context) {
-		team, refusal := authenticate(a.active.Spec(), in.Authorization)
+	return a.respond(in.Authorization, func(e exchange) *fleet.Refusal {
+		handle, refusal := a.router.Find(e.ctx.Context(), fleet.RequestID(in.ID), e.team.Name)
 		if refusal != nil {
-			writeProblem(ctx, refusal)
-			return
-		}
-		handle, refusal := a.router.Find(ctx.Context(), fleet.RequestID(in.ID), team.Name)
-		if refusal != nil {
-			writeProblem(ctx, refusal)
-			return
+			return refusal
 		}
 		defer handle.Release()
-		ctx.SetHeader("X-Request-Id", string(handle.ID))
-		writeWhole(ctx, handle)
-	}}, nil
+		e.ctx.SetHeader("X-Request-Id", string(handle.ID))
+		writeWhole(e.ctx, handle)
+		return nil
+	}), nil
 }
 
 // requestState tells how far a request is, and changes nothing.
 func (a *api) requestState(_ context.Context, in *requestInput) (*huma.StreamResponse, error) {
-	return &huma.StreamResponse{Body: func(ctx huma.Context) {
-		team, refusal := authenticate(a.active.Spec(), in.Authorization)
-		if refusal != nil {
-			writeProblem(ctx, refusal)
-			return
-		}
-		record, refusal := a.router.Status(ctx.Context(), fleet.RequestID(in.ID), team.Name)
+	return a.respond(in.Authorization, func(e exchange) *fleet.Refusal {
+		record, refusal := a.router.Status(e.ctx.Context(), fleet.RequestID(in.ID), e.team.Name)
 		if refusal != nil {
-			writeProblem(ctx, refusal)
-			return
+			return refusal
 		}
 		status := requestStatus{ID: in.ID, State: "running", Frames: len(record.Frames), FinishReason: record.Finish}
 		switch {
@@ -68,9 +57,10 @@
 		case record.Finish != "":
 			status.State = "completed"
 		}
-		ctx.SetHeader("Content-Type", "application/json")
-		_ = json.NewEncoder(ctx.BodyWriter()).Encode(status)
-	}}, nil
+		e.ctx.SetHeader("Content-Type", "application/json")
+		_ = json.NewEncoder(e.ctx.BodyWriter()).Encode(status)
+		return nil
+	}), nil
 }
 
 // redirectToResult sends a caller to the result address. The connection closes,
