--- a/internal/router/callwiring.go
+++ b/internal/router/callwiring.go
@@ -51,6 +51,7 @@
 		mailbox:   task.NewMailbox[any](deferredCapacity),
 		scheduler: deferred.NewScheduler(fleet.InstanceID(s.Instance)),
 		client:    platform.NewLogClient(s.Log),
+		metrics:   newDeferredMetrics(do.MustInvoke[*daemon.Env](i).Metrics),
 		alarm:     task.NewAlarm(),
 		replies:   make(map[deferred.JobID]chan JobReply),
 		cancel:    make(map[deferred.RunID]context.CancelFunc),
--- a/internal/router/deferred.go
+++ b/internal/router/deferred.go
@@ -59,6 +59,7 @@
 	scheduler *deferred.Scheduler
 	client    *platform.LogClient
 	router    *Router
+	metrics   *deferredMetrics
 	alarm     *task.Alarm
 	// wakeAt is when the alarm fires; 0 if it is not armed.
 	wakeAt  time.Duration
@@ -117,7 +118,9 @@
 }
 
 func (d *deferredTask) step(ctx context.Context, msg deferred.Message) {
-	for _, action := range d.scheduler.Step(d.clock.Now(), msg) {
+	actions := d.scheduler.Step(d.clock.Now(), msg)
+	d.metrics.observe(msg, d.scheduler.Running())
+	for _, action := range actions {
 		switch a := action.(type) {
 		case deferred.Append:
 			d.append(a.Entry)
@@ -129,6 +132,7 @@
 				delete(d.cancel, a.Run)
 			}
 		case deferred.Reply:
+			d.metrics.submitted(a.Refusal)
 			d.replies[a.Job] <- JobReply{Job: a.Job, ReadableUntil: time.UnixMilli(int64(a.ReadableUntil)), Refusal: a.Refusal}
 			delete(d.replies, a.Job)
 		case deferred.Wake:
