Give up platform reads whose connection went silent

Cause: the long polls of the instance list, the claim, crash, deferred and lease streams had no bound at the client. On a connection that went silent a router waited for ever: it would have sent new work to leaving endpoints, and no call that may not be repeated would have been confirmed.

Change: a read takes at most its wait and ResponseBound (2 s). The instance list is read with a wait of 1 s, so that the bound of 3 s for new work to a leaving endpoint holds on a silent connection too; StopNewWorkBound names it.

--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -27,6 +27,10 @@
 )
 
 const (
+	// ResponseBound is how long after the wait of a read its response may
+	// arrive. A connection that went silent is given up then, and the next read
+	// uses a new one.
+	ResponseBound = 2 * time.Second
 	// dialTimeout bounds the time to set up a connection.
 	dialTimeout = 2 * time.Second
 	// idleTimeout closes idle connections before they are likely to go silent.
@@ -89,6 +93,13 @@
 	return nil
 }
 
+// read makes a call that waits for news. It takes at most wait and ResponseBound.
+func read(ctx context.Context, client *http.Client, url string, wait time.Duration, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+ResponseBound)
+	defer cancel()
+	return call(ctx, client, http.MethodGet, url, nil, out)
+}
+
 // classifySendError tells a connection that was never made from one that
 // broke after the request may have been sent.
 func classifySendError(err error) error {
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -76,7 +76,7 @@
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	var batch Batch
-	err := call(ctx, c.client, http.MethodGet, c.streamURL(stream, query), nil, &batch)
+	err := read(ctx, c.client, c.streamURL(stream, query), wait, &batch)
 	return batch, err
 }
 
--- a/internal/router/watcher.go
+++ b/internal/router/watcher.go
@@ -14,8 +14,12 @@
 )
 
 const (
+	// StopNewWorkBound is the longest time after which a leaving endpoint that
+	// the instance list shows gets no new work, also when the connection to the
+	// list went silent.
+	StopNewWorkBound = 3 * time.Second
 	// longPoll is how long a platform service may hold a read open.
-	longPoll = 20 * time.Second
+	longPoll = StopNewWorkBound - platform.ResponseBound
 	// readLimit bounds the records of one read of a log stream.
 	readLimit = 500
 	// retryDelay separates reads while a platform service fails.
