Read log streams with a longer wait than the instance list

Cause: the wait of 1 s that the instance list needs for its 3 s bound applied to the claim, crash and deferred streams too. Four reads a second would use most of the 2 KB/s that a node has for control.

--- a/internal/router/watcher.go
+++ b/internal/router/watcher.go
@@ -18,8 +18,11 @@
 	// the instance list shows gets no new work, also when the connection to the
 	// list went silent.
 	StopNewWorkBound = 3 * time.Second
-	// longPoll is how long a platform service may hold a read open.
-	longPoll = StopNewWorkBound - platform.ResponseBound
+	// listPoll is how long the instance list may hold a read open.
+	listPoll = StopNewWorkBound - platform.ResponseBound
+	// longPoll is how long the log service may hold a read open. Shorter reads
+	// of every stream would use up the traffic that a node has for control.
+	longPoll = 10 * time.Second
 	// readLimit bounds the records of one read of a log stream.
 	readLimit = 500
 	// retryDelay separates reads while a platform service fails.
@@ -41,7 +44,7 @@
 // Run watches the instance list until ctx ends.
 func (w *watcher) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		list, err := w.client.Watch(ctx, w.version, longPoll)
+		list, err := w.client.Watch(ctx, w.version, listPoll)
 		if err != nil {
 			pause(ctx, retryDelay)
 			continue
