Share the long poll of the stand-ins and remove unused code

Cause: the instance list and the cloud stand-in had the same wait for an answer. Fleet.Instances, Fleet.Reclaim, Process.Signal and Process.Done lost their last caller when the demo's endpoints moved to the cloud stand-in.

Change: httpjson.LongPoll serves both; the unused functions are gone.

--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -180,32 +180,6 @@
 	return nil
 }
 
-// Instances returns the current instance list with a state for each id that is
-// in leaving; the others are live.
-func (f *Fleet) Instances(leaving map[string]time.Duration) []platform.Instance {
-	var list []platform.Instance
-	add := func(i platform.Instance) {
-		i.State = "live"
-		if notice, ok := leaving[i.ID]; ok {
-			i.State = platform.StateLeaving
-			i.ReclaimInMillis = notice.Milliseconds()
-		}
-		list = append(list, i)
-	}
-	for _, e := range f.Engines {
-		add(platform.Instance{ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Class: "gpu-small", Slots: e.Slots})
-	}
-	for _, p := range f.Plains {
-		add(platform.Instance{ID: p.ID, Service: p.Service, Address: p.Address, DataCentre: p.DataCentre, Class: "cpu-small"})
-	}
-	return list
-}
-
-// Reclaim announces that the named instances leave after the given notices.
-func (f *Fleet) Reclaim(ctx context.Context, leaving map[string]time.Duration) error {
-	return Put(ctx, "http://"+f.List+"/v1/instances", f.Instances(leaving))
-}
-
 // Put sends a value as JSON, for example faults to a stand-in.
 func Put(ctx context.Context, url string, value any) error {
 	data, err := json.Marshal(value)
--- a/internal/procs/procs.go
+++ b/internal/procs/procs.go
@@ -95,9 +95,6 @@
 // PID returns the process id.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
 
-// Done is closed when the process has ended.
-func (p *Process) Done() <-chan struct{} { return p.done }
-
 // Terminate sends SIGTERM and waits until the process has ended.
 func (p *Process) Terminate() error {
 	_ = p.cmd.Process.Signal(syscall.SIGTERM)
@@ -110,9 +107,6 @@
 	}
 }
 
-// Signal sends a signal to the process.
-func (p *Process) Signal(signal syscall.Signal) { _ = p.cmd.Process.Signal(signal) }
-
 // Kill ends the process without notice and waits until it is gone.
 func (p *Process) Kill() {
 	_ = p.cmd.Process.Kill()
--- a/internal/standin/httpjson/httpjson.go
+++ b/internal/standin/httpjson/httpjson.go
@@ -42,6 +42,20 @@
 	return timer.C, func() { timer.Stop() }
 }
 
+// LongPoll answers with the value that the owner of the data sends, or with
+// unchanged when the wait is over.
+func LongPoll[T any](w http.ResponseWriter, r *http.Request, reply <-chan T, wait time.Duration, unchanged T) {
+	timeout, release := Timeout(wait)
+	defer release()
+	select {
+	case value := <-reply:
+		Write(w, value)
+	case <-timeout:
+		Write(w, unchanged)
+	case <-r.Context().Done():
+	}
+}
+
 // Delay holds an answer back until d has passed or the client has left.
 func Delay(r *http.Request, d time.Duration) {
 	if d <= 0 {
--- a/internal/standin/platformapi/cloud.go
+++ b/internal/standin/platformapi/cloud.go
@@ -274,15 +274,8 @@
 	if c.mailbox.Send(r.Context(), cloudWatch{after: after, block: waitMillis > 0, reply: reply}) != nil {
 		return
 	}
-	timeout, release := httpjson.Timeout(time.Duration(waitMillis) * time.Millisecond)
-	defer release()
-	select {
-	case list := <-reply:
-		httpjson.Write(w, list)
-	case <-timeout:
-		httpjson.Write(w, platform.CloudList{Version: after})
-	case <-r.Context().Done():
-	}
+	wait := time.Duration(waitMillis) * time.Millisecond
+	httpjson.LongPoll(w, r, reply, wait, platform.CloudList{Version: after})
 }
 
 func (c *Cloud) handleStart(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/platformapi/instances.go
+++ b/internal/standin/platformapi/instances.go
@@ -102,15 +102,8 @@
 	if s.mailbox.Send(r.Context(), watchMessage{after: after, block: waitMillis > 0, reply: reply}) != nil {
 		return
 	}
-	timeout, release := httpjson.Timeout(time.Duration(waitMillis) * time.Millisecond)
-	defer release()
-	select {
-	case list := <-reply:
-		httpjson.Write(w, list)
-	case <-timeout:
-		httpjson.Write(w, platform.InstanceList{Version: after})
-	case <-r.Context().Done():
-	}
+	wait := time.Duration(waitMillis) * time.Millisecond
+	httpjson.LongPoll(w, r, reply, wait, platform.InstanceList{Version: after})
 }
 
 func (s *Instances) handleReplace(w http.ResponseWriter, r *http.Request) {
