--- /dev/null
+++ b/internal/core/catalog/directory.go
@@ -0,0 +1,148 @@
+package catalog
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+// ReturnGrace is the time after the store's return within which the entry of a
+// live endpoint is written again. Until then a missing entry proves nothing.
+const ReturnGrace = 2 * time.Second
+
+// goneMemory is how long the offset of a removed entry is remembered, so that a
+// late copy from a peer does not bring it back.
+const goneMemory = 60 * time.Second
+
+// Endpoint is one replica of a service as the instance list describes it.
+type Endpoint struct {
+	ID         fleet.EndpointID
+	Service    fleet.ServiceName
+	Address    string
+	DataCentre fleet.DataCentre
+	Slots      int
+	Draining   bool
+	// Reclaimable endpoints can be taken back on short notice.
+	Reclaimable bool
+	// Started is the start of this incarnation in Unix milliseconds.
+	Started int64
+	// Sequence counts the heartbeats of this incarnation.
+	Sequence int64
+}
+
+// Entry is one record of the instance list. A nil Endpoint removes the entry
+// or names no endpoint to use.
+type Entry struct {
+	ID fleet.EndpointID
+	// Offset orders the records of the list.
+	Offset   int64
+	Endpoint *Endpoint
+	// Removed is set for a record that removes the entry, as opposed to one
+	// that cannot be used.
+	Removed bool
+}
+
+type listed struct {
+	endpoint *Endpoint
+	offset   int64
+	// missingUntil is set while the entry is absent because of an outage of
+	// the store and the endpoint may still be alive.
+	missingUntil time.Duration
+	goneAt       time.Duration
+}
+
+// Directory folds the records of the instance list. An endpoint leaves at once
+// when its entry disappears, except for entries that disappear in an outage of
+// the store: these stay for ReturnGrace after its return.
+type Directory struct {
+	entries map[fleet.EndpointID]*listed
+	// outageEnd is the time of the first successful read after an outage.
+	outageEnd time.Duration
+	hadOutage bool
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	return &Directory{entries: make(map[fleet.EndpointID]*listed)}
+}
+
+// StoreReturned tells that the store answers again after an outage.
+func (d *Directory) StoreReturned(now time.Duration) {
+	d.outageEnd, d.hadOutage = now, true
+}
+
+// Apply folds one record and reports whether the usable endpoints changed.
+func (d *Directory) Apply(now time.Duration, e Entry) bool {
+	known, ok := d.entries[e.ID]
+	if ok && e.Offset <= known.offset {
+		return false
+	}
+	if !ok {
+		known = &listed{}
+		d.entries[e.ID] = known
+	}
+	known.offset = e.Offset
+	if e.Endpoint == nil {
+		return d.remove(now, known, e.Removed)
+	}
+	return d.update(known, e.Endpoint)
+}
+
+func (d *Directory) remove(now time.Duration, known *listed, removed bool) bool {
+	if known.endpoint == nil {
+		known.goneAt = now
+		return false
+	}
+	if removed && !known.endpoint.Draining && d.hadOutage && now < d.outageEnd+ReturnGrace {
+		known.missingUntil = d.outageEnd + ReturnGrace
+		return false
+	}
+	known.endpoint, known.goneAt = nil, now
+	return true
+}
+
+func (d *Directory) update(known *listed, e *Endpoint) bool {
+	old := known.endpoint
+	if old != nil {
+		stale := e.Started < old.Started || (e.Started == old.Started && e.Sequence < old.Sequence)
+		if stale {
+			return false
+		}
+		if e.Started == old.Started && old.Draining {
+			e.Draining = true
+		}
+	}
+	known.endpoint, known.missingUntil, known.goneAt = e, 0, 0
+	return old == nil || old.Draining != e.Draining || old.Address != e.Address ||
+		old.Started != e.Started || old.Service != e.Service || old.Slots != e.Slots
+}
+
+// Expire drops endpoints whose entry is still missing after ReturnGrace and
+// reports whether any was dropped.
+func (d *Directory) Expire(now time.Duration) bool {
+	changed := false
+	for id, l := range d.entries {
+		if l.endpoint != nil && l.missingUntil != 0 && now >= l.missingUntil {
+			l.endpoint, l.goneAt = nil, now
+			changed = true
+		}
+		if l.endpoint == nil && now >= l.goneAt+goneMemory {
+			delete(d.entries, id)
+		}
+	}
+	return changed
+}
+
+// Endpoints returns all listed endpoints, also draining ones, ordered by ID.
+func (d *Directory) Endpoints() []Endpoint {
+	list := make([]Endpoint, 0, len(d.entries))
+	for _, l := range d.entries {
+		if l.endpoint != nil {
+			list = append(list, *l.endpoint)
+		}
+	}
+	slices.SortFunc(list, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -92,3 +92,9 @@
 		return "unknown"
 	}
 }
+
+// PromptPart is one part of a model request's prompt. Requests share parts.
+type PromptPart struct {
+	ID     uint64
+	Tokens int
+}
--- /dev/null
+++ b/internal/core/gateway/choose.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/catalog"
+)
+
+// choose returns the endpoint with the least expected time until the first
+// byte, and that time. It avoids endpoints that were tried, leave or cannot be
+// reached; suspects are used only if nothing else is left.
+func (m *Machine) choose(now time.Duration, o *open) (*endpoint, time.Duration) {
+	var best *endpoint
+	var bestCost, bestExpected time.Duration
+	home := m.home(o)
+	for _, e := range m.byService[o.service] {
+		if e.Draining || o.tried[e.ID] {
+			continue
+		}
+		expected := m.expected(now, o, e, e == home)
+		cost := expected + time.Duration(e.failing*float64(failureCost))
+		if e.DataCentre != m.options.DataCentre {
+			cost += remoteDelay
+		}
+		if now < e.suspectUntil {
+			cost += suspectCost
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost, bestExpected = e, cost, expected
+		}
+	}
+	return best, bestExpected
+}
+
+// suspectCost ranks every suspect behind every other endpoint.
+const suspectCost = time.Hour
+
+// expected returns the time until the first byte of the answer.
+func (m *Machine) expected(now time.Duration, o *open, e *endpoint, home bool) time.Duration {
+	load := e.load(now)
+	slots := max(e.Slots, 1)
+	if !o.request.HasTokens {
+		return time.Duration(float64(e.callTime) * (1 + float64(load.Active)/float64(slots)))
+	}
+	engine := m.engine(o)
+	if engine != nil {
+		e.trim(now, engine.Memory)
+	}
+	unread := e.unread(now, o.request)
+	if home {
+		unread = min(unread, m.lastPart(o))
+	}
+	reading := time.Duration(float64(load.Backlog+unread) / prefillRate * float64(time.Millisecond))
+	beside := time.Duration(min(load.Active, slots)) * decodeDelay
+	waiting := time.Duration(max(load.Active-slots, 0)) * queueDelay
+	return time.Duration(float64(reading+beside+waiting) * e.slowness)
+}
+
+// queueDelay is what each request that waits for a slot adds.
+const queueDelay = 20 * time.Millisecond
+
+func (m *Machine) engine(o *open) *catalog.Engine {
+	return m.catalog.Services[o.service].Engine
+}
+
+// lastPart returns the tokens of the prompt that no other request shares.
+func (m *Machine) lastPart(o *open) int {
+	shared := 0
+	for _, p := range o.request.Parts {
+		shared += p.Tokens
+	}
+	return max(o.request.Prompt-shared, 0)
+}
+
+// home returns the endpoint that the instances prefer for a session without
+// talking to each other: the highest hash of endpoint and session.
+func (m *Machine) home(o *open) *endpoint {
+	if len(o.request.Parts) == 0 {
+		return nil
+	}
+	session := o.request.Parts[len(o.request.Parts)-1].ID
+	var best *endpoint
+	var bestHash uint64
+	for _, e := range m.byService[o.service] {
+		if e.Draining {
+			continue
+		}
+		hash := mix(e.hash ^ session*0x9e3779b97f4a7c15)
+		if best == nil || hash > bestHash {
+			best, bestHash = e, hash
+		}
+	}
+	return best
+}
+
+// mix spreads the bits of a hash (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/core/gateway/machine.go
@@ -0,0 +1,396 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/budget"
+	"github.com/cornelhold/cornelhold/internal/core/catalog"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/quota"
+)
+
+const (
+	// defaultDeadline is assumed when neither caller nor route gives one.
+	defaultDeadline = 30 * time.Second
+	// retryRatioShare and retryReserveShare are the parts of the permitted
+	// repeats that are used. The rest covers instances that are not known yet.
+	retryRatioShare   = 0.8
+	retryReserveShare = 0.8
+	// maxDials bounds the endpoints to which a channel is tried.
+	maxDials = 4
+	// teamRetryAfter is when a refused request of a team over its allowance
+	// may come back.
+	teamRetryAfter = 1500 * time.Millisecond
+	// retryAfter is when a request refused for lack of room may come back.
+	retryAfter = 700 * time.Millisecond
+	// startRetryAfter is when a request may come back to an instance that has
+	// no configuration yet.
+	startRetryAfter = time.Second
+	// silentShare is the part of the time left after which an idempotent call
+	// without an answer is tried elsewhere.
+	silentShare = 0.4
+	// streamSilence is the wait for the first byte after which a resumable
+	// stream is tried elsewhere, as a multiple of its objective.
+	streamSilence = 3
+)
+
+// Options configures a Machine.
+type Options struct {
+	Node       string
+	DataCentre fleet.DataCentre
+	Quota      quota.Bounds
+	// RetryRatio and RetrySlack bound repeats of a service in RetryWindow,
+	// over all instances.
+	RetryRatio, RetrySlack float64
+	RetryWindow            time.Duration
+}
+
+type open struct {
+	request  Request
+	route    *catalog.Route
+	team     *catalog.Team
+	service  fleet.ServiceName
+	amount   float64
+	giveUpAt time.Duration
+	priority int
+	sends    int
+	dials    int
+	// mayHaveRun is set once an attempt may have run.
+	mayHaveRun bool
+	began      bool
+	tried      map[fleet.EndpointID]bool
+	current    *endpoint
+	sentAt     time.Duration
+	expected   time.Duration
+	backlog    int
+}
+
+// Machine holds the open requests and what is known about the endpoints.
+type Machine struct {
+	options   Options
+	catalog   *catalog.Catalog
+	endpoints map[fleet.EndpointID]*endpoint
+	byService map[fleet.ServiceName][]*endpoint
+	listed    bool
+	open      map[RequestID]*open
+	quota     *quota.Meter
+	budgets   map[fleet.ServiceName]*budget.Shared
+	crashes   *crashes
+	peers     map[string]bool
+}
+
+// New returns a machine without configuration and endpoints.
+func New(options Options) *Machine {
+	return &Machine{
+		options: options, endpoints: make(map[fleet.EndpointID]*endpoint),
+		byService: make(map[fleet.ServiceName][]*endpoint),
+		open:      make(map[RequestID]*open), quota: quota.New(options.Quota),
+		budgets: make(map[fleet.ServiceName]*budget.Shared), crashes: newCrashes(),
+		peers: make(map[string]bool),
+	}
+}
+
+// Catalog returns the configuration in force, nil before the first one.
+func (m *Machine) Catalog() *catalog.Catalog { return m.catalog }
+
+// Ready reports whether configuration and endpoints are known.
+func (m *Machine) Ready() bool { return m.catalog != nil && m.listed }
+
+// Step processes one message at the local monotonic time now.
+func (m *Machine) Step(now time.Duration, msg Message) []Action {
+	switch msg := msg.(type) {
+	case Arrive:
+		return []Action{m.arrive(now, msg)}
+	case AttemptFailed:
+		return m.attemptFailed(now, msg)
+	case Began:
+		return m.began(now, msg)
+	case Finished:
+		m.finished(now, msg)
+	case SetCatalog:
+		if m.catalog == nil || msg.Catalog.Version > m.catalog.Version {
+			m.catalog = msg.Catalog
+		}
+	case SetEndpoints:
+		m.setEndpoints(now, msg.Endpoints)
+	case PeerReport:
+		m.peerReport(now, msg)
+	case PeerLeft:
+		m.peerLeft(msg.Node)
+	}
+	return nil
+}
+
+func (m *Machine) arrive(now time.Duration, msg Arrive) Action {
+	refuse := func(kind fleet.RefusalKind, after time.Duration, remedy string) Action {
+		return Refuse{ID: msg.ID, Refusal: fleet.Refuse(kind, after, remedy)}
+	}
+	if !m.Ready() {
+		return refuse(fleet.RefusedNotReady, startRetryAfter, "this instance has no configuration yet; retry")
+	}
+	o, refusal := m.resolve(msg.Request)
+	if refusal != nil {
+		return Refuse{ID: msg.ID, Refusal: refusal}
+	}
+	o.giveUpAt = now + giveUp(msg.Request.Deadline, o.route.Timeout)
+	if m.crashes.poisonous(now, msg.Request.Fingerprint) {
+		return refuse(fleet.RefusedQuarantined, o.giveUpAt-now, "endpoints crashed repeatedly while they ran this request; change it")
+	}
+	e, expected := m.choose(now, o)
+	if e == nil {
+		return refuse(fleet.RefusedNoEndpoint, retryAfter, "no endpoint of the service is available; retry")
+	}
+	if o.team != nil && !m.quota.Admit(now, o.team.Name, o.team.Rate, o.team.Burst, o.amount) {
+		return refuse(fleet.RefusedTeamLimit, teamRetryAfter, "the team has used its allowance; retry later")
+	}
+	m.open[msg.ID] = o
+	m.budget(o.service).Request(now)
+	return m.send(now, msg.ID, o, e, expected)
+}
+
+// resolve finds route, team, service and priority of a request.
+func (m *Machine) resolve(r Request) (*open, *fleet.Refusal) {
+	route, ok := m.catalog.Match(r.Host, r.Path)
+	if !ok {
+		return nil, fleet.Refuse(fleet.RefusedNotFound, 0, "no route matches host and path; check both")
+	}
+	o := &open{request: r, route: route, tried: make(map[fleet.EndpointID]bool), priority: route.Priority}
+	if m.catalog.HasTeams() {
+		team, known := m.catalog.TeamOf(r.Key)
+		if r.HasKey && known {
+			o.team = team
+		} else if !route.Public {
+			return nil, fleet.Refuse(fleet.RefusedUnauthorized, 0, "the key is not known; check the key")
+		}
+	}
+	o.service = split(route.Targets, r.Pick)
+	if o.team != nil {
+		o.amount = 1
+		if o.team.CountTokens {
+			o.amount = float64(o.team.DefaultTokens)
+			if r.HasTokens {
+				o.amount = float64(r.Prompt + r.Output)
+			}
+		}
+	}
+	return o, nil
+}
+
+// split chooses a target by weight.
+func split(targets []catalog.Target, pick float64) fleet.ServiceName {
+	var total float64
+	for _, t := range targets {
+		total += t.Weight
+	}
+	at := pick * total
+	for _, t := range targets {
+		if at < t.Weight {
+			return t.Service
+		}
+		at -= t.Weight
+	}
+	return targets[0].Service
+}
+
+func giveUp(deadline, timeout time.Duration) time.Duration {
+	switch {
+	case deadline <= 0 && timeout <= 0:
+		return defaultDeadline
+	case deadline <= 0:
+		return timeout
+	case timeout <= 0:
+		return deadline
+	default:
+		return min(deadline, timeout)
+	}
+}
+
+func (m *Machine) send(now time.Duration, id RequestID, o *open, e *endpoint, expected time.Duration) Action {
+	o.sends++
+	o.current, o.sentAt, o.expected = e, now, expected
+	o.tried[e.ID] = true
+	o.backlog = e.begin(now, o.request)
+	return Send{
+		ID: id, Endpoint: e.Endpoint, Route: o.route, Team: teamName(o.team), GiveUpAt: o.giveUpAt,
+		AttemptTimeout: m.attemptTimeout(now, o), Priority: requestPriority(o),
+		Attempt: o.sends, Expected: expected,
+	}
+}
+
+func teamName(t *catalog.Team) fleet.TeamName {
+	if t == nil {
+		return ""
+	}
+	return t.Name
+}
+
+// requestPriority ranks by route first and by team within a route.
+func requestPriority(o *open) int {
+	const perRoute = 3
+	team := 1
+	if o.team != nil && o.team.Priority >= 0 {
+		team = min(o.team.Priority, perRoute-1)
+	}
+	return min(o.route.Priority*perRoute+team, 9)
+}
+
+// attemptTimeout bounds the wait for the first byte of an attempt that may be
+// repeated and has attempts left.
+func (m *Machine) attemptTimeout(now time.Duration, o *open) time.Duration {
+	if o.sends >= o.route.MaxAttempts {
+		return 0
+	}
+	left := o.giveUpAt - now
+	switch {
+	case o.route.Kind == catalog.KindIdempotent:
+		return time.Duration(float64(left) * silentShare)
+	case o.route.Kind == catalog.KindStream && o.route.Resumable:
+		return min(max(streamSilence*o.route.Objective, 2*o.expected), left/2)
+	default:
+		return 0
+	}
+}
+
+func (m *Machine) attemptFailed(now time.Duration, msg AttemptFailed) []Action {
+	o, ok := m.open[msg.ID]
+	if !ok || o.current == nil {
+		return nil
+	}
+	e := o.current
+	e.end(now, o.backlog, o.began)
+	o.current = nil
+	m.observeFailure(now, o, e, msg)
+	if msg.Failure == FailureDial {
+		o.sends--
+		o.dials++
+	}
+	if msg.Failure != FailureDial && msg.Failure != FailureRejected {
+		o.mayHaveRun = true
+	}
+	if next, expected, ok := m.repeat(now, o, msg); ok {
+		o.began = false
+		return []Action{m.send(now, msg.ID, o, next, expected)}
+	}
+	delete(m.open, msg.ID)
+	if !o.mayHaveRun && o.team != nil {
+		m.quota.Return(now, o.team.Name, o.amount)
+	}
+	return []Action{Refuse{ID: msg.ID, Refusal: giveUpRefusal(o, msg.Failure)}}
+}
+
+func giveUpRefusal(o *open, f Failure) *fleet.Refusal {
+	if !o.mayHaveRun {
+		return fleet.Refuse(fleet.RefusedOverload, retryAfter, "the endpoints did not take the request; retry")
+	}
+	kind := fleet.RefusedUpstream
+	if f == FailureSilent {
+		kind = fleet.RefusedDeadline
+	}
+	return &fleet.Refusal{Kind: kind, Run: fleet.RunUnknown, Remedy: "the endpoint failed; check the outcome before a repeat"}
+}
+
+// repeat returns the endpoint at which the request is tried again.
+func (m *Machine) repeat(now time.Duration, o *open, msg AttemptFailed) (*endpoint, time.Duration, bool) {
+	notRun := msg.Failure == FailureDial || msg.Failure == FailureRejected
+	repeatable := o.route.Kind == catalog.KindIdempotent || (o.route.Kind == catalog.KindStream && o.route.Resumable)
+	switch {
+	case now >= o.giveUpAt, o.sends >= o.route.MaxAttempts, o.dials >= maxDials:
+		return nil, 0, false
+	case !notRun && !repeatable, !notRun && m.crashes.poisonous(now, o.request.Fingerprint):
+		return nil, 0, false
+	}
+	next, expected := m.choose(now, o)
+	if next == nil {
+		return nil, 0, false
+	}
+	reserve := m.options.RetrySlack * retryReserveShare / float64(m.instances())
+	if o.sends > 0 && !m.budget(o.service).Spend(now, reserve) {
+		return nil, 0, false
+	}
+	return next, expected, true
+}
+
+func (m *Machine) began(now time.Duration, msg Began) []Action {
+	o, ok := m.open[msg.ID]
+	if !ok || o.current == nil || o.began {
+		return nil
+	}
+	first := !o.mayHaveRun
+	o.began, o.mayHaveRun = true, true
+	o.current.started(now, o, m.options.DataCentre)
+	if !first || o.team == nil {
+		return nil
+	}
+	return []Action{Started{Team: o.team.Name}}
+}
+
+func (m *Machine) finished(now time.Duration, msg Finished) {
+	o, ok := m.open[msg.ID]
+	if !ok {
+		return
+	}
+	delete(m.open, msg.ID)
+	if o.current == nil {
+		return
+	}
+	o.current.end(now, o.backlog, o.began)
+	if msg.Succeeded {
+		o.current.succeeded(now, o)
+	}
+}
+
+func (m *Machine) budget(s fleet.ServiceName) *budget.Shared {
+	b, ok := m.budgets[s]
+	if !ok {
+		b = budget.NewShared(m.options.RetryRatio*retryRatioShare, m.options.RetryWindow)
+		m.budgets[s] = b
+	}
+	return b
+}
+
+// instances returns the number of own instances, at least as many as a
+// deployment has in each of three data centres until peers are known.
+func (m *Machine) instances() int {
+	const unknown = 9
+	if len(m.peers) == 0 {
+		return unknown
+	}
+	return len(m.peers) + 1
+}
+
+func (m *Machine) peerReport(now time.Duration, r PeerReport) {
+	m.peers[r.Node] = true
+	m.quota.SetPeer(r.Node, quota.Peer{At: now, Used: r.Used})
+	for id, e := range m.endpoints {
+		if load, ok := r.Loads[id]; ok {
+			e.peers[r.Node] = peerLoad{Load: load, at: now}
+		} else {
+			delete(e.peers, r.Node)
+		}
+	}
+	for _, c := range r.Crashes {
+		m.crashes.learn(now, c)
+	}
+}
+
+func (m *Machine) peerLeft(node string) {
+	delete(m.peers, node)
+	m.quota.DropPeer(node)
+	for _, e := range m.endpoints {
+		delete(e.peers, node)
+	}
+}
+
+// Report returns what this instance shares with its peers.
+func (m *Machine) Report(now time.Duration) PeerReport {
+	r := PeerReport{
+		Node: m.options.Node, Used: m.quota.Own(now),
+		Loads: make(map[fleet.EndpointID]Load), Crashes: m.crashes.recent(now),
+	}
+	for id, e := range m.endpoints {
+		if e.own.Active > 0 {
+			r.Loads[id] = e.own
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/core/gateway/messages.go
@@ -0,0 +1,155 @@
+// Package gateway decides what happens to callers' requests: whether they are
+// admitted, which endpoint gets them, and whether a failed attempt is repeated.
+// It is a state machine without input or output; time comes in as a value.
+package gateway
+
+import (
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/catalog"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+// RequestID identifies a request within one process.
+type RequestID uint64
+
+// Request is what a caller asks for.
+type Request struct {
+	Host, Path string
+	Key        string
+	HasKey     bool
+	// Deadline is how long the caller waits; 0 means that it did not say.
+	Deadline time.Duration
+	// Prompt and Output are the prompt's tokens and the most output tokens.
+	Prompt, Output int
+	HasTokens      bool
+	Parts          []fleet.PromptPart
+	Fingerprint    fleet.Fingerprint
+	// Pick is a random number from 0 up to 1. It decides splits and ties.
+	Pick float64
+}
+
+// Message is an input of the machine.
+type Message interface{ message() }
+
+// Arrive is a new request.
+type Arrive struct {
+	ID      RequestID
+	Request Request
+}
+
+// Failure tells why an attempt ended without a usable answer.
+type Failure uint8
+
+// Failures.
+const (
+	// FailureDial means that no channel could be opened: nothing was sent.
+	FailureDial Failure = iota
+	// FailureRejected means that the endpoint states that it did not run it.
+	FailureRejected
+	// FailureBroken means that the channel broke; the request may have run.
+	FailureBroken
+	// FailureSilent means that no answer came in time; it may have run.
+	FailureSilent
+	// FailureAnswered means that the endpoint ran it and answered with a failure.
+	FailureAnswered
+)
+
+// String returns the name used in logs and metrics.
+func (f Failure) String() string {
+	return [...]string{"dial", "rejected", "broken", "silent", "answered"}[f]
+}
+
+// AttemptFailed asks whether the request is tried again.
+type AttemptFailed struct {
+	ID      RequestID
+	Failure Failure
+	// Delivered is set once the caller has got a part of the answer.
+	Delivered bool
+	// Stale is set if the channel had served other requests before.
+	Stale bool
+}
+
+// Began tells that the endpoint began to run the request.
+type Began struct{ ID RequestID }
+
+// Finished ends a request. Succeeded is set if the caller got a whole
+// successful answer.
+type Finished struct {
+	ID        RequestID
+	Succeeded bool
+}
+
+// SetCatalog puts a configuration in force. Older versions are ignored.
+type SetCatalog struct{ Catalog *catalog.Catalog }
+
+// SetEndpoints replaces the listed endpoints.
+type SetEndpoints struct{ Endpoints []catalog.Endpoint }
+
+// Load is what one instance has under way at an endpoint.
+type Load struct {
+	// Active counts the requests, Backlog the prompt tokens not yet read.
+	Active  int
+	Backlog int
+}
+
+// Crash is the evidence that a request ran on an endpoint when it crashed.
+type Crash struct {
+	Fingerprint fleet.Fingerprint
+	Endpoint    fleet.EndpointID
+	Started     int64
+}
+
+// PeerReport is what another instance shares.
+type PeerReport struct {
+	Node    string
+	Used    map[fleet.TeamName]float64
+	Loads   map[fleet.EndpointID]Load
+	Crashes []Crash
+}
+
+// PeerLeft tells that an instance has left.
+type PeerLeft struct{ Node string }
+
+func (Arrive) message()        {}
+func (AttemptFailed) message() {}
+func (Began) message()         {}
+func (Finished) message()      {}
+func (SetCatalog) message()    {}
+func (SetEndpoints) message()  {}
+func (PeerReport) message()    {}
+func (PeerLeft) message()      {}
+
+// Action is an output of the machine.
+type Action interface{ action() }
+
+// Send orders an attempt at an endpoint.
+type Send struct {
+	ID       RequestID
+	Endpoint catalog.Endpoint
+	Route    *catalog.Route
+	Team     fleet.TeamName
+	// GiveUpAt is the time at which the caller gets its final answer.
+	GiveUpAt time.Duration
+	// AttemptTimeout bounds the wait for the first byte; 0 means no bound.
+	AttemptTimeout time.Duration
+	// Priority is from 0, the most urgent, to 9.
+	Priority int
+	// Attempt counts from 1.
+	Attempt int
+	// Expected is the time until the first byte that the choice assumed.
+	Expected time.Duration
+}
+
+// Refuse ends a request.
+type Refuse struct {
+	ID      RequestID
+	Refusal *fleet.Refusal
+}
+
+// Started counts a request that an endpoint began to run.
+type Started struct{ Team fleet.TeamName }
+
+func (Send) action()    {}
+func (Refuse) action()  {}
+func (Started) action() {}
--- /dev/null
+++ b/internal/core/quota/quota.go
@@ -0,0 +1,106 @@
+// Package quota bounds what a team uses over all own instances together. Each
+// instance counts what it admitted and learns what the others did; an instance
+// that has not been heard of lately is assumed to use its share.
+package quota
+
+import (
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/window"
+)
+
+const (
+	// freshFor is how long a peer's figures are taken as they are.
+	freshFor = 1200 * time.Millisecond
+	// slackShare is the part of the permitted overrun that is used on purpose.
+	// The rest covers what peers admitted since their last report.
+	slackShare = 0.4
+	// unknownInstances is the number of instances assumed before any peer is
+	// known, so that an isolated instance does not spend everything.
+	unknownInstances = 10
+)
+
+// Bounds are the figures of the rule on allowances.
+type Bounds struct {
+	Window time.Duration
+	// Overrun and Slack are what may be used beyond the allowance: a share of
+	// it, and an amount.
+	Overrun, Slack float64
+}
+
+// Peer is what another instance admitted in the last window.
+type Peer struct {
+	At   time.Duration
+	Used map[fleet.TeamName]float64
+}
+
+// Meter counts the use of all teams.
+type Meter struct {
+	bounds Bounds
+	own    map[fleet.TeamName]*window.Sum
+	peers  map[string]Peer
+}
+
+// New returns a meter without use.
+func New(bounds Bounds) *Meter {
+	return &Meter{bounds: bounds, own: make(map[fleet.TeamName]*window.Sum), peers: make(map[string]Peer)}
+}
+
+// SetPeer records what a peer reported.
+func (m *Meter) SetPeer(name string, p Peer) { m.peers[name] = p }
+
+// DropPeer forgets a peer that has left.
+func (m *Meter) DropPeer(name string) { delete(m.peers, name) }
+
+// Own returns what this instance admitted in the last window, by team.
+func (m *Meter) Own(now time.Duration) map[fleet.TeamName]float64 {
+	used := make(map[fleet.TeamName]float64, len(m.own))
+	for team, sum := range m.own {
+		used[team] = sum.Total(now)
+	}
+	return used
+}
+
+// Admit counts an amount if the team may use it now. limit is the rate a
+// second, burst the amount beyond it.
+func (m *Meter) Admit(now time.Duration, team fleet.TeamName, rate, burst, amount float64) bool {
+	sum, ok := m.own[team]
+	if !ok {
+		sum = window.New(m.bounds.Window)
+		m.own[team] = sum
+	}
+	if rate > 0 {
+		allowance := rate*m.bounds.Window.Seconds() + burst
+		limit := allowance + slackShare*(allowance*m.bounds.Overrun+m.bounds.Slack)
+		if sum.Total(now)+m.others(now, team, allowance)+amount > limit {
+			return false
+		}
+	}
+	sum.Add(now, amount)
+	return true
+}
+
+// Return takes back an amount that was admitted and not used.
+func (m *Meter) Return(now time.Duration, team fleet.TeamName, amount float64) {
+	if sum, ok := m.own[team]; ok {
+		sum.Add(now, -amount)
+	}
+}
+
+func (m *Meter) others(now time.Duration, team fleet.TeamName, allowance float64) float64 {
+	instances := len(m.peers) + 1
+	if len(m.peers) == 0 {
+		return allowance * (1 - 1.0/unknownInstances)
+	}
+	share := allowance / float64(instances)
+	var used float64
+	for _, p := range m.peers {
+		if now-p.At <= freshFor {
+			used += p.Used[team]
+			continue
+		}
+		used += max(p.Used[team], share)
+	}
+	return used
+}
--- /dev/null
+++ b/internal/core/stream/splitter.go
@@ -0,0 +1,79 @@
+// Package stream divides the bytes of an event stream into whole events, so
+// that a stream that breaks off can go on at another endpoint without an event
+// twice or a part of one.
+package stream
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// maxEventBytes bounds an event that is not complete yet.
+const maxEventBytes = 1 << 20
+
+// Splitter holds back the bytes of an incomplete event.
+type Splitter struct {
+	pending []byte
+	lastID  int64
+	hasID   bool
+	events  int
+}
+
+// LastID returns the id of the last event that was passed on.
+func (s *Splitter) LastID() (int64, bool) { return s.lastID, s.hasID }
+
+// StartAfter sets the id after which the stream goes on, as the caller asked.
+func (s *Splitter) StartAfter(id int64) { s.lastID, s.hasID = id, true }
+
+// Events returns the number of events passed on.
+func (s *Splitter) Events() int { return s.events }
+
+// Push takes bytes of the stream and returns the whole events among them.
+// Events whose id was passed on before are dropped.
+func (s *Splitter) Push(data []byte) []byte {
+	s.pending = append(s.pending, data...)
+	var out []byte
+	for {
+		end := bytes.Index(s.pending, []byte("\n\n"))
+		if end < 0 {
+			break
+		}
+		event := s.pending[:end+2]
+		if id, ok := eventID(event); ok {
+			if s.hasID && id <= s.lastID {
+				s.pending = s.pending[end+2:]
+				continue
+			}
+			s.lastID, s.hasID = id, true
+		}
+		s.events++
+		out = append(out, event...)
+		s.pending = s.pending[end+2:]
+	}
+	if len(s.pending) > maxEventBytes {
+		out, s.pending = append(out, s.pending...), nil
+	}
+	return out
+}
+
+// Rest returns the bytes after the last whole event at the end of a stream.
+func (s *Splitter) Rest() []byte {
+	rest := s.pending
+	s.pending = nil
+	return rest
+}
+
+// Discard drops the bytes of an event that broke off.
+func (s *Splitter) Discard() { s.pending = nil }
+
+func eventID(event []byte) (int64, bool) {
+	for line := range bytes.Lines(event) {
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
+		}
+		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		return id, err == nil
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/edge/follow.go
@@ -0,0 +1,89 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/cornelhold/cornelhold/internal/task"
+	"github.com/cornelhold/cornelhold/platform"
+)
+
+const (
+	// configWait is the time that a read of the configuration waits for one.
+	// It bounds how long a channel that went silent is trusted.
+	configWait = 4 * time.Second
+	// endpointInterval is the time between two reads of the instance list. It
+	// leaves most of the time in which a leaving endpoint must be left.
+	endpointInterval = 700 * time.Millisecond
+	// retryInterval is the wait after a failed read.
+	retryInterval = 250 * time.Millisecond
+)
+
+// follower reads one keyed topic of the store and posts what it finds.
+type follower struct {
+	store *platform.Store
+	topic string
+	log   log.Interface
+	// wait is how long a read waits for records, pause the time between reads.
+	wait, pause time.Duration
+	// found receives the records; resync is set if they are the newest of all
+	// keys rather than the next ones.
+	found func(ctx context.Context, batch platform.Batch, resync bool)
+	// lost and returned tell of the beginning and end of an outage.
+	returned func(ctx context.Context)
+}
+
+// run follows the topic until ctx ends. The state of the store is logged when
+// it changes.
+func (f *follower) run(ctx context.Context) error {
+	var next int64
+	resync, down := true, false
+	for ctx.Err() == nil {
+		batch, err := f.read(ctx, next, resync)
+		switch {
+		case errors.Is(err, platform.ErrTrimmed):
+			f.log.WithField("topic", f.topic).Info("records expired; reading the newest ones")
+			resync = true
+			continue
+		case err != nil:
+			if !down && ctx.Err() == nil {
+				f.log.WithField("topic", f.topic).WithError(err).Warn("store lost")
+			}
+			down = true
+			sleep(ctx, retryInterval)
+			continue
+		}
+		if down {
+			f.log.WithField("topic", f.topic).Info("store regained")
+			f.returned(ctx)
+			down = false
+		}
+		f.found(ctx, batch, resync)
+		next, resync = batch.Next, false
+		sleep(ctx, f.pause)
+	}
+	return nil
+}
+
+func (f *follower) read(ctx context.Context, next int64, resync bool) (platform.Batch, error) {
+	if resync {
+		return f.store.Newest(ctx, f.topic)
+	}
+	return f.store.Read(ctx, f.topic, next, f.wait)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	alarm := task.NewAlarm()
+	alarm.Arm(d)
+	defer alarm.Stop()
+	select {
+	case <-alarm.C():
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/edge/gateway.go
@@ -0,0 +1,131 @@
+package edge
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/cornelhold/cornelhold/internal/core/catalog"
+	"github.com/cornelhold/cornelhold/internal/core/gateway"
+	"github.com/cornelhold/cornelhold/internal/task"
+)
+
+// gatewayMailbox bounds the messages that wait for the gateway task.
+const gatewayMailbox = 4096
+
+type gatewayMessage struct {
+	message gateway.Message
+	reply   chan<- gateway.Action
+}
+
+type reportRequest struct{ reply chan<- gateway.PeerReport }
+
+// gatewayTask owns the state machine that decides about requests.
+type gatewayTask struct {
+	clock   task.Clock
+	machine *gateway.Machine
+	mailbox task.Mailbox[gatewayMessage]
+	reports task.Mailbox[reportRequest]
+	replies map[gateway.RequestID]chan<- gateway.Action
+	// began receives the requests that endpoints began to run.
+	began task.Mailbox[gateway.Started]
+	// limits and ready are published for tasks that only read them.
+	limits atomic.Pointer[catalog.Limits]
+	ready  atomic.Bool
+	// applied is called with each configuration that comes into force.
+	applied func(*catalog.Catalog)
+}
+
+func newGatewayTask(clock task.Clock, options gateway.Options, began task.Mailbox[gateway.Started]) *gatewayTask {
+	return &gatewayTask{
+		clock: clock, machine: gateway.New(options), began: began,
+		mailbox: task.NewMailbox[gatewayMessage](gatewayMailbox),
+		reports: task.NewMailbox[reportRequest](4),
+		replies: make(map[gateway.RequestID]chan<- gateway.Action),
+		applied: func(*catalog.Catalog) {},
+	}
+}
+
+func (t *gatewayTask) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case r := <-t.reports.Receive():
+			r.reply <- t.machine.Report(t.clock.Now())
+		case msg := <-t.mailbox.Receive():
+			t.handle(msg)
+		}
+	}
+}
+
+func (t *gatewayTask) handle(msg gatewayMessage) {
+	switch m := msg.message.(type) {
+	case gateway.Arrive:
+		t.replies[m.ID] = msg.reply
+	case gateway.Finished:
+		defer delete(t.replies, m.ID)
+	}
+	before := t.machine.Catalog()
+	for _, action := range t.machine.Step(t.clock.Now(), msg.message) {
+		t.perform(action)
+	}
+	if now := t.machine.Catalog(); now != before {
+		t.limits.Store(&now.Limits)
+		t.applied(now)
+	}
+	t.ready.Store(t.machine.Ready())
+}
+
+// perform passes an action on. A request task takes each of its actions before
+// it posts the message that leads to the next, so its channel has room.
+func (t *gatewayTask) perform(action gateway.Action) {
+	switch a := action.(type) {
+	case gateway.Send:
+		t.reply(a.ID, a)
+	case gateway.Refuse:
+		t.reply(a.ID, a)
+	case gateway.Started:
+		t.began.TrySend(a)
+	}
+}
+
+func (t *gatewayTask) reply(id gateway.RequestID, a gateway.Action) {
+	select {
+	case t.replies[id] <- a:
+	default:
+	}
+}
+
+// Arrive posts a new request.
+func (t *gatewayTask) Arrive(msg gateway.Arrive, reply chan<- gateway.Action) bool {
+	return t.mailbox.TrySend(gatewayMessage{message: msg, reply: reply})
+}
+
+// Post posts a later message of a request, or a change of state.
+func (t *gatewayTask) Post(ctx context.Context, msg gateway.Message) {
+	// The process ends when ctx does, and the record with it.
+	_ = t.mailbox.Send(ctx, gatewayMessage{message: msg})
+}
+
+// report returns what this instance shares with its peers.
+func (t *gatewayTask) report(ctx context.Context) (gateway.PeerReport, error) {
+	reply := make(chan gateway.PeerReport, 1)
+	if err := t.reports.Send(ctx, reportRequest{reply: reply}); err != nil {
+		return gateway.PeerReport{}, err
+	}
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-ctx.Done():
+		return gateway.PeerReport{}, ctx.Err()
+	}
+}
+
+// currentLimits returns the limits in force; they are zero before the first
+// configuration.
+func (t *gatewayTask) currentLimits() catalog.Limits {
+	if l := t.limits.Load(); l != nil {
+		return *l
+	}
+	return catalog.Limits{}
+}
--- /dev/null
+++ b/internal/edge/metrics.go
@@ -0,0 +1,60 @@
+package edge
+
+import (
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cornelhold/cornelhold/internal/front"
+)
+
+// latencyBuckets are in seconds and reach from a plain call to the longest
+// stream.
+var latencyBuckets = []float64{0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8}
+
+// metrics are the counters and histograms of the process.
+type metrics struct {
+	answers    *prometheus.CounterVec
+	firstByte  *prometheus.HistogramVec
+	total      *prometheus.HistogramVec
+	malformed  *prometheus.CounterVec
+	droppedLog prometheus.Counter
+	log        log.Interface
+}
+
+func newMetrics(registry *prometheus.Registry, logger log.Interface) *metrics {
+	m := &metrics{
+		log: logger,
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cornelhold_answers_total", Help: "Requests that ended, by outcome.",
+		}, []string{"team", "service", "kind", "result", "reason"}),
+		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cornelhold_first_byte_seconds", Help: "Time until the first byte of an answer.", Buckets: latencyBuckets,
+		}, []string{"team", "kind"}),
+		total: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cornelhold_answer_seconds", Help: "Time until the end of an answer.", Buckets: latencyBuckets,
+		}, []string{"team", "kind"}),
+		malformed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cornelhold_malformed_total", Help: "Malformed messages that were left out.",
+		}, []string{"kind"}),
+		droppedLog: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cornelhold_log_lines_dropped_total", Help: "Log lines dropped because the writer was busy.",
+		}),
+	}
+	registry.MustRegister(m.answers, m.firstByte, m.total, m.malformed, m.droppedLog)
+	return m
+}
+
+// Answered counts and logs the end of a request.
+func (m *metrics) Answered(o front.Outcome) {
+	m.answers.WithLabelValues(string(o.Team), string(o.Service), o.Kind, o.Result, o.Reason).Inc()
+	if o.Wait > 0 {
+		m.firstByte.WithLabelValues(string(o.Team), o.Kind).Observe(o.Wait.Seconds())
+	}
+	m.total.WithLabelValues(string(o.Team), o.Kind).Observe(o.Total.Seconds())
+	m.log.WithFields(log.Fields{
+		"request": o.Attempt, "route": o.Route, "kind": o.Kind, "team": string(o.Team),
+		"service": string(o.Service), "endpoint": string(o.Endpoint), "attempts": o.Attempts,
+		"status": o.Status, "result": o.Result, "reason": o.Reason,
+		"wait_ms": o.Wait.Milliseconds(), "total_ms": o.Total.Milliseconds(),
+	}).Info("request ended")
+}
--- /dev/null
+++ b/internal/edge/ready.go
@@ -0,0 +1,44 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// headTimeout bounds the reading of a request on the ready and metrics
+// addresses.
+const headTimeout = 2 * time.Second
+
+// serveHTTP serves a handler until ctx ends.
+func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
+		return Error.Wrap(err)
+	}
+	return nil
+}
+
+// readyHandler answers the platform's question whether the process takes new
+// channels.
+func readyHandler(ready func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+func metricsHandler(registry *prometheus.Registry) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	return mux
+}
--- /dev/null
+++ b/internal/edge/run.go
@@ -0,0 +1,224 @@
+// Package edge runs one entry instance: it serves callers, follows the
+// platform's store, talks to its peers and carries the duties of the
+// deployment while it holds their lease.
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/signal"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/zeebo/errs"
+
+	"github.com/cornelhold/cornelhold/internal/core/gateway"
+	"github.com/cornelhold/cornelhold/internal/core/quota"
+	"github.com/cornelhold/cornelhold/internal/front"
+	"github.com/cornelhold/cornelhold/internal/task"
+	"github.com/cornelhold/cornelhold/internal/upstream"
+	"github.com/cornelhold/cornelhold/platform"
+)
+
+// Error is the class of errors that end the process.
+var Error = errs.Class("edge")
+
+const (
+	// MetricsPort is the port of the metrics address; the deploy file names it.
+	MetricsPort = 9464
+	// closeAfter is the time after the signal to stop from which new requests
+	// are refused. By then the platform sends no new channels.
+	closeAfter = 3500 * time.Millisecond
+	// stopMargin is the time before the end of the grace period at which the
+	// process ends.
+	stopMargin = 700 * time.Millisecond
+	// beganMailbox bounds the counts that wait for the usage task.
+	beganMailbox = 4096
+)
+
+// process holds the tasks of one run.
+type process struct {
+	deployment platform.Deployment
+	clock      task.Clock
+	log        log.Interface
+	metrics    *metrics
+	registry   *prometheus.Registry
+	gateway    *gatewayTask
+	directory  *directoryTask
+	pool       *upstream.Pool
+	store      *platform.Store
+	began      task.Mailbox[gateway.Started]
+	stage      atomic.Uint32
+	drain      chan struct{}
+	requests   atomic.Uint64
+}
+
+// Run serves until the process is told to stop.
+func Run(ctx context.Context, d platform.Deployment) error {
+	writer := newLogWriter(os.Stdout)
+	logContext, stopLog := context.WithCancel(context.Background())
+	logged := make(chan struct{})
+	go func() { defer close(logged); writer.run(logContext) }()
+	defer func() { stopLog(); <-logged }()
+
+	logger := (&log.Logger{Handler: json.New(writer), Level: log.InfoLevel}).WithField("node", d.Node)
+	registry := prometheus.NewRegistry()
+	m := newMetrics(registry, logger)
+	writer.dropped = m.droppedLog
+	p := newProcess(d, logger, m, registry)
+	logger.WithFields(log.Fields{"data_centre": string(d.DataCentre), "front": d.Front}).Info("start")
+	err := p.run(ctx)
+	logger.WithError(err).Info("stop")
+	return err
+}
+
+func newProcess(d platform.Deployment, logger log.Interface, m *metrics, registry *prometheus.Registry) *process {
+	p := &process{
+		deployment: d, clock: task.NewClock(), log: logger, metrics: m, registry: registry,
+		pool: upstream.NewPool(), store: platform.NewStore(d.StoreAddr),
+		began: task.NewMailbox[gateway.Started](beganMailbox), drain: make(chan struct{}),
+	}
+	p.gateway = newGatewayTask(p.clock, gateway.Options{
+		Node: d.Node, DataCentre: d.DataCentre,
+		Quota: quota.Bounds{
+			Window: d.Bounds.QuotaWindow, Overrun: d.Bounds.QuotaOverrun, Slack: d.Bounds.QuotaSlack,
+		},
+		RetryRatio: d.Bounds.RetryRatio, RetrySlack: d.Bounds.RetrySlack, RetryWindow: d.Bounds.RetryWindow,
+	}, p.began)
+	p.directory = newDirectoryTask(p.clock, logger, m, p.gateway)
+	return p
+}
+
+func (p *process) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	listeners, err := p.listen()
+	if err != nil {
+		return err
+	}
+	group := task.NewGroup(ctx)
+	group.Go("gateway", p.gateway.run)
+	group.Go("directory", p.directory.run)
+	group.Go("pool", p.pool.Run)
+	group.Go("follow configuration", p.configFollower().run)
+	group.Go("follow endpoints", p.endpointFollower().run)
+	group.Go("ready", func(ctx context.Context) error {
+		return serveHTTP(ctx, listeners.ready, readyHandler(p.ready))
+	})
+	group.Go("metrics", func(ctx context.Context) error {
+		return serveHTTP(ctx, listeners.metrics, metricsHandler(p.registry))
+	})
+	server := front.NewServer(listeners.front, p.frontOptions())
+	group.Go("front", func(ctx context.Context) error {
+		context.AfterFunc(ctx, func() { _ = listeners.front.Close() })
+		return server.Run(ctx)
+	})
+	group.Go("signals", func(ctx context.Context) error { return p.signals(ctx, cancel) })
+	return group.Wait()
+}
+
+type listeners struct{ front, ready, metrics net.Listener }
+
+func (p *process) listen() (listeners, error) {
+	var l listeners
+	var err error
+	addresses := []struct {
+		address string
+		into    *net.Listener
+	}{
+		{p.deployment.Front, &l.front}, {p.deployment.Ready, &l.ready},
+		{net.JoinHostPort(p.deployment.IP, strconv.Itoa(MetricsPort)), &l.metrics},
+	}
+	for _, a := range addresses {
+		if *a.into, err = net.Listen("tcp", a.address); err != nil {
+			return l, Error.New("cannot listen on %s: %w; free the address or correct the settings", a.address, err)
+		}
+	}
+	return l, nil
+}
+
+func (p *process) frontOptions() front.Options {
+	return front.Options{
+		Clock: p.clock, Gateway: p.gateway, Pool: p.pool, Observer: p.metrics, Log: p.log,
+		Limits: p.gateway.currentLimits,
+		Stage:  func() front.Stage { return front.Stage(p.stage.Load()) },
+		Drain:  p.drain, Random: rand.Float64,
+		NextID: func() gateway.RequestID { return gateway.RequestID(p.requests.Add(1)) },
+	}
+}
+
+func (p *process) ready() bool {
+	return p.gateway.ready.Load() && front.Stage(p.stage.Load()) == front.StageServing
+}
+
+// signals ends the process in stages when it is told to stop. A changed
+// settings file needs no restart: the addresses in it are fixed for a start.
+func (p *process) signals(ctx context.Context, cancel context.CancelFunc) error {
+	received := make(chan os.Signal, 4)
+	signal.Notify(received, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(received)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-received:
+			if s == syscall.SIGHUP {
+				p.reload()
+				continue
+			}
+			p.shutdown(ctx)
+			cancel()
+			return nil
+		}
+	}
+}
+
+func (p *process) reload() {
+	d, err := platform.LoadSettings(platform.SettingsPath())
+	if err != nil {
+		p.log.WithError(err).Warn("settings not reloaded")
+		return
+	}
+	p.log.WithField("bounds", d.Bounds).Info("settings reloaded")
+}
+
+func (p *process) shutdown(ctx context.Context) {
+	grace := p.deployment.Bounds.Grace
+	p.log.WithField("grace_ms", grace.Milliseconds()).Info("drain")
+	p.stage.Store(uint32(front.StageDraining))
+	close(p.drain)
+	sleep(ctx, min(closeAfter, grace/2))
+	p.stage.Store(uint32(front.StageClosing))
+	sleep(ctx, max(grace-min(closeAfter, grace/2)-stopMargin, 0))
+}
+
+func (p *process) configFollower() *follower {
+	return &follower{
+		store: p.store, topic: platform.TopicConfig, log: p.log, wait: configWait,
+		returned: func(context.Context) {},
+		found: func(ctx context.Context, batch platform.Batch, _ bool) {
+			if r, ok := platform.ConfigRecord(batch.Records); ok {
+				_ = p.directory.mailbox.Send(ctx, configFound{record: r, source: "store"})
+			}
+		},
+	}
+}
+
+func (p *process) endpointFollower() *follower {
+	return &follower{
+		store: p.store, topic: platform.TopicEndpoints, log: p.log, pause: endpointInterval,
+		returned: func(ctx context.Context) { _ = p.directory.mailbox.Send(ctx, storeReturned{}) },
+		found: func(ctx context.Context, batch platform.Batch, resync bool) {
+			_ = p.directory.mailbox.Send(ctx, entriesFound{
+				records: batch.Records, resync: resync, end: batch.Next, source: "store",
+			})
+		},
+	}
+}
--- /dev/null
+++ b/internal/front/channel.go
@@ -0,0 +1,228 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/catalog"
+)
+
+const (
+	// readBuffer is the size of the read buffer of a channel, in bytes.
+	readBuffer = 4096
+	// writeTimeout bounds one write to a caller that does not read.
+	writeTimeout = 10 * time.Second
+	// bodyTimeout bounds the reading of a request's body.
+	bodyTimeout = 20 * time.Second
+	// lingerTimeout is how long bytes of a refused request are read, so that
+	// the refusal is not lost in a reset.
+	lingerTimeout = time.Second
+	// idleMargin is added to the idle timeout, so that a caller that still may
+	// use the channel does not cross its close.
+	idleMargin = 2 * time.Second
+	// headMargin is added to the limit of a request's head for the read buffer.
+	headMargin = readBuffer + 1024
+)
+
+// defaultLimits hold until the first configuration.
+var defaultLimits = catalog.Limits{
+	MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4 << 20,
+	HeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second,
+}
+
+// incoming is a request that was read, or the status of one that was not.
+type incoming struct {
+	request *http.Request
+	body    []byte
+	arrived time.Duration
+	// refused is the status of a malformed or oversized request, 0 for none.
+	refused int
+}
+
+// channel is the task of one channel of a caller.
+type channel struct {
+	server *Server
+	conn   net.Conn
+	reader *bufio.Reader
+	limit  *limitedReader
+	// requests carries requests from the reading goroutine to the task.
+	requests chan incoming
+	// proceed lets the reading goroutine read the next request.
+	proceed chan struct{}
+	// gone is closed when the caller closed the channel or it broke.
+	gone chan struct{}
+	// stopped is closed when the task ends.
+	stopped chan struct{}
+}
+
+var errHeadTooLarge = errors.New("request head exceeds the limit")
+
+// limitedReader bounds the bytes of a request's head.
+type limitedReader struct {
+	source io.Reader
+	left   int64
+}
+
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.source.Read(p)
+	l.left -= int64(n)
+	return n, err
+}
+
+func newChannel(s *Server, conn net.Conn) *channel {
+	limit := &limitedReader{source: conn, left: math.MaxInt64}
+	return &channel{
+		server: s, conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, readBuffer),
+		requests: make(chan incoming), proceed: make(chan struct{}, 1),
+		gone: make(chan struct{}), stopped: make(chan struct{}),
+	}
+}
+
+func (c *channel) limits() catalog.Limits {
+	l := c.server.options.Limits()
+	if l.MaxHeaderBytes <= 0 {
+		return defaultLimits
+	}
+	return l
+}
+
+// run serves the channel until it ends.
+func (c *channel) run(ctx context.Context) {
+	defer close(c.stopped)
+	defer c.conn.Close() //nolint:errcheck // nothing is written after this
+	c.idle()
+	go c.read()
+	drain := c.server.options.Drain
+	if c.server.options.Stage() != StageServing {
+		// A new channel in a drain carries one request.
+		drain = nil
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.gone:
+			return
+		case <-drain:
+			return
+		case in := <-c.requests:
+			_ = c.conn.SetReadDeadline(time.Time{})
+			if !c.serve(ctx, in) {
+				return
+			}
+			c.idle()
+			c.proceed <- struct{}{}
+		}
+	}
+}
+
+func (c *channel) idle() {
+	_ = c.conn.SetReadDeadline(time.Now().Add(c.limits().IdleTimeout + idleMargin))
+}
+
+// read reads requests and notices when the caller leaves.
+func (c *channel) read() {
+	defer close(c.gone)
+	for {
+		if _, err := c.reader.Peek(1); err != nil {
+			return
+		}
+		in, ok := c.readRequest()
+		if !ok {
+			return
+		}
+		select {
+		case c.requests <- in:
+		case <-c.stopped:
+			return
+		}
+		if in.refused != 0 {
+			<-c.stopped
+			return
+		}
+		if _, err := c.reader.Peek(1); err != nil {
+			return
+		}
+		select {
+		case <-c.proceed:
+		case <-c.stopped:
+			return
+		}
+	}
+}
+
+// readRequest reads a whole request. It reports false if the channel broke.
+func (c *channel) readRequest() (incoming, bool) {
+	limits := c.limits()
+	in := incoming{arrived: c.server.options.Clock.Now()}
+	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.limit.left = int64(limits.MaxHeaderBytes + headMargin)
+	req, err := http.ReadRequest(c.reader)
+	c.limit.left = math.MaxInt64
+	if err != nil {
+		in.refused = headStatus(err)
+		return in, in.refused != 0
+	}
+	in.request = req
+	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
+		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return in, false
+		}
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	in.body, err = io.ReadAll(io.LimitReader(req.Body, int64(limits.MaxBodyBytes)+1))
+	switch {
+	case err != nil:
+		in.refused = bodyStatus(err)
+	case len(in.body) > limits.MaxBodyBytes:
+		in.refused = http.StatusRequestEntityTooLarge
+	}
+	return in, in.refused != 0 || err == nil
+}
+
+// headStatus returns the status for a head that could not be read, 0 if the
+// channel broke.
+func headStatus(err error) int {
+	var network net.Error
+	switch {
+	case errors.Is(err, errHeadTooLarge):
+		return http.StatusRequestHeaderFieldsTooLarge
+	case errors.As(err, &network) && network.Timeout():
+		return http.StatusRequestTimeout
+	case errors.As(err, &network), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return 0
+	default:
+		return http.StatusBadRequest
+	}
+}
+
+func bodyStatus(err error) int {
+	var network net.Error
+	switch {
+	case errors.As(err, &network) && network.Timeout():
+		return http.StatusRequestTimeout
+	case errors.As(err, &network), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
+		return 0
+	default:
+		return http.StatusBadRequest
+	}
+}
+
+// linger reads what the caller still sends after a refusal.
+func (c *channel) linger() {
+	if tcp, ok := c.conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, c.conn)
+}
--- /dev/null
+++ b/internal/front/writer.go
@@ -0,0 +1,47 @@
+package front
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// answerHead returns the head of an answer. A length below 0 announces chunks.
+func answerHead(status int, header http.Header, length int, closing bool) *bytes.Buffer {
+	var head bytes.Buffer
+	text := http.StatusText(status)
+	if text == "" {
+		text = "Status"
+	}
+	head.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + text + "\r\n")
+	_ = header.Write(&head)
+	if length >= 0 {
+		head.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
+	} else {
+		head.WriteString("Transfer-Encoding: chunked\r\n")
+	}
+	if closing {
+		head.WriteString("Connection: close\r\n")
+	}
+	head.WriteString("\r\n")
+	return &head
+}
+
+func (c *channel) write(data []byte) error {
+	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := c.conn.Write(data)
+	return err
+}
+
+// appendChunk adds one chunk of a chunked body.
+func appendChunk(out *bytes.Buffer, data []byte) {
+	if len(data) == 0 {
+		return
+	}
+	out.WriteString(strconv.FormatInt(int64(len(data)), 16) + "\r\n")
+	out.Write(data)
+	out.WriteString("\r\n")
+}
+
+const lastChunk = "0\r\n\r\n"
