--- /dev/null
+++ b/internal/core/duty/usage.go
@@ -0,0 +1,221 @@
+package duty
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+const (
+	// settle is the time after the end of a window at which the counts of all
+	// instances are known.
+	settle = 1500 * time.Millisecond
+	// reportFor is how long after its end a window is still reported.
+	reportFor = 30 * time.Second
+	// keepWindows is the number of windows whose counts are kept.
+	keepWindows = 12
+	// repeatInterval is the time between two attempts to send a report.
+	repeatInterval = 500 * time.Millisecond
+)
+
+// Counts is a number of requests by team.
+type Counts map[fleet.TeamName]int64
+
+// Usage counts the requests that began in each window, by origin. Counts of an
+// origin only grow, so copies of them are merged by the larger number.
+type Usage struct {
+	windows map[int64]map[string]Counts
+}
+
+// NewUsage returns a table without counts.
+func NewUsage() *Usage { return &Usage{windows: make(map[int64]map[string]Counts)} }
+
+// Add counts one request.
+func (u *Usage) Add(window int64, origin string, team fleet.TeamName) {
+	u.of(window, origin)[team]++
+}
+
+// Merge takes the counts of an origin from a peer.
+func (u *Usage) Merge(window int64, origin string, counts Counts) {
+	own := u.of(window, origin)
+	for team, n := range counts {
+		own[team] = max(own[team], n)
+	}
+}
+
+func (u *Usage) of(window int64, origin string) Counts {
+	origins, ok := u.windows[window]
+	if !ok {
+		origins = make(map[string]Counts)
+		u.windows[window] = origins
+		u.trim()
+	}
+	counts, ok := origins[origin]
+	if !ok {
+		counts = make(Counts)
+		origins[origin] = counts
+	}
+	return counts
+}
+
+func (u *Usage) trim() {
+	numbers := slices.Sorted(maps.Keys(u.windows))
+	for len(numbers) > keepWindows {
+		delete(u.windows, numbers[0])
+		numbers = numbers[1:]
+	}
+}
+
+// Total returns the counts of all origins in a window.
+func (u *Usage) Total(window int64) Counts {
+	total := make(Counts)
+	for _, counts := range u.windows[window] {
+		for team, n := range counts {
+			total[team] += n
+		}
+	}
+	return total
+}
+
+// Each calls visit for the counts of each origin from a window on.
+func (u *Usage) Each(from int64, visit func(window int64, origin string, counts Counts)) {
+	for window, origins := range u.windows {
+		if window < from {
+			continue
+		}
+		for origin, counts := range origins {
+			visit(window, origin, counts)
+		}
+	}
+}
+
+// Decision is the content of a usage report. Once it is in the store it is
+// repeated as it is and never computed again.
+type Decision struct {
+	Window int64
+	Counts Counts
+}
+
+// ReporterAction is an output of Reporter. One is performed at a time and
+// answered.
+type ReporterAction interface{ reporterAction() }
+
+// ReadDecisions orders a read of the newest decisions.
+type ReadDecisions struct{}
+
+// AppendDecision orders an append on the condition that the partition ends at At.
+type AppendDecision struct {
+	At       int64
+	Decision Decision
+}
+
+// SendReport orders a report to the platform.
+type SendReport struct{ Decision Decision }
+
+func (ReadDecisions) reporterAction()  {}
+func (AppendDecision) reporterAction() {}
+func (SendReport) reporterAction()     {}
+
+// Reporter decides the counts of each window once, through the store, and
+// reports them until the platform has accepted them.
+type Reporter struct {
+	width    time.Duration
+	first    int64
+	decided  map[int64]Decision
+	reported map[int64]bool
+	// newest is the newest decided window known.
+	newest int64
+	end    int64
+	synced bool
+	busy   bool
+	next   time.Duration
+}
+
+// NewReporter returns a reporter of windows of the given width.
+func NewReporter(width time.Duration) *Reporter {
+	return &Reporter{width: width, decided: make(map[int64]Decision), reported: make(map[int64]bool)}
+}
+
+// Window returns the number of the window that contains a moment, given as
+// time since 1970.
+func (r *Reporter) Window(at time.Duration) int64 { return int64(at / r.width) }
+
+// Lost forgets what only a holder knows for certain.
+func (r *Reporter) Lost() { r.synced = false }
+
+// Next returns what the holder does at now. trueTime is the time since 1970.
+func (r *Reporter) Next(now, trueTime time.Duration, usage *Usage) []ReporterAction {
+	if r.busy || now < r.next {
+		return nil
+	}
+	if !r.synced {
+		return r.order(now, ReadDecisions{})
+	}
+	newest := r.Window(trueTime - settle)
+	oldest := max(r.Window(trueTime-reportFor), newest-keepWindows+2)
+	for window := oldest; window < newest; window++ {
+		d, ok := r.decided[window]
+		switch {
+		case r.reported[window]:
+		case ok:
+			return r.order(now, SendReport{Decision: d})
+		case window > r.newest && r.counted(window, usage):
+			return r.order(now, AppendDecision{At: r.end, Decision: Decision{Window: window, Counts: usage.Total(window)}})
+		}
+	}
+	return nil
+}
+
+// counted reports whether a window has counts or follows one that had.
+func (r *Reporter) counted(window int64, usage *Usage) bool {
+	return r.newest > 0 || len(usage.Total(window)) > 0
+}
+
+func (r *Reporter) order(now time.Duration, a ReporterAction) []ReporterAction {
+	r.busy, r.next = true, now+repeatInterval
+	return []ReporterAction{a}
+}
+
+// Read takes the decisions in the store; end is the offset of the next one.
+func (r *Reporter) Read(decisions []Decision, end int64) {
+	r.busy, r.synced, r.end, r.next = false, true, end, 0
+	for _, d := range decisions {
+		r.decide(d)
+	}
+}
+
+// Appended tells that a decision is in the store at an offset.
+func (r *Reporter) Appended(d Decision, offset int64) {
+	r.busy, r.end, r.next = false, offset+1, 0
+	r.decide(d)
+}
+
+func (r *Reporter) decide(d Decision) {
+	if _, ok := r.decided[d.Window]; !ok {
+		r.decided[d.Window] = d
+	}
+	r.newest = max(r.newest, d.Window)
+	for window := range r.decided {
+		if window < r.newest-2*keepWindows {
+			delete(r.decided, window)
+			delete(r.reported, window)
+		}
+	}
+}
+
+// Failed tells that the last action failed. After a failed append the
+// decisions are read again, since it may have taken effect.
+func (r *Reporter) Failed(a ReporterAction) {
+	r.busy = false
+	if _, ok := a.(AppendDecision); ok {
+		r.synced = false
+	}
+}
+
+// Reported tells that the platform accepted a report.
+func (r *Reporter) Reported(window int64) {
+	r.busy, r.next = false, 0
+	r.reported[window] = true
+}
--- a/internal/core/gateway/choose.go
+++ b/internal/core/gateway/choose.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
 )
 
 // choose returns the endpoint with the least expected time until the first
@@ -63,22 +64,23 @@
 	return m.catalog.Services[o.service].Engine
 }
 
-// lastPart returns the tokens of the prompt that no other request shares.
+// lastPart returns the tokens of the prompt's last part, which other requests
+// rarely share.
 func (m *Machine) lastPart(o *open) int {
-	shared := 0
-	for _, p := range o.request.Parts {
-		shared += p.Tokens
+	if n := len(o.request.Parts); n > 0 {
+		return o.request.Parts[n-1].Tokens
 	}
-	return max(o.request.Prompt-shared, 0)
+	return o.request.Prompt
 }
 
 // home returns the endpoint that the instances prefer for a session without
 // talking to each other: the highest hash of endpoint and session.
 func (m *Machine) home(o *open) *endpoint {
-	if len(o.request.Parts) == 0 {
+	shared := sharedParts(o.request.Parts)
+	if len(shared) == 0 {
 		return nil
 	}
-	session := o.request.Parts[len(o.request.Parts)-1].ID
+	session := shared[len(shared)-1].ID
 	var best *endpoint
 	var bestHash uint64
 	for _, e := range m.byService[o.service] {
@@ -93,6 +95,12 @@
 	return best
 }
 
+// sharedParts returns the parts that other requests may share: all but the
+// last, which belongs to the request.
+func sharedParts(parts []fleet.PromptPart) []fleet.PromptPart {
+	return parts[:max(len(parts)-1, 0)]
+}
+
 // mix spreads the bits of a hash (the finalizer of SplitMix64).
 func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
--- a/internal/core/gateway/endpoints.go
+++ b/internal/core/gateway/endpoints.go
@@ -156,7 +156,7 @@
 }
 
 func (e *endpoint) remember(now time.Duration, r Request) {
-	for _, p := range r.Parts {
+	for _, p := range sharedParts(r.Parts) {
 		if _, ok := e.cached[p.ID]; !ok {
 			e.cachedTokens += p.Tokens
 			e.partTokens[p.ID] = p.Tokens
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -78,14 +79,18 @@
 	// publish passes a change on.
 	gateway *gatewayTask
 	changed func(directoryState)
+	// known is published for tasks that only read it.
+	known atomic.Pointer[directoryState]
 }
 
 func newDirectoryTask(clock task.Clock, logger log.Interface, m *metrics, g *gatewayTask) *directoryTask {
-	return &directoryTask{
+	t := &directoryTask{
 		clock: clock, log: logger, metrics: m, gateway: g, mailbox: task.NewMailbox[any](directoryMailbox),
 		directory: catalog.NewDirectory(), records: make(map[fleet.EndpointID]platform.Record),
 		changed: func(directoryState) {},
 	}
+	t.known.Store(&directoryState{})
+	return t
 }
 
 func (t *directoryTask) run(ctx context.Context) error {
@@ -135,7 +140,9 @@
 		"routes": len(c.Routes), "teams": len(c.Teams),
 	}).Info("configuration in force")
 	t.gateway.Post(ctx, gateway.SetCatalog{Catalog: c})
-	t.changed(t.state())
+	s := t.state()
+	t.known.Store(&s)
+	t.changed(s)
 }
 
 func (t *directoryTask) applyEntries(ctx context.Context, msg entriesFound) {
@@ -158,6 +165,9 @@
 	if changed {
 		t.publish(ctx, msg.source)
 	}
+	s := *t.known.Load()
+	s.Offset = t.offset
+	t.known.Store(&s)
 }
 
 func (t *directoryTask) applyEntry(now time.Duration, r platform.Record) bool {
@@ -193,6 +203,7 @@
 		"source": source, "offset": t.offset, "endpoints": len(s.Endpoints), "draining": draining,
 	}).Info("endpoints changed")
 	t.gateway.Post(ctx, gateway.SetEndpoints{Endpoints: s.Endpoints})
+	t.known.Store(&s)
 	t.changed(s)
 }
 
--- /dev/null
+++ b/internal/edge/peers.go
@@ -0,0 +1,277 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/samber/lo"
+	"google.golang.org/protobuf/proto"
+
+	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
+	"github.com/cornelhold/cornelhold/internal/core/catalog"
+	"github.com/cornelhold/cornelhold/internal/core/duty"
+	"github.com/cornelhold/cornelhold/internal/core/gateway"
+	"github.com/cornelhold/cornelhold/internal/task"
+	"github.com/cornelhold/cornelhold/platform"
+)
+
+const (
+	// reportInterval is the time between two reports to peers.
+	reportInterval = 200 * time.Millisecond
+	// quietAfter is the time without a report after which a peer gets one only
+	// every quietInterval.
+	quietAfter    = 5 * time.Second
+	quietInterval = 2 * time.Second
+	// peerLeftAfter is the time without a report after which a peer no longer
+	// has a share of the allowances.
+	peerLeftAfter = 30 * time.Second
+	// maxDatagram bounds a report, in bytes.
+	maxDatagram = 60 << 10
+	// maxPeerAddresses bounds the addresses in a report and those known.
+	maxPeerAddresses = 32
+	maxPeers         = 2048
+	// pullAfter is how long an instance waits for the store before it asks a
+	// peer that knows a newer configuration.
+	pullAfter = 200 * time.Millisecond
+	// pullInterval is the least time between two pulls.
+	pullInterval = 400 * time.Millisecond
+	// listStaleAfter is the time without a read of the instance list after
+	// which a peer is asked for it.
+	listStaleAfter = 1100 * time.Millisecond
+	peersMailbox   = 256
+)
+
+// peer is another instance.
+type peer struct {
+	address  netip.Addr
+	node     string
+	boot     string
+	heardAt  time.Duration
+	sentAt   time.Duration
+	everSeen bool
+}
+
+type datagram struct {
+	from netip.Addr
+	data []byte
+}
+
+// peersTask owns the datagram socket: it reports to the other instances and
+// passes their reports on.
+type peersTask struct {
+	process  *process
+	conn     *net.UDPConn
+	received task.Mailbox[datagram]
+	found    task.Mailbox[[]netip.Addr]
+	peers    map[netip.Addr]*peer
+	self     netip.Addr
+	boot     string
+	// behindSince is when a peer with a newer configuration was first heard.
+	behindSince time.Duration
+	lastPull    time.Duration
+	pulled      bool
+	// pulling is set while a pull is under way.
+	pulling atomic.Bool
+	puller  *puller
+}
+
+func newPeersTask(p *process, boot string) *peersTask {
+	t := &peersTask{
+		process: p, boot: boot, peers: make(map[netip.Addr]*peer),
+		received: task.NewMailbox[datagram](peersMailbox), found: task.NewMailbox[[]netip.Addr](4),
+		puller: newPuller(p),
+	}
+	t.self, _ = netip.ParseAddr(p.deployment.IP)
+	for _, seed := range p.deployment.Seeds {
+		if a, err := netip.ParseAddrPort(seed); err == nil {
+			t.add(a.Addr())
+		}
+	}
+	return t
+}
+
+func (t *peersTask) add(a netip.Addr) *peer {
+	if a == t.self || !a.IsValid() {
+		return nil
+	}
+	p, ok := t.peers[a]
+	if !ok {
+		if len(t.peers) >= maxPeers {
+			return nil
+		}
+		p = &peer{address: a}
+		t.peers[a] = p
+	}
+	return p
+}
+
+// run reports and receives until ctx ends.
+func (t *peersTask) run(ctx context.Context) error {
+	go t.receive(ctx)
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			t.report(ctx)
+			t.expire(ctx)
+		case addresses := <-t.found.Receive():
+			for _, a := range addresses {
+				t.add(a)
+			}
+		case d := <-t.received.Receive():
+			t.handle(ctx, d)
+		}
+	}
+}
+
+// receive passes datagrams to the task; those that do not fit are dropped.
+func (t *peersTask) receive(ctx context.Context) {
+	buf := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, from, err := t.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if ctx.Err() == nil {
+				t.process.log.WithError(err).Warn("receiving peer reports failed")
+				sleep(ctx, reportInterval)
+			}
+			continue
+		}
+		t.received.TrySend(datagram{from: from.Addr().Unmap(), data: slices.Clone(buf[:n])})
+	}
+}
+
+func (t *peersTask) report(ctx context.Context) {
+	own, err := t.process.gateway.report(ctx)
+	if err != nil {
+		return
+	}
+	now := task.BootTime()
+	shared := t.process.duties.shared()
+	state := t.process.directory.known.Load()
+	message := &cornelholdv1.InstanceReport{
+		Node: t.process.deployment.Node, Boot: t.boot, Ip: t.process.deployment.IP,
+		ConfigVersion: int64(state.Version), ListOffset: state.Offset, WallMs: time.Now().UnixMilli(),
+		Windows: lo.Map(shared.windows, encodeWindow), LeaseOffset: shared.leaseOffset, Held: shared.held,
+		Leaving: t.process.draining(),
+	}
+	encodeReport(own, message)
+	for _, p := range t.peers {
+		if now-p.heardAt < quietAfter && p.everSeen && len(message.Peers) < maxPeerAddresses {
+			message.Peers = append(message.Peers, p.address.String())
+		}
+	}
+	data, err := proto.Marshal(message)
+	if err != nil || len(data) > maxDatagram {
+		t.process.log.WithField("bytes", len(data)).WithError(err).Warn("peer report not sent")
+		return
+	}
+	for _, p := range t.peers {
+		quiet := !p.everSeen || now-p.heardAt > quietAfter
+		if quiet && now-p.sentAt < quietInterval && p.sentAt != 0 {
+			continue
+		}
+		p.sentAt = now
+		to := netip.AddrPortFrom(p.address, uint16(t.process.deployment.FirstPeerPort))
+		// A report that cannot be sent is followed by the next one.
+		_, _ = t.conn.WriteToUDPAddrPort(data, to)
+	}
+}
+
+func (t *peersTask) expire(ctx context.Context) {
+	now := task.BootTime()
+	for _, p := range t.peers {
+		if p.everSeen && now-p.heardAt > peerLeftAfter {
+			p.everSeen = false
+			t.process.log.WithFields(log.Fields{"peer": p.node, "address": p.address.String()}).Warn("peer lost")
+			t.process.gateway.Post(ctx, gateway.PeerLeft{Node: p.node})
+		}
+	}
+}
+
+func (t *peersTask) handle(ctx context.Context, d datagram) {
+	var m cornelholdv1.InstanceReport
+	if err := proto.Unmarshal(d.data, &m); err != nil || m.GetNode() == "" || m.GetBoot() == "" {
+		t.process.metrics.malformed.WithLabelValues("peer").Inc()
+		return
+	}
+	now := task.BootTime()
+	p := t.add(d.from)
+	if p == nil {
+		return
+	}
+	if !p.everSeen || p.boot != m.GetBoot() {
+		t.process.log.WithFields(log.Fields{
+			"peer": m.GetNode(), "boot": m.GetBoot(), "address": d.from.String(),
+		}).Info("peer found")
+	}
+	p.node, p.boot, p.heardAt, p.everSeen = m.GetNode(), m.GetBoot(), now, true
+	for _, text := range m.GetPeers() {
+		if a, err := netip.ParseAddr(text); err == nil {
+			t.add(a)
+		}
+	}
+	t.process.gateway.Post(ctx, decodeReport(&m))
+	t.process.duties.hear(peerNews{
+		node: m.GetNode(), wall: time.Duration(m.GetWallMs()) * time.Millisecond,
+		windows: lo.Map(m.GetWindows(), decodeWindow),
+		lease:   duty.LeaseHeard{Offset: m.GetLeaseOffset(), Held: m.GetHeld()},
+	})
+	t.compare(ctx, now, d.from, &m)
+}
+
+// compare asks a peer for what this instance lacks: its first snapshot, a
+// configuration that the store has not delivered, or the instance list while
+// the store does not answer.
+func (t *peersTask) compare(ctx context.Context, now time.Duration, from netip.Addr, m *cornelholdv1.InstanceReport) {
+	state := t.process.directory.known.Load()
+	behind := catalog.Version(m.GetConfigVersion()) > state.Version
+	if !behind {
+		if catalog.Version(m.GetConfigVersion()) == state.Version {
+			t.behindSince = 0
+		}
+	} else if t.behindSince == 0 {
+		t.behindSince = now
+	}
+	stale := t.process.listAge() > listStaleAfter && m.GetListOffset() > state.Offset
+	wanted := !t.pulled || stale || (behind && now-t.behindSince > pullAfter)
+	if !wanted || now-t.lastPull < pullInterval || !t.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	t.lastPull, t.pulled = now, true
+	go func() {
+		defer t.pulling.Store(false)
+		t.puller.pull(ctx, from, *state)
+	}()
+}
+
+// joinThroughStore registers this instance and learns the addresses of others.
+func (t *peersTask) joinThroughStore(ctx context.Context) error {
+	record := platform.Record{Key: t.process.deployment.Node, Value: []byte(t.process.deployment.IP)}
+	for registered := false; ctx.Err() == nil; {
+		if !registered {
+			_, err := t.process.store.Append(ctx, platform.TopicMembers, record)
+			registered = err == nil
+		}
+		batch, err := t.process.store.Newest(ctx, platform.TopicMembers)
+		if err == nil && registered {
+			return t.found.Send(ctx, parseAddresses(batch.Records))
+		}
+		sleep(ctx, time.Second)
+	}
+	return nil
+}
+
+func parseAddresses(records []platform.Record) []netip.Addr {
+	return lo.FilterMap(records, func(r platform.Record, _ int) (netip.Addr, bool) {
+		a, err := netip.ParseAddr(string(r.Value))
+		return a, err == nil
+	})
+}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -52,12 +52,17 @@
 	registry   *prometheus.Registry
 	gateway    *gatewayTask
 	directory  *directoryTask
+	duties     *dutiesTask
+	peers      *peersTask
 	pool       *upstream.Pool
 	store      *platform.Store
 	began      task.Mailbox[gateway.Started]
 	stage      atomic.Uint32
 	drain      chan struct{}
 	requests   atomic.Uint64
+	// listReadAt is the boot time of the last successful read of the instance
+	// list, in nanoseconds.
+	listReadAt atomic.Int64
 }
 
 // Run serves until the process is told to stop.
@@ -93,6 +98,14 @@
 		RetryRatio: d.Bounds.RetryRatio, RetrySlack: d.Bounds.RetrySlack, RetryWindow: d.Bounds.RetryWindow,
 	}, p.began)
 	p.directory = newDirectoryTask(p.clock, logger, m, p.gateway)
+	seed := rand.Uint64() //nolint:gosec // distinguishes starts, no secret
+	boot := strconv.FormatUint(seed, 36)
+	p.duties = newDutiesTask(p, boot, seed>>1)
+	p.peers = newPeersTask(p, boot)
+	p.directory.changed = func(s directoryState) {
+		// The state that does not fit is followed by a newer one.
+		p.duties.mailbox.TrySend(endpointsNews{state: s})
+	}
 	return p
 }
 
@@ -109,6 +122,14 @@
 	group.Go("pool", p.pool.Run)
 	group.Go("follow configuration", p.configFollower().run)
 	group.Go("follow endpoints", p.endpointFollower().run)
+	p.peers.conn = listeners.peers
+	context.AfterFunc(ctx, func() { _ = listeners.peers.Close() })
+	group.Go("peers", p.peers.run)
+	group.Go("join", p.peers.joinThroughStore)
+	group.Go("duties", p.duties.run)
+	group.Go("snapshots", func(ctx context.Context) error {
+		return serveHTTP(ctx, listeners.snapshots, snapshotHandler(p))
+	})
 	group.Go("ready", func(ctx context.Context) error {
 		return serveHTTP(ctx, listeners.ready, readyHandler(p.ready))
 	})
@@ -124,7 +145,10 @@
 	return group.Wait()
 }
 
-type listeners struct{ front, ready, metrics net.Listener }
+type listeners struct {
+	front, ready, metrics, snapshots net.Listener
+	peers                            *net.UDPConn
+}
 
 func (p *process) listen() (listeners, error) {
 	var l listeners
@@ -135,15 +159,27 @@
 	}{
 		{p.deployment.Front, &l.front}, {p.deployment.Ready, &l.ready},
 		{net.JoinHostPort(p.deployment.IP, strconv.Itoa(MetricsPort)), &l.metrics},
+		{net.JoinHostPort(p.deployment.IP, p.snapshotPort()), &l.snapshots},
 	}
 	for _, a := range addresses {
 		if *a.into, err = net.Listen("tcp", a.address); err != nil {
 			return l, Error.New("cannot listen on %s: %w; free the address or correct the settings", a.address, err)
 		}
 	}
+	address := net.UDPAddr{IP: net.ParseIP(p.deployment.IP), Port: p.deployment.FirstPeerPort}
+	if l.peers, err = net.ListenUDP("udp", &address); err != nil {
+		return l, Error.New("cannot listen on %s: %w; free the address or correct the settings", address.String(), err)
+	}
 	return l, nil
 }
 
+func (p *process) draining() bool { return front.Stage(p.stage.Load()) != front.StageServing }
+
+// listAge returns the time since the instance list was last read.
+func (p *process) listAge() time.Duration {
+	return task.BootTime() - time.Duration(p.listReadAt.Load())
+}
+
 func (p *process) frontOptions() front.Options {
 	return front.Options{
 		Clock: p.clock, Gateway: p.gateway, Pool: p.pool, Observer: p.metrics, Log: p.log,
@@ -216,6 +252,7 @@
 		store: p.store, topic: platform.TopicEndpoints, log: p.log, pause: endpointInterval,
 		returned: func(ctx context.Context) { _ = p.directory.mailbox.Send(ctx, storeReturned{}) },
 		found: func(ctx context.Context, batch platform.Batch, resync bool) {
+			p.listReadAt.Store(int64(task.BootTime()))
 			_ = p.directory.mailbox.Send(ctx, entriesFound{
 				records: batch.Records, resync: resync, end: batch.Next, source: "store",
 			})
--- /dev/null
+++ b/internal/edge/snapshot.go
@@ -0,0 +1,109 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/apex/log"
+	"github.com/samber/lo"
+
+	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
+	"github.com/cornelhold/cornelhold/gen/cornelhold/v1/cornelholdv1connect"
+	"github.com/cornelhold/cornelhold/internal/core/catalog"
+	"github.com/cornelhold/cornelhold/platform"
+)
+
+const (
+	// pullTimeout bounds one pull from a peer.
+	pullTimeout = 800 * time.Millisecond
+	// maxSnapshotBytes bounds a snapshot of a peer.
+	maxSnapshotBytes = 32 << 20
+)
+
+// snapshotServer answers the pulls of peers.
+type snapshotServer struct{ process *process }
+
+// Snapshot returns what the caller lacks.
+func (s snapshotServer) Snapshot(ctx context.Context, r *connect.Request[cornelholdv1.SnapshotRequest]) (*connect.Response[cornelholdv1.SnapshotResponse], error) {
+	reply := make(chan snapshot, 1)
+	err := s.process.directory.mailbox.Send(ctx, snapshotRequest{
+		haveVersion: catalog.Version(r.Msg.GetConfigVersion()), haveOffset: r.Msg.GetListOffset(), reply: reply,
+	})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	var found snapshot
+	select {
+	case found = <-reply:
+	case <-ctx.Done():
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+	}
+	m := &cornelholdv1.SnapshotResponse{
+		Entries: lo.Map(found.records, encodeRecord), ListOffset: found.end,
+		Windows: lo.Map(s.process.duties.allWindows(ctx), encodeWindow),
+	}
+	if found.config != nil {
+		m.Config = encodeRecord(*found.config, 0)
+	}
+	return connect.NewResponse(m), nil
+}
+
+func snapshotHandler(p *process) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(cornelholdv1connect.NewInstanceServiceHandler(snapshotServer{process: p}))
+	return mux
+}
+
+// puller asks peers for what this instance lacks.
+type puller struct {
+	process *process
+	client  *http.Client
+	port    string
+}
+
+func newPuller(p *process) *puller {
+	dialer := &net.Dialer{Timeout: pullTimeout, Control: platform.SetUserTimeout}
+	return &puller{
+		process: p, port: p.snapshotPort(),
+		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}},
+	}
+}
+
+func (p *process) snapshotPort() string {
+	if _, port, err := net.SplitHostPort(p.deployment.Control); err == nil {
+		return port
+	}
+	return strconv.Itoa(p.deployment.FirstPeerPort)
+}
+
+func (u *puller) pull(ctx context.Context, from netip.Addr, have directoryState) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	client := cornelholdv1connect.NewInstanceServiceClient(
+		u.client, "http://"+net.JoinHostPort(from.String(), u.port), connect.WithReadMaxBytes(maxSnapshotBytes))
+	reply, err := client.Snapshot(ctx, connect.NewRequest(&cornelholdv1.SnapshotRequest{
+		ConfigVersion: int64(have.Version), ListOffset: have.Offset,
+	}))
+	if err != nil {
+		u.process.log.WithField("peer", from.String()).WithError(err).Warn("snapshot of a peer not received")
+		return
+	}
+	m := reply.Msg
+	u.process.log.WithFields(log.Fields{
+		"peer": from.String(), "entries": len(m.GetEntries()), "list_offset": m.GetListOffset(), "config": m.GetConfig() != nil,
+	}).Info("snapshot of a peer received")
+	if m.GetConfig() != nil {
+		_ = u.process.directory.mailbox.Send(ctx, configFound{record: decodeRecord(m.GetConfig(), 0), source: "peer"})
+	}
+	if len(m.GetEntries()) > 0 {
+		_ = u.process.directory.mailbox.Send(ctx, entriesFound{
+			records: lo.Map(m.GetEntries(), decodeRecord), end: m.GetListOffset(), source: "peer",
+		})
+	}
+	u.process.duties.hear(peerNews{windows: lo.Map(m.GetWindows(), decodeWindow)})
+}
--- a/internal/task/clock.go
+++ b/internal/task/clock.go
@@ -1,6 +1,10 @@
 package task
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // Clock converts wall time to the monotonic time that the core works with.
 type Clock struct {
@@ -34,3 +38,14 @@
 
 // C returns the channel on which the alarm fires.
 func (a *Alarm) C() <-chan time.Time { return a.timer.C }
+
+// BootTime returns the time since the machine started. Unlike the monotonic
+// clock it goes on while the machine is suspended, so leases are measured by it.
+func BootTime() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// Linux has this clock since 2.6.39; a failure is a defect of the host.
+		panic("CLOCK_BOOTTIME is not available: " + err.Error())
+	}
+	return time.Duration(ts.Nano())
+}
