Order endpoints by demand and recall the use of allowances after a start

The holder of the duties now records what the instances used, and an instance that starts recalls its part.

--- a/internal/core/duty/lease.go
+++ b/internal/core/duty/lease.go
@@ -33,8 +33,8 @@
 type LeaseRecord struct {
 	Offset int64
 	Holder Holder
-	// Fence is the offset at which the holder acquired the lease. It is zero
-	// in the record that acquires it.
+	// Fence is one more than the offset at which the holder acquired the lease.
+	// It is zero in the record that acquires it.
 	Fence int64
 	// Nonce finds an append whose reply was lost.
 	Nonce    uint64
@@ -186,7 +186,7 @@
 	l.sent, l.record, l.end, l.synced, l.seenAt = nil, &record, offset+1, true, now
 	l.fence = record.Fence
 	if record.Fence == 0 {
-		l.fence = offset
+		l.fence = offset + 1
 	}
 	l.validUntil = l.sentAt + validity
 	if record.Released {
@@ -234,7 +234,7 @@
 	if r.Fence != 0 {
 		return r.Fence
 	}
-	return r.Offset
+	return r.Offset + 1
 }
 
 func (l *Lease) readAgain(now time.Duration) []LeaseAction {
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -7,6 +7,7 @@
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/quota"
+	"github.com/cornelhold/cornelhold/internal/core/window"
 )
 
 const (
@@ -72,11 +73,13 @@
 	endpoints map[fleet.EndpointID]*endpoint
 	byService map[fleet.ServiceName][]*endpoint
 	listed    bool
+	recalled  bool
 	open      map[RequestID]*open
 	quota     *quota.Meter
 	budgets   map[fleet.ServiceName]*budget.Shared
 	crashes   *crashes
 	peers     map[string]bool
+	demand    map[fleet.ServiceName]*window.Sum
 }
 
 // New returns a machine without configuration and endpoints.
@@ -86,15 +89,16 @@
 		byService: make(map[fleet.ServiceName][]*endpoint),
 		open:      make(map[RequestID]*open), quota: quota.New(options.Quota),
 		budgets: make(map[fleet.ServiceName]*budget.Shared), crashes: newCrashes(),
-		peers: make(map[string]bool),
+		peers: make(map[string]bool), demand: make(map[fleet.ServiceName]*window.Sum),
 	}
 }
 
 // Catalog returns the configuration in force, nil before the first one.
 func (m *Machine) Catalog() *catalog.Catalog { return m.catalog }
 
-// Ready reports whether configuration and endpoints are known.
-func (m *Machine) Ready() bool { return m.catalog != nil && m.listed }
+// Ready reports whether configuration, endpoints and the earlier use of the
+// allowances are known.
+func (m *Machine) Ready() bool { return m.catalog != nil && m.listed && m.recalled }
 
 // Step processes one message at the local monotonic time now.
 func (m *Machine) Step(now time.Duration, msg Message) []Action {
@@ -115,6 +119,9 @@
 		m.setEndpoints(now, msg.Endpoints)
 	case PeerReport:
 		m.peerReport(now, msg)
+	case Recalled:
+		m.recalled = true
+		m.quota.Recall(now, msg.Age, msg.Used)
 	case PeerLeft:
 		m.peerLeft(msg.Node)
 	}
@@ -143,6 +150,11 @@
 	if o.team != nil && !m.quota.Admit(now, o.team.Name, o.team.Rate, o.team.Burst, o.amount) {
 		return refuse(fleet.RefusedTeamLimit, teamRetryAfter, "the team has used its allowance; retry later")
 	}
+	m.ask(now, o, e)
+	if expected > m.patience(o) {
+		m.returnAmount(now, o)
+		return refuse(fleet.RefusedOverload, min(max(expected/2, retryAfter), (o.giveUpAt-now)/3), "the endpoints are overloaded; retry")
+	}
 	m.open[msg.ID] = o
 	m.budget(o.service).Request(now)
 	return m.send(now, msg.ID, o, e, expected)
@@ -272,12 +284,18 @@
 		return []Action{m.send(now, msg.ID, o, next, expected)}
 	}
 	delete(m.open, msg.ID)
-	if !o.mayHaveRun && o.team != nil {
-		m.quota.Return(now, o.team.Name, o.amount)
+	if !o.mayHaveRun {
+		m.returnAmount(now, o)
 	}
 	return []Action{Refuse{ID: msg.ID, Refusal: giveUpRefusal(o, msg.Failure)}}
 }
 
+func (m *Machine) returnAmount(now time.Duration, o *open) {
+	if o.team != nil {
+		m.quota.Return(now, o.team.Name, o.amount)
+	}
+}
+
 func giveUpRefusal(o *open, f Failure) *fleet.Refusal {
 	if !o.mayHaveRun {
 		return fleet.Refuse(fleet.RefusedOverload, retryAfter, "the endpoints did not take the request; retry")
@@ -386,6 +404,10 @@
 	r := PeerReport{
 		Node: m.options.Node, Used: m.quota.Own(now),
 		Loads: make(map[fleet.EndpointID]Load), Crashes: m.crashes.recent(now),
+		Demand: make(map[fleet.ServiceName]float64),
+	}
+	for service, sum := range m.demand {
+		r.Demand[service] = sum.Total(now) / demandWindow.Seconds()
 	}
 	for id, e := range m.endpoints {
 		if e.own.Active > 0 {
--- a/internal/core/gateway/messages.go
+++ b/internal/core/gateway/messages.go
@@ -106,6 +106,16 @@
 	Used    map[fleet.TeamName]float64
 	Loads   map[fleet.EndpointID]Load
 	Crashes []Crash
+	// Demand is the engine time that callers ask for, by service, as a share
+	// of one endpoint's time. Refused requests count too.
+	Demand map[fleet.ServiceName]float64
+}
+
+// Recalled is what this instance had admitted before it was started again, as
+// it was known Age ago. The machine is not ready before it.
+type Recalled struct {
+	Used map[fleet.TeamName]float64
+	Age  time.Duration
 }
 
 // PeerLeft tells that an instance has left.
@@ -118,6 +128,7 @@
 func (SetCatalog) message()    {}
 func (SetEndpoints) message()  {}
 func (PeerReport) message()    {}
+func (Recalled) message()      {}
 func (PeerLeft) message()      {}
 
 // Action is an output of the machine.
--- /dev/null
+++ b/internal/core/gateway/overload.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/window"
+)
+
+const (
+	// demandWindow is the time over which demand is averaged.
+	demandWindow = 4 * time.Second
+	// outputTime is the engine time of one output token, beside others.
+	outputTime = 180 * time.Microsecond
+	// outputShare is the part of the most output tokens that requests use on
+	// average.
+	outputShare = 0.6
+)
+
+// patienceByPriority is the expected time until the first token, as a multiple
+// of the route's objective, beyond which a request is refused. What is less
+// urgent is refused first, so that an overload costs the least valuable work.
+var patienceByPriority = [...]float64{3.2, 1.2, 0.6}
+
+// maxPatience bounds the wait that is accepted; callers leave a stream that is
+// silent for longer.
+const maxPatience = 1800 * time.Millisecond
+
+// patience returns the expected wait up to which the request is admitted.
+func (m *Machine) patience(o *open) time.Duration {
+	if !o.request.HasTokens {
+		return o.giveUpAt
+	}
+	factor := patienceByPriority[min(max(o.route.Priority, 0), len(patienceByPriority)-1)]
+	return min(time.Duration(float64(o.route.Objective)*factor), maxPatience)
+}
+
+// ask counts the engine time that a request asks for.
+func (m *Machine) ask(now time.Duration, o *open, e *endpoint) {
+	if !o.request.HasTokens {
+		return
+	}
+	sum, ok := m.demand[o.service]
+	if !ok {
+		sum = window.New(demandWindow)
+		m.demand[o.service] = sum
+	}
+	read := float64(e.unread(now, o.request)) / prefillRate / 1000
+	made := float64(o.request.Output) * outputShare * outputTime.Seconds()
+	sum.Add(now, read+made)
+}
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -40,6 +40,9 @@
 	bounds Bounds
 	own    map[fleet.TeamName]*window.Sum
 	peers  map[string]Peer
+	// recalled is what this instance admitted before it was started again.
+	recalled   map[fleet.TeamName]float64
+	recalledAt time.Duration
 }
 
 // New returns a meter without use.
@@ -53,11 +56,25 @@
 // DropPeer forgets a peer that has left.
 func (m *Meter) DropPeer(name string) { delete(m.peers, name) }
 
+// Recall takes what this instance had admitted before it was started again, as
+// it was known age ago. It is forgotten evenly over the window.
+func (m *Meter) Recall(now, age time.Duration, used map[fleet.TeamName]float64) {
+	m.recalled, m.recalledAt = used, now-age
+}
+
+func (m *Meter) remembered(now time.Duration, team fleet.TeamName) float64 {
+	left := 1 - float64(now-m.recalledAt)/float64(m.bounds.Window)
+	return m.recalled[team] * min(max(left, 0), 1)
+}
+
 // Own returns what this instance admitted in the last window, by team.
 func (m *Meter) Own(now time.Duration) map[fleet.TeamName]float64 {
 	used := make(map[fleet.TeamName]float64, len(m.own))
+	for team := range m.recalled {
+		used[team] = m.remembered(now, team)
+	}
 	for team, sum := range m.own {
-		used[team] = sum.Total(now)
+		used[team] += sum.Total(now)
 	}
 	return used
 }
@@ -73,7 +90,7 @@
 	if rate > 0 {
 		allowance := rate*m.bounds.Window.Seconds() + burst
 		limit := allowance + slackShare*(allowance*m.bounds.Overrun+m.bounds.Slack)
-		if sum.Total(now)+m.others(now, team, allowance)+amount > limit {
+		if sum.Total(now)+m.remembered(now, team)+m.others(now, team, allowance)+amount > limit {
 			return false
 		}
 	}
--- a/internal/core/scaling/plan.go
+++ b/internal/core/scaling/plan.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -12,16 +13,27 @@
 )
 
 const (
-	// onDemandCentres is the number of data centres with an on-demand endpoint,
-	// which stays when all reclaimable ones are taken back.
-	onDemandCentres = 2
-	// reclaimableEach is the number of reclaimable endpoints in each data centre.
-	reclaimableEach = 3
+	// utilization is the share of its time that an endpoint is kept busy; beyond
+	// it the waits grow faster than the work.
+	utilization = 0.7
+	// scarceUtilization is the same while on-demand endpoints take the place
+	// of reclaimable ones, at several times the price.
+	scarceUtilization = 0.9
+	// leastNeed is the number of endpoints assumed before demand is known.
+	leastNeed = 5.0
+	// onDemandShare is the part of the needed endpoints that cannot be
+	// reclaimed.
+	onDemandShare = 0.1
 	// reorderAfter is the time after which an order that has not taken effect
 	// is sent again, beside the time that endpoints take to start.
 	reorderAfter = 2 * time.Second
 	// refusedWait is the time after which a refused order is sent again.
 	refusedWait = 1500 * time.Millisecond
+	// scarceFor is how long after a refusal reclaimable endpoints count as not
+	// to be had.
+	scarceFor = 4 * time.Second
+	// lowerAfter is how long a lower number must be wanted before it is ordered.
+	lowerAfter = 8 * time.Second
 )
 
 // Subject is what one order sets.
@@ -42,23 +54,34 @@
 	at    time.Duration
 	// accepted is set once the platform took the order.
 	accepted bool
+	// lowerSince is when a lower number was first wanted.
+	lowerSince time.Duration
 }
 
 // Planner holds what the instance ordered while it has held the duty.
 type Planner struct {
 	orders map[Subject]ordered
+	// scarceUntil is set after the platform had no reclaimable endpoints.
+	scarceUntil time.Duration
+	// inherited is set if another instance held the duty before. Its orders are
+	// lowered only after lowerAfter, like the planner's own.
+	inherited bool
 }
 
 // NewPlanner returns a planner that has ordered nothing.
 func NewPlanner() *Planner { return &Planner{orders: make(map[Subject]ordered)} }
 
 // Reset forgets the orders, since another instance may have ordered since.
-func (p *Planner) Reset() { clear(p.orders) }
+// inherited tells that another instance held the duty before.
+func (p *Planner) Reset(inherited bool) {
+	clear(p.orders)
+	p.inherited = inherited
+}
 
 // Next returns the next order to send, if one is due.
-func (p *Planner) Next(now time.Duration, c *catalog.Catalog, endpoints []catalog.Endpoint) (Order, bool) {
+func (p *Planner) Next(now time.Duration, c *catalog.Catalog, endpoints []catalog.Endpoint, demand *Demand) (Order, bool) {
 	present := count(endpoints)
-	for _, order := range targets(c) {
+	for _, order := range p.targets(now, c, present, demand) {
 		if p.due(now, c, order, present[order.Subject]) {
 			p.orders[order.Subject] = ordered{count: order.Count, at: now}
 			return order, true
@@ -69,6 +92,20 @@
 
 func (p *Planner) due(now time.Duration, c *catalog.Catalog, o Order, present int) bool {
 	last, ok := p.orders[o.Subject]
+	if !ok && p.inherited {
+		last, ok = ordered{count: present, accepted: true, at: now}, present > o.Count
+	}
+	if ok && o.Count < last.count {
+		if last.lowerSince == 0 {
+			last.lowerSince = now
+			p.orders[o.Subject] = last
+		}
+		return now-last.lowerSince >= lowerAfter
+	}
+	last.lowerSince = 0
+	if ok {
+		p.orders[o.Subject] = last
+	}
 	switch {
 	case !ok, last.count != o.Count:
 		return true
@@ -88,6 +125,13 @@
 	p.orders[o.Subject] = last
 }
 
+// Refused tells that the platform has none of what was ordered.
+func (p *Planner) Refused(now time.Duration, o Order) {
+	if o.Reclaimable {
+		p.scarceUntil = now + scarceFor
+	}
+}
+
 func count(endpoints []catalog.Endpoint) map[Subject]int {
 	present := make(map[Subject]int)
 	for _, e := range endpoints {
@@ -98,9 +142,9 @@
 	return present
 }
 
-// targets returns the wanted numbers. Orders that add endpoints come before
-// those that take some away.
-func targets(c *catalog.Catalog) []Order {
+// targets returns the wanted numbers. Orders that add reclaimable endpoints
+// come before those that take on-demand ones away.
+func (p *Planner) targets(now time.Duration, c *catalog.Catalog, present map[Subject]int, demand *Demand) []Order {
 	var orders []Order
 	names := make([]fleet.ServiceName, 0, len(c.Services))
 	for name, s := range c.Services {
@@ -110,19 +154,34 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		s := c.Services[name].Scaling
-		centres := byPrice(s)
-		for _, dc := range centres {
-			n := min(reclaimableEach, s.Max)
-			orders = append(orders, Order{Subject{name, dc, true}, n})
-		}
-		for i, dc := range centres {
-			n := 0
-			if i < onDemandCentres {
-				n = min(1, s.Max)
-			}
-			orders = append(orders, Order{Subject{name, dc, false}, n})
-		}
+		need := max(demand.Peak(now, name)/utilization, leastNeed)
+		scarce := demand.Current(now, name) / scarceUtilization
+		orders = append(orders, p.serviceTargets(now, name, c.Services[name].Scaling, present, need, scarce)...)
+	}
+	return orders
+}
+
+// serviceTargets spreads the needed endpoints so that the loss of one data
+// centre's reclaimable ones leaves enough. While none are to be had, on-demand
+// ones take the place of those that are missing.
+func (p *Planner) serviceTargets(now time.Duration, name fleet.ServiceName, s *catalog.Scaling, present map[Subject]int, need, scarceNeed float64) []Order {
+	var orders []Order
+	centres := byPrice(s)
+	onDemand := int(math.Ceil(need * onDemandShare))
+	others := max(len(centres)-1, 1)
+	each := min(max(int(math.Ceil((need-float64(onDemand))/float64(others))), s.Min), s.Max)
+	reclaimable := 0
+	for _, dc := range centres {
+		subject := Subject{name, dc, true}
+		reclaimable += present[subject]
+		orders = append(orders, Order{subject, each})
+	}
+	if now < p.scarceUntil {
+		onDemand = max(onDemand, int(math.Ceil(scarceNeed))-reclaimable)
+	}
+	for i, dc := range centres {
+		n := (onDemand + len(centres) - 1 - i) / len(centres)
+		orders = append(orders, Order{Subject{name, dc, false}, min(n, s.Max)})
 	}
 	return orders
 }
--- /dev/null
+++ b/internal/edge/allowances.go
@@ -0,0 +1,97 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/gateway"
+	"github.com/cornelhold/cornelhold/platform"
+)
+
+const (
+	// allowanceInterval is the time between two records of the use of the
+	// allowances. What is used between the last record and a loss of all
+	// instances is forgotten.
+	allowanceInterval = 700 * time.Millisecond
+	// useFor is how long the use of an instance that fell silent is recorded.
+	useFor = 10 * time.Second
+	// recallFor bounds how long an instance waits for the record at its start.
+	recallFor    = 1500 * time.Millisecond
+	allowanceKey = "use"
+)
+
+type instanceUse struct {
+	used map[fleet.TeamName]float64
+	at   time.Duration
+}
+
+// saveAllowances records what all instances used, so that instances that are
+// started again do not grant it a second time.
+func (t *dutiesTask) saveAllowances(ctx context.Context, now time.Duration) {
+	if t.saving || now < t.savedAt+allowanceInterval {
+		return
+	}
+	m := &cornelholdv1.AllowanceUse{WallMs: t.base.TrueTime(now).Milliseconds()}
+	for node, u := range t.use {
+		if now-u.at > useFor {
+			delete(t.use, node)
+			continue
+		}
+		m.Instances = append(m.Instances, &cornelholdv1.InstanceUse{Node: node, Use: encodeUse(u.used)})
+	}
+	value, err := proto.Marshal(m)
+	if err != nil {
+		t.log.WithError(err).Warn("use of the allowances not recorded")
+		return
+	}
+	t.saving, t.savedAt = true, now
+	t.call(ctx, func() func(time.Duration) {
+		_, err := t.store.Append(ctx, platform.TopicAllowances, platform.Record{Key: allowanceKey, Value: value})
+		if err != nil {
+			t.log.WithError(err).Warn("use of the allowances not recorded")
+		}
+		return func(time.Duration) { t.saving = false }
+	})
+}
+
+// recallAllowances reads what this instance used before it was started again.
+func (p *process) recallAllowances(ctx context.Context) error {
+	deadline := p.clock.Now() + recallFor
+	for ctx.Err() == nil {
+		batch, err := p.store.Newest(ctx, platform.TopicAllowances)
+		if err == nil {
+			p.gateway.Post(ctx, p.recalled(batch.Records))
+			return nil
+		}
+		if p.clock.Now() > deadline {
+			p.log.WithError(err).Warn("use of the allowances before the start is not known; assuming none")
+			p.gateway.Post(ctx, gateway.Recalled{})
+			return nil
+		}
+		sleep(ctx, retryInterval)
+	}
+	return nil
+}
+
+func (p *process) recalled(records []platform.Record) gateway.Recalled {
+	var m cornelholdv1.AllowanceUse
+	if len(records) == 0 {
+		return gateway.Recalled{}
+	}
+	if err := proto.Unmarshal(records[0].Value, &m); err != nil {
+		p.log.WithError(err).Warn("record of the use of the allowances is malformed; assuming none")
+		return gateway.Recalled{}
+	}
+	age := time.Since(time.UnixMilli(m.GetWallMs()))
+	r := gateway.Recalled{Age: min(max(age, 0), p.deployment.Bounds.QuotaWindow)}
+	for _, i := range m.GetInstances() {
+		if i.GetNode() == p.deployment.Node {
+			r.Used = decodeUse(i.GetUse())
+		}
+	}
+	return r
+}
--- a/internal/edge/codec.go
+++ b/internal/edge/codec.go
@@ -20,14 +20,15 @@
 }
 
 func encodeReport(r gateway.PeerReport, into *cornelholdv1.InstanceReport) {
-	for team, used := range r.Used {
-		into.Use = append(into.Use, &cornelholdv1.TeamUse{Team: string(team), Used: used})
-	}
+	into.Use = encodeUse(r.Used)
 	for id, load := range r.Loads {
 		into.Loads = append(into.Loads, &cornelholdv1.EndpointLoad{
 			Endpoint: string(id), Active: int32(load.Active), Backlog: int64(load.Backlog),
 		})
 	}
+	for service, work := range r.Demand {
+		into.Demand = append(into.Demand, &cornelholdv1.ServiceDemand{Service: string(service), Endpoints: work})
+	}
 	for _, c := range r.Crashes {
 		into.Crashes = append(into.Crashes, &cornelholdv1.RequestCrash{
 			Fingerprint: uint64(c.Fingerprint), Endpoint: string(c.Endpoint), StartedMs: c.Started,
@@ -37,17 +38,18 @@
 
 func decodeReport(p *cornelholdv1.InstanceReport) gateway.PeerReport {
 	r := gateway.PeerReport{
-		Node: p.GetNode(), Used: make(map[fleet.TeamName]float64, len(p.GetUse())),
-		Loads: make(map[fleet.EndpointID]gateway.Load, len(p.GetLoads())),
-	}
-	for _, u := range p.GetUse() {
-		r.Used[fleet.TeamName(u.GetTeam())] = max(u.GetUsed(), 0)
+		Node: p.GetNode(), Used: decodeUse(p.GetUse()),
+		Loads:  make(map[fleet.EndpointID]gateway.Load, len(p.GetLoads())),
+		Demand: make(map[fleet.ServiceName]float64, len(p.GetDemand())),
 	}
 	for _, l := range p.GetLoads() {
 		r.Loads[fleet.EndpointID(l.GetEndpoint())] = gateway.Load{
 			Active: max(int(l.GetActive()), 0), Backlog: max(int(l.GetBacklog()), 0),
 		}
 	}
+	for _, d := range p.GetDemand() {
+		r.Demand[fleet.ServiceName(d.GetService())] = max(d.GetEndpoints(), 0)
+	}
 	for _, c := range p.GetCrashes() {
 		r.Crashes = append(r.Crashes, gateway.Crash{
 			Fingerprint: fleet.Fingerprint(c.GetFingerprint()), Endpoint: fleet.EndpointID(c.GetEndpoint()),
@@ -113,3 +115,15 @@
 	}
 	return duty.Decision{Window: m.GetWindow(), Counts: decodeCounts(m.GetCounts())}, nil
 }
+
+func encodeUse(used map[fleet.TeamName]float64) []*cornelholdv1.TeamUse {
+	return lo.MapToSlice(used, func(team fleet.TeamName, n float64) *cornelholdv1.TeamUse {
+		return &cornelholdv1.TeamUse{Team: string(team), Used: n}
+	})
+}
+
+func decodeUse(use []*cornelholdv1.TeamUse) map[fleet.TeamName]float64 {
+	return lo.Associate(use, func(u *cornelholdv1.TeamUse) (fleet.TeamName, float64) {
+		return fleet.TeamName(u.GetTeam()), max(u.GetUsed(), 0)
+	})
+}
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -26,7 +26,11 @@
 
 // peerNews is what a peer's report says about the duties.
 type peerNews struct {
-	node    string
+	node string
+	// own is set for the news of this instance itself.
+	own     bool
+	demand  map[fleet.ServiceName]float64
+	used    map[fleet.TeamName]float64
 	wall    time.Duration
 	windows []usageWindow
 	lease   duty.LeaseHeard
@@ -62,9 +66,14 @@
 	usage    *duty.Usage
 	base     *duty.TimeBase
 	planner  *scaling.Planner
+	demand   *scaling.Demand
 	state    directoryState
 	held     bool
 	ordering bool
+	// use is what the instances used of the allowances lately.
+	use      map[string]instanceUse
+	saving   bool
+	savedAt  time.Duration
 	snapshot atomic.Pointer[sharedDuties]
 }
 
@@ -74,7 +83,8 @@
 		mailbox: task.NewMailbox[any](dutyMailbox), store: p.store, cloud: platform.NewCloud(p.deployment.CloudAddr),
 		lease:    duty.NewLease(duty.Holder{Node: p.deployment.Node, Boot: boot}, seed),
 		reporter: duty.NewReporter(max(p.deployment.Bounds.UsageWindow, time.Second)),
-		usage:    duty.NewUsage(), base: duty.NewTimeBase(), planner: scaling.NewPlanner(),
+		usage:    duty.NewUsage(), base: duty.NewTimeBase(), planner: scaling.NewPlanner(), demand: scaling.NewDemand(),
+		use: make(map[string]instanceUse),
 	}
 	t.snapshot.Store(&sharedDuties{leaseOffset: -1})
 	return t
@@ -127,6 +137,10 @@
 			}
 		}
 		if msg.node != "" {
+			t.demand.Report(now, msg.node, msg.demand)
+			t.use[msg.node] = instanceUse{used: msg.used, at: now}
+		}
+		if msg.node != "" && !msg.own {
 			t.base.Heard(now, msg.node, msg.wall)
 			t.stepLease(ctx, now, msg.lease)
 		}
@@ -187,7 +201,7 @@
 	if held {
 		t.log.WithField("fence", fence).Info("duties taken")
 		t.reporter.Lost()
-		t.planner.Reset()
+		t.planner.Reset(fence > 1)
 		return
 	}
 	t.log.WithField("fence", fence).Warn("duties lost")
@@ -198,10 +212,11 @@
 	for _, a := range t.reporter.Next(now, t.base.TrueTime(now), t.usage) {
 		t.performReport(ctx, by, a)
 	}
+	t.saveAllowances(ctx, now)
 	if t.ordering || t.state.Catalog == nil {
 		return
 	}
-	if order, ok := t.planner.Next(now, t.state.Catalog, t.state.Endpoints); ok {
+	if order, ok := t.planner.Next(now, t.state.Catalog, t.state.Endpoints, t.demand); ok {
 		t.order(ctx, by, order)
 	}
 }
@@ -346,12 +361,14 @@
 		} else {
 			entry.Info("endpoints ordered")
 		}
-		return func(time.Duration) {
+		return func(now time.Duration) {
 			t.ordering = false
-			if err == nil {
+			switch {
+			case err == nil:
 				t.planner.Accepted(o)
+			case errors.Is(err, platform.ErrNoneAvailable):
+				t.planner.Refused(now, o)
 			}
 		}
 	})
 }
-
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -154,6 +154,7 @@
 		return
 	}
 	now := task.BootTime()
+	t.process.duties.hear(peerNews{node: t.process.deployment.Node, own: true, demand: own.Demand, used: own.Used})
 	shared := t.process.duties.shared()
 	state := t.process.directory.known.Load()
 	message := &cornelholdv1.InstanceReport{
@@ -218,9 +219,10 @@
 			t.add(a)
 		}
 	}
-	t.process.gateway.Post(ctx, decodeReport(&m))
+	report := decodeReport(&m)
+	t.process.gateway.Post(ctx, report)
 	t.process.duties.hear(peerNews{
-		node: m.GetNode(), wall: time.Duration(m.GetWallMs()) * time.Millisecond,
+		node: m.GetNode(), demand: report.Demand, used: report.Used, wall: time.Duration(m.GetWallMs()) * time.Millisecond,
 		windows: lo.Map(m.GetWindows(), decodeWindow),
 		lease:   duty.LeaseHeard{Offset: m.GetLeaseOffset(), Held: m.GetHeld()},
 	})
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -33,9 +33,10 @@
 const (
 	// MetricsPort is the port of the metrics address; the deploy file names it.
 	MetricsPort = 9464
-	// closeAfter is the time after the signal to stop from which new requests
-	// are refused. By then the platform sends no new channels.
-	closeAfter = 3500 * time.Millisecond
+	// closeAfter is the time after the signal to stop from which requests are
+	// refused that may last longer than the process. The platform has noticed
+	// by then that the process is not ready.
+	closeAfter = 2500 * time.Millisecond
 	// stopMargin is the time before the end of the grace period at which the
 	// process ends.
 	stopMargin = 700 * time.Millisecond
@@ -63,6 +64,9 @@
 	// listReadAt is the boot time of the last successful read of the instance
 	// list, in nanoseconds.
 	listReadAt atomic.Int64
+	// stopAt is the time at which a draining process ends, in nanoseconds of
+	// the process clock.
+	stopAt atomic.Int64
 }
 
 // Run serves until the process is told to stop.
@@ -127,6 +131,7 @@
 	group.Go("peers", p.peers.run)
 	group.Go("join", p.peers.joinThroughStore)
 	group.Go("duties", p.duties.run)
+	group.Go("recall allowances", p.recallAllowances)
 	group.Go("snapshots", func(ctx context.Context) error {
 		return serveHTTP(ctx, listeners.snapshots, snapshotHandler(p))
 	})
@@ -183,9 +188,10 @@
 func (p *process) frontOptions() front.Options {
 	return front.Options{
 		Clock: p.clock, Gateway: p.gateway, Pool: p.pool, Observer: p.metrics, Log: p.log,
-		Limits: p.gateway.currentLimits,
-		Stage:  func() front.Stage { return front.Stage(p.stage.Load()) },
-		Drain:  p.drain, Random: rand.Float64,
+		Limits:   p.gateway.currentLimits,
+		Stage:    func() front.Stage { return front.Stage(p.stage.Load()) },
+		TimeLeft: func() time.Duration { return time.Duration(p.stopAt.Load()) - p.clock.Now() },
+		Drain:    p.drain, Random: rand.Float64,
 		NextID: func() gateway.RequestID { return gateway.RequestID(p.requests.Add(1)) },
 	}
 }
@@ -228,6 +234,7 @@
 func (p *process) shutdown(ctx context.Context) {
 	grace := p.deployment.Bounds.Grace
 	p.log.WithField("grace_ms", grace.Milliseconds()).Info("drain")
+	p.stopAt.Store(int64(p.clock.Now() + grace - stopMargin))
 	p.stage.Store(uint32(front.StageDraining))
 	close(p.drain)
 	sleep(ctx, min(closeAfter, grace/2))
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -88,7 +88,7 @@
 
 func (r *request) run(ctx context.Context) bool {
 	o := r.channel.server.options
-	if o.Stage() == StageClosing {
+	if o.Stage() == StageClosing && (r.call.Deadline == 0 || r.call.Deadline > o.TimeLeft()) {
 		return r.refuse(http.StatusServiceUnavailable, time.Millisecond, "this instance shuts down; use another")
 	}
 	if !o.Gateway.Arrive(gateway.Arrive{ID: r.id, Request: r.describe(o.Random())}, r.replies) {
@@ -374,4 +374,3 @@
 	}
 	return r.channel.write(out.Bytes()) == nil
 }
-
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -59,7 +59,7 @@
 	StageServing Stage = iota
 	// StageDraining takes requests and closes their channels after the answer.
 	StageDraining
-	// StageClosing refuses new requests as not run.
+	// StageClosing refuses requests that may not end before the process does.
 	StageClosing
 )
 
@@ -74,6 +74,8 @@
 	Limits func() catalog.Limits
 	// Stage returns the stage of the shutdown.
 	Stage func() Stage
+	// TimeLeft returns the time until the process ends, once it drains.
+	TimeLeft func() time.Duration
 	// Drain is closed when the shutdown begins.
 	Drain <-chan struct{}
 	// Random returns a number from 0 up to 1.
