--- a/internal/core/catalog/directory.go
+++ b/internal/core/catalog/directory.go
@@ -46,7 +46,9 @@
 
 type listed struct {
 	endpoint *Endpoint
-	offset   int64
+	// last is the newest state that was known, also after the entry was removed.
+	last   *Endpoint
+	offset int64
 	// missingUntil is set while the entry is absent because of an outage of
 	// the store and the endpoint may still be alive.
 	missingUntil time.Duration
@@ -60,7 +62,9 @@
 	entries map[fleet.EndpointID]*listed
 	// outageEnd is the time of the first successful read after an outage.
 	outageEnd time.Duration
-	hadOutage bool
+	// catchingUp is set while records are applied that were written in an
+	// outage.
+	catchingUp bool
 }
 
 // NewDirectory returns an empty directory.
@@ -68,11 +72,15 @@
 	return &Directory{entries: make(map[fleet.EndpointID]*listed)}
 }
 
-// StoreReturned tells that the store answers again after an outage.
+// StoreReturned tells that the store answers again after an outage. Until
+// CaughtUp, the records were written in it.
 func (d *Directory) StoreReturned(now time.Duration) {
-	d.outageEnd, d.hadOutage = now, true
+	d.outageEnd, d.catchingUp = now, true
 }
 
+// CaughtUp tells that the records that were written in an outage are applied.
+func (d *Directory) CaughtUp() { d.catchingUp = false }
+
 // Apply folds one record and reports whether the usable endpoints changed.
 func (d *Directory) Apply(now time.Duration, e Entry) bool {
 	known, ok := d.entries[e.ID]
@@ -95,7 +103,7 @@
 		known.goneAt = now
 		return false
 	}
-	if removed && !known.endpoint.Draining && d.hadOutage && now < d.outageEnd+ReturnGrace {
+	if removed && !known.endpoint.Draining && d.catchingUp {
 		known.missingUntil = d.outageEnd + ReturnGrace
 		return false
 	}
@@ -103,18 +111,20 @@
 	return true
 }
 
+// update takes a newer state. A heartbeat that was written late is older than
+// what is known and must not bring a leaving endpoint back.
 func (d *Directory) update(known *listed, e *Endpoint) bool {
-	old := known.endpoint
-	if old != nil {
-		stale := e.Started < old.Started || (e.Started == old.Started && e.Sequence < old.Sequence)
+	if last := known.last; last != nil {
+		stale := e.Started < last.Started || (e.Started == last.Started && e.Sequence <= last.Sequence)
 		if stale {
 			return false
 		}
-		if e.Started == old.Started && old.Draining {
+		if e.Started == last.Started && last.Draining {
 			e.Draining = true
 		}
 	}
-	known.endpoint, known.missingUntil, known.goneAt = e, 0, 0
+	old := known.endpoint
+	known.endpoint, known.last, known.missingUntil, known.goneAt = e, e, 0, 0
 	return old == nil || old.Draining != e.Draining || old.Address != e.Address ||
 		old.Started != e.Started || old.Service != e.Service || old.Slots != e.Slots
 }
--- a/internal/core/gateway/messages.go
+++ b/internal/core/gateway/messages.go
@@ -8,6 +8,7 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/quota"
 )
 
 // RequestID identifies a request within one process.
@@ -103,7 +104,7 @@
 // PeerReport is what another instance shares.
 type PeerReport struct {
 	Node    string
-	Used    map[fleet.TeamName]float64
+	Used    map[fleet.TeamName]quota.Use
 	Loads   map[fleet.EndpointID]Load
 	Crashes []Crash
 	// Demand is the engine time that callers ask for, by service, as a share
@@ -114,7 +115,7 @@
 // Recalled is what this instance had admitted before it was started again, as
 // it was known Age ago. The machine is not ready before it.
 type Recalled struct {
-	Used map[fleet.TeamName]float64
+	Used map[fleet.TeamName]quota.Use
 	Age  time.Duration
 }
 
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -29,10 +29,38 @@
 	Overrun, Slack float64
 }
 
+// useSlices is the number of parts of the window in a Use.
+const useSlices = 4
+
+// Use is what a team used in the last window, divided into parts of equal
+// length, the newest first. The parts tell when the use leaves the window.
+type Use []float64
+
+// Total returns the use in the whole window.
+func (u Use) Total() float64 {
+	var total float64
+	for _, part := range u {
+		total += part
+	}
+	return total
+}
+
+// after returns what is left of the use in the window once age has passed.
+func (u Use) after(age, window time.Duration) Use {
+	shift := int(age * useSlices / window)
+	left := make(Use, useSlices)
+	for i, part := range u {
+		if i+shift < useSlices {
+			left[i+shift] += part
+		}
+	}
+	return left
+}
+
 // Peer is what another instance admitted in the last window.
 type Peer struct {
 	At   time.Duration
-	Used map[fleet.TeamName]float64
+	Used map[fleet.TeamName]Use
 }
 
 // Meter counts the use of all teams.
@@ -41,7 +69,7 @@
 	own    map[fleet.TeamName]*window.Sum
 	peers  map[string]Peer
 	// recalled is what this instance admitted before it was started again.
-	recalled   map[fleet.TeamName]float64
+	recalled   map[fleet.TeamName]Use
 	recalledAt time.Duration
 }
 
@@ -57,24 +85,27 @@
 func (m *Meter) DropPeer(name string) { delete(m.peers, name) }
 
 // Recall takes what this instance had admitted before it was started again, as
-// it was known age ago. It is forgotten evenly over the window.
-func (m *Meter) Recall(now, age time.Duration, used map[fleet.TeamName]float64) {
+// it was known age ago.
+func (m *Meter) Recall(now, age time.Duration, used map[fleet.TeamName]Use) {
 	m.recalled, m.recalledAt = used, now-age
 }
 
-func (m *Meter) remembered(now time.Duration, team fleet.TeamName) float64 {
-	left := 1 - float64(now-m.recalledAt)/float64(m.bounds.Window)
-	return m.recalled[team] * min(max(left, 0), 1)
+func (m *Meter) remembered(now time.Duration, team fleet.TeamName) Use {
+	return m.recalled[team].after(now-m.recalledAt, m.bounds.Window)
 }
 
 // Own returns what this instance admitted in the last window, by team.
-func (m *Meter) Own(now time.Duration) map[fleet.TeamName]float64 {
-	used := make(map[fleet.TeamName]float64, len(m.own))
+func (m *Meter) Own(now time.Duration) map[fleet.TeamName]Use {
+	used := make(map[fleet.TeamName]Use, len(m.own))
 	for team := range m.recalled {
 		used[team] = m.remembered(now, team)
 	}
 	for team, sum := range m.own {
-		used[team] += sum.Total(now)
+		parts := Use(sum.Slices(now, useSlices))
+		for i, part := range used[team] {
+			parts[i] += part
+		}
+		used[team] = parts
 	}
 	return used
 }
@@ -90,7 +121,7 @@
 	if rate > 0 {
 		allowance := rate*m.bounds.Window.Seconds() + burst
 		limit := allowance + slackShare*(allowance*m.bounds.Overrun+m.bounds.Slack)
-		if sum.Total(now)+m.remembered(now, team)+m.others(now, team, allowance)+amount > limit {
+		if sum.Total(now)+m.remembered(now, team).Total()+m.others(now, team, allowance)+amount > limit {
 			return false
 		}
 	}
@@ -114,10 +145,10 @@
 	var used float64
 	for _, p := range m.peers {
 		if now-p.At <= freshFor {
-			used += p.Used[team]
+			used += p.Used[team].Total()
 			continue
 		}
-		used += max(p.Used[team], share)
+		used += max(p.Used[team].Total(), share)
 	}
 	return used
 }
--- a/internal/core/window/window.go
+++ b/internal/core/window/window.go
@@ -34,6 +34,21 @@
 	return max(s.total, 0)
 }
 
+// Slices returns the sum at now divided into n parts of equal length, the
+// newest first.
+func (s *Sum) Slices(now time.Duration, n int) []float64 {
+	s.advance(now)
+	parts := make([]float64, n)
+	for age := range int64(buckets + 1) {
+		index := s.newest - age
+		if index < 0 {
+			break
+		}
+		parts[min(int(age)*n/buckets, n-1)] += s.amounts[index%(buckets+1)]
+	}
+	return parts
+}
+
 func (s *Sum) advance(now time.Duration) {
 	index := int64(now / s.width)
 	if index-s.newest > buckets {
--- a/internal/edge/allowances.go
+++ b/internal/edge/allowances.go
@@ -9,6 +9,7 @@
 	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
+	"github.com/cornelhold/cornelhold/internal/core/quota"
 	"github.com/cornelhold/cornelhold/platform"
 )
 
@@ -25,7 +26,7 @@
 )
 
 type instanceUse struct {
-	used map[fleet.TeamName]float64
+	used map[fleet.TeamName]quota.Use
 	at   time.Duration
 }
 
--- a/internal/edge/codec.go
+++ b/internal/edge/codec.go
@@ -9,6 +9,7 @@
 	"github.com/cornelhold/cornelhold/internal/core/duty"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
+	"github.com/cornelhold/cornelhold/internal/core/quota"
 	"github.com/cornelhold/cornelhold/platform"
 )
 
@@ -116,14 +117,14 @@
 	return duty.Decision{Window: m.GetWindow(), Counts: decodeCounts(m.GetCounts())}, nil
 }
 
-func encodeUse(used map[fleet.TeamName]float64) []*cornelholdv1.TeamUse {
-	return lo.MapToSlice(used, func(team fleet.TeamName, n float64) *cornelholdv1.TeamUse {
-		return &cornelholdv1.TeamUse{Team: string(team), Used: n}
+func encodeUse(used map[fleet.TeamName]quota.Use) []*cornelholdv1.TeamUse {
+	return lo.MapToSlice(used, func(team fleet.TeamName, use quota.Use) *cornelholdv1.TeamUse {
+		return &cornelholdv1.TeamUse{Team: string(team), Used: use}
 	})
 }
 
-func decodeUse(use []*cornelholdv1.TeamUse) map[fleet.TeamName]float64 {
-	return lo.Associate(use, func(u *cornelholdv1.TeamUse) (fleet.TeamName, float64) {
-		return fleet.TeamName(u.GetTeam()), max(u.GetUsed(), 0)
+func decodeUse(use []*cornelholdv1.TeamUse) map[fleet.TeamName]quota.Use {
+	return lo.Associate(use, func(u *cornelholdv1.TeamUse) (fleet.TeamName, quota.Use) {
+		return fleet.TeamName(u.GetTeam()), u.GetUsed()
 	})
 }
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -14,6 +14,12 @@
 	"github.com/cornelhold/cornelhold/platform"
 )
 
+// Sources of configurations and entries, as they are logged.
+const (
+	sourceStore = "store"
+	sourcePeer  = "peer"
+)
+
 const (
 	directoryMailbox = 256
 	// expireInterval is the time between two checks for entries that are
@@ -160,6 +166,9 @@
 			}
 		}
 	}
+	if msg.source == sourceStore {
+		t.directory.CaughtUp()
+	}
 	t.offset = max(t.offset, msg.end)
 	t.listed = true
 	if changed {
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -10,6 +10,7 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/duty"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/quota"
 	"github.com/cornelhold/cornelhold/internal/core/scaling"
 	"github.com/cornelhold/cornelhold/internal/task"
 	"github.com/cornelhold/cornelhold/platform"
@@ -30,7 +31,7 @@
 	// own is set for the news of this instance itself.
 	own     bool
 	demand  map[fleet.ServiceName]float64
-	used    map[fleet.TeamName]float64
+	used    map[fleet.TeamName]quota.Use
 	wall    time.Duration
 	windows []usageWindow
 	lease   duty.LeaseHeard
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -248,7 +248,7 @@
 		returned: func(context.Context) {},
 		found: func(ctx context.Context, batch platform.Batch, _ bool) {
 			if r, ok := platform.ConfigRecord(batch.Records); ok {
-				_ = p.directory.mailbox.Send(ctx, configFound{record: r, source: "store"})
+				_ = p.directory.mailbox.Send(ctx, configFound{record: r, source: sourceStore})
 			}
 		},
 	}
@@ -261,7 +261,7 @@
 		found: func(ctx context.Context, batch platform.Batch, resync bool) {
 			p.listReadAt.Store(int64(task.BootTime()))
 			_ = p.directory.mailbox.Send(ctx, entriesFound{
-				records: batch.Records, resync: resync, end: batch.Next, source: "store",
+				records: batch.Records, resync: resync, end: batch.Next, source: sourceStore,
 			})
 		},
 	}
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -98,11 +98,11 @@
 		"peer": from.String(), "entries": len(m.GetEntries()), "list_offset": m.GetListOffset(), "config": m.GetConfig() != nil,
 	}).Info("snapshot of a peer received")
 	if m.GetConfig() != nil {
-		_ = u.process.directory.mailbox.Send(ctx, configFound{record: decodeRecord(m.GetConfig(), 0), source: "peer"})
+		_ = u.process.directory.mailbox.Send(ctx, configFound{record: decodeRecord(m.GetConfig(), 0), source: sourcePeer})
 	}
 	if len(m.GetEntries()) > 0 {
 		_ = u.process.directory.mailbox.Send(ctx, entriesFound{
-			records: lo.Map(m.GetEntries(), decodeRecord), end: m.GetListOffset(), source: "peer",
+			records: lo.Map(m.GetEntries(), decodeRecord), end: m.GetListOffset(), source: sourcePeer,
 		})
 	}
 	u.process.duties.hear(peerNews{windows: lo.Map(m.GetWindows(), decodeWindow)})
