--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -15,7 +15,16 @@
 	freshFor = 1200 * time.Millisecond
 	// slackShare is the part of the permitted overrun that is used on purpose.
 	// The rest covers what peers admitted since their last report.
-	slackShare = 0.4
+	slackShare = 0.25
+	// reportLag is how long what a peer admits takes to be known here, beside
+	// the age of its last report.
+	reportLag = 200 * time.Millisecond
+	// recallLag is the time before the end of an earlier run whose use is not in
+	// its last record. It is filled up at the rate before.
+	recallLag = 450 * time.Millisecond
+	// nearLimit is the share of an allowance from which its use is recorded
+	// more often.
+	nearLimit = 0.6
 	// unknownInstances is the number of instances assumed before any peer is
 	// known, so that an isolated instance does not spend everything.
 	unknownInstances = 10
@@ -45,6 +54,14 @@
 	return total
 }
 
+// rate returns the use a second in the newest part of the window.
+func (u Use) rate(window time.Duration) float64 {
+	if len(u) == 0 {
+		return 0
+	}
+	return u[0] / (window / useSlices).Seconds()
+}
+
 // after returns what is left of the use in the window once age has passed.
 func (u Use) after(age, window time.Duration) Use {
 	shift := int(age * useSlices / window)
@@ -84,10 +101,22 @@
 // DropPeer forgets a peer that has left.
 func (m *Meter) DropPeer(name string) { delete(m.peers, name) }
 
+// NearLimit reports whether a use comes near the allowance of a team.
+func NearLimit(total, rate, burst float64, window time.Duration) bool {
+	return rate > 0 && total > nearLimit*(rate*window.Seconds()+burst)
+}
+
 // Recall takes what this instance had admitted before it was started again, as
 // it was known age ago.
 func (m *Meter) Recall(now, age time.Duration, used map[fleet.TeamName]Use) {
-	m.recalled, m.recalledAt = used, now-age
+	m.recalled, m.recalledAt = make(map[fleet.TeamName]Use, len(used)), now-age
+	for team, use := range used {
+		filled := append(make(Use, 0, len(use)), use...)
+		if len(filled) > 0 {
+			filled[0] += use.rate(m.bounds.Window) * recallLag.Seconds()
+		}
+		m.recalled[team] = filled
+	}
 }
 
 func (m *Meter) remembered(now time.Duration, team fleet.TeamName) Use {
@@ -145,7 +174,7 @@
 	var used float64
 	for _, p := range m.peers {
 		if now-p.At <= freshFor {
-			used += p.Used[team].Total()
+			used += p.Used[team].Total() + p.Used[team].rate(m.bounds.Window)*(now-p.At+reportLag).Seconds()
 			continue
 		}
 		used += max(p.Used[team].Total(), share)
--- a/internal/edge/allowances.go
+++ b/internal/edge/allowances.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
+	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
 	"github.com/cornelhold/cornelhold/internal/core/quota"
@@ -15,9 +17,11 @@
 
 const (
 	// allowanceInterval is the time between two records of the use of the
-	// allowances. What is used between the last record and a loss of all
-	// instances is forgotten.
-	allowanceInterval = 700 * time.Millisecond
+	// allowances, nearLimitInterval the same while a team comes near its limit.
+	// What is used between the last record and a loss of all instances is not
+	// in it.
+	allowanceInterval = 1500 * time.Millisecond
+	nearLimitInterval = 250 * time.Millisecond
 	// useFor is how long the use of an instance that fell silent is recorded.
 	useFor = 10 * time.Second
 	// recallFor bounds how long an instance waits for the record at its start.
@@ -33,7 +37,11 @@
 // saveAllowances records what all instances used, so that instances that are
 // started again do not grant it a second time.
 func (t *dutiesTask) saveAllowances(ctx context.Context, now time.Duration) {
-	if t.saving || now < t.savedAt+allowanceInterval {
+	interval := allowanceInterval
+	if t.nearLimit() {
+		interval = nearLimitInterval
+	}
+	if t.saving || now < t.savedAt+interval {
 		return
 	}
 	m := &cornelholdv1.AllowanceUse{WallMs: t.base.TrueTime(now).Milliseconds()}
@@ -59,6 +67,23 @@
 	})
 }
 
+// nearLimit reports whether any team comes near its allowance.
+func (t *dutiesTask) nearLimit() bool {
+	if t.state.Catalog == nil {
+		return false
+	}
+	total := make(map[fleet.TeamName]float64)
+	for _, u := range t.use {
+		for team, use := range u.used {
+			total[team] += use.Total()
+		}
+	}
+	window := t.process.deployment.Bounds.QuotaWindow
+	return slices.ContainsFunc(t.state.Catalog.Teams, func(team catalog.Team) bool {
+		return quota.NearLimit(total[team.Name], team.Rate, team.Burst, window)
+	})
+}
+
 // recallAllowances reads what this instance used before it was started again.
 func (p *process) recallAllowances(ctx context.Context) error {
 	deadline := p.clock.Now() + recallFor
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -40,6 +40,9 @@
 	resync  bool
 	end     int64
 	source  string
+	// steady is set for records of a peer that reads the store without an
+	// outage. Entries that it saw disappear are gone.
+	steady bool
 }
 
 // storeReturned tells that reads of the store succeed again.
@@ -82,6 +85,8 @@
 	records map[fleet.EndpointID]platform.Record
 	offset  int64
 	listed  bool
+	// outageIsLocal is set if peers read the store while this instance could not.
+	outageIsLocal bool
 	// publish passes a change on.
 	gateway *gatewayTask
 	changed func(directoryState)
@@ -123,7 +128,10 @@
 	case entriesFound:
 		t.applyEntries(ctx, msg)
 	case storeReturned:
-		t.directory.StoreReturned(t.clock.Now())
+		if !t.outageIsLocal {
+			t.directory.StoreReturned(t.clock.Now())
+		}
+		t.outageIsLocal = false
 	case snapshotRequest:
 		msg.reply <- t.snapshot(msg)
 	}
@@ -153,6 +161,12 @@
 
 func (t *directoryTask) applyEntries(ctx context.Context, msg entriesFound) {
 	now := t.clock.Now()
+	if msg.source == sourcePeer {
+		t.outageIsLocal = msg.steady
+		if !msg.steady {
+			t.directory.StoreReturned(now)
+		}
+	}
 	changed := !t.listed
 	seen := make(map[fleet.EndpointID]bool, len(msg.records))
 	for _, r := range msg.records {
@@ -166,9 +180,7 @@
 			}
 		}
 	}
-	if msg.source == sourceStore {
-		t.directory.CaughtUp()
-	}
+	t.directory.CaughtUp()
 	t.offset = max(t.offset, msg.end)
 	t.listed = true
 	if changed {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -33,6 +33,7 @@
 	// keys rather than the next ones.
 	found func(ctx context.Context, batch platform.Batch, resync bool)
 	// lost and returned tell of the beginning and end of an outage.
+	lost     func()
 	returned func(ctx context.Context)
 }
 
@@ -53,6 +54,7 @@
 				f.log.WithField("topic", f.topic).WithError(err).Warn("store lost")
 			}
 			down = true
+			f.lost()
 			sleep(ctx, retryInterval)
 			continue
 		}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -43,7 +43,10 @@
 	// listStaleAfter is the time without a read of the instance list after
 	// which a peer is asked for it.
 	listStaleAfter = 1100 * time.Millisecond
-	peersMailbox   = 256
+	// steadyAfter is how long a peer must have read the instance list without
+	// an outage for its reading to show that the store itself was available.
+	steadyAfter  = 2500 * time.Millisecond
+	peersMailbox = 256
 )
 
 // peer is another instance.
@@ -161,7 +164,7 @@
 		Node: t.process.deployment.Node, Boot: t.boot, Ip: t.process.deployment.IP,
 		ConfigVersion: int64(state.Version), ListOffset: state.Offset, WallMs: time.Now().UnixMilli(),
 		Windows: lo.Map(shared.windows, encodeWindow), LeaseOffset: shared.leaseOffset, Held: shared.held,
-		Leaving: t.process.draining(),
+		Leaving: t.process.draining(), ListHealthyMs: t.process.listHealthy().Milliseconds(),
 	}
 	encodeReport(own, message)
 	for _, p := range t.peers {
@@ -248,9 +251,10 @@
 		return
 	}
 	t.lastPull, t.pulled = now, true
+	steady := time.Duration(m.GetListHealthyMs())*time.Millisecond >= steadyAfter
 	go func() {
 		defer t.pulling.Store(false)
-		t.puller.pull(ctx, from, *state)
+		t.puller.pull(ctx, from, *state, steady)
 	}()
 }
 
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -64,6 +64,9 @@
 	// listReadAt is the boot time of the last successful read of the instance
 	// list, in nanoseconds.
 	listReadAt atomic.Int64
+	// listSteadySince is the boot time since which the reads of the instance
+	// list succeed, in nanoseconds; 0 in an outage.
+	listSteadySince atomic.Int64
 	// stopAt is the time at which a draining process ends, in nanoseconds of
 	// the process clock.
 	stopAt atomic.Int64
@@ -185,6 +188,15 @@
 	return task.BootTime() - time.Duration(p.listReadAt.Load())
 }
 
+// listHealthy returns how long the reads of the instance list have succeeded.
+func (p *process) listHealthy() time.Duration {
+	since := time.Duration(p.listSteadySince.Load())
+	if since == 0 {
+		return 0
+	}
+	return task.BootTime() - since
+}
+
 func (p *process) frontOptions() front.Options {
 	return front.Options{
 		Clock: p.clock, Gateway: p.gateway, Pool: p.pool, Observer: p.metrics, Log: p.log,
@@ -245,7 +257,7 @@
 func (p *process) configFollower() *follower {
 	return &follower{
 		store: p.store, topic: platform.TopicConfig, log: p.log, wait: configWait,
-		returned: func(context.Context) {},
+		lost: func() {}, returned: func(context.Context) {},
 		found: func(ctx context.Context, batch platform.Batch, _ bool) {
 			if r, ok := platform.ConfigRecord(batch.Records); ok {
 				_ = p.directory.mailbox.Send(ctx, configFound{record: r, source: sourceStore})
@@ -258,8 +270,10 @@
 	return &follower{
 		store: p.store, topic: platform.TopicEndpoints, log: p.log, pause: endpointInterval,
 		returned: func(ctx context.Context) { _ = p.directory.mailbox.Send(ctx, storeReturned{}) },
+		lost:     func() { p.listSteadySince.Store(0) },
 		found: func(ctx context.Context, batch platform.Batch, resync bool) {
 			p.listReadAt.Store(int64(task.BootTime()))
+			p.listSteadySince.CompareAndSwap(0, int64(task.BootTime()))
 			_ = p.directory.mailbox.Send(ctx, entriesFound{
 				records: batch.Records, resync: resync, end: batch.Next, source: sourceStore,
 			})
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -81,7 +81,8 @@
 	return strconv.Itoa(p.deployment.FirstPeerPort)
 }
 
-func (u *puller) pull(ctx context.Context, from netip.Addr, have directoryState) {
+// pull asks a peer. steady tells that the peer reads the store without an outage.
+func (u *puller) pull(ctx context.Context, from netip.Addr, have directoryState, steady bool) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	client := cornelholdv1connect.NewInstanceServiceClient(
@@ -102,7 +103,8 @@
 	}
 	if len(m.GetEntries()) > 0 {
 		_ = u.process.directory.mailbox.Send(ctx, entriesFound{
-			records: lo.Map(m.GetEntries(), decodeRecord), end: m.GetListOffset(), source: sourcePeer,
+			records: lo.Map(m.GetEntries(), decodeRecord), end: m.GetListOffset(),
+			source: sourcePeer, steady: steady,
 		})
 	}
 	u.process.duties.hear(peerNews{windows: lo.Map(m.GetWindows(), decodeWindow)})
