--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -54,6 +54,19 @@
 	return total
 }
 
+func (u Use) add(other Use) {
+	for i := range min(len(u), len(other)) {
+		u[i] += other[i]
+	}
+}
+
+// spread adds an amount that was used at a steady rate.
+func (u Use) spread(amount float64) {
+	for i := range u {
+		u[i] += amount / float64(len(u))
+	}
+}
+
 // rate returns the use a second in the newest part of the window.
 func (u Use) rate(window time.Duration) float64 {
 	if len(u) == 0 {
@@ -147,12 +160,8 @@
 		sum = window.New(m.bounds.Window)
 		m.own[team] = sum
 	}
-	if rate > 0 {
-		allowance := rate*m.bounds.Window.Seconds() + burst
-		limit := allowance + slackShare*(allowance*m.bounds.Overrun+m.bounds.Slack)
-		if sum.Total(now)+m.remembered(now, team).Total()+m.others(now, team, allowance)+amount > limit {
-			return false
-		}
+	if rate > 0 && !m.fits(now, team, rate, burst, amount) {
+		return false
 	}
 	sum.Add(now, amount)
 	return true
@@ -165,19 +174,43 @@
 	}
 }
 
-func (m *Meter) others(now time.Duration, team fleet.TeamName, allowance float64) float64 {
-	instances := len(m.peers) + 1
+// fits reports whether the team may use the amount: over each part of the
+// window up to the whole, what is used stays within rate and burst, as it does
+// in a token bucket.
+func (m *Meter) fits(now time.Duration, team fleet.TeamName, rate, burst, amount float64) bool {
+	allowance := rate*m.bounds.Window.Seconds() + burst
+	slack := slackShare * (allowance*m.bounds.Overrun + m.bounds.Slack)
+	used := m.usedByAll(now, team, allowance)
+	part := (m.bounds.Window / useSlices).Seconds()
+	total := amount
+	for i := range used {
+		total += used[i]
+		if total > rate*part*float64(i+1)+burst+slack {
+			return false
+		}
+	}
+	return true
+}
+
+// usedByAll returns what all instances together used of a team's allowance.
+func (m *Meter) usedByAll(now time.Duration, team fleet.TeamName, allowance float64) Use {
+	used := m.remembered(now, team)
+	if sum, ok := m.own[team]; ok {
+		used.add(sum.Slices(now, useSlices))
+	}
+	share := allowance / float64(len(m.peers)+1)
 	if len(m.peers) == 0 {
-		return allowance * (1 - 1.0/unknownInstances)
+		used.spread(allowance * (1 - 1.0/unknownInstances))
 	}
-	share := allowance / float64(instances)
-	var used float64
 	for _, p := range m.peers {
+		known := p.Used[team]
 		if now-p.At <= freshFor {
-			used += p.Used[team].Total() + p.Used[team].rate(m.bounds.Window)*(now-p.At+reportLag).Seconds()
+			used.add(known)
+			used[0] += known.rate(m.bounds.Window) * (now - p.At + reportLag).Seconds()
 			continue
 		}
-		used += max(p.Used[team].Total(), share)
+		used.add(known)
+		used.spread(max(share-known.Total(), 0))
 	}
 	return used
 }
--- a/internal/core/scaling/demand.go
+++ b/internal/core/scaling/demand.go
@@ -25,7 +25,6 @@
 type Demand struct {
 	reports map[string]demandReport
 	peaks   map[fleet.ServiceName]float64
-	current map[fleet.ServiceName]float64
 	updated time.Duration
 }
 
@@ -48,12 +47,6 @@
 	return d.peaks[service]
 }
 
-// Current returns the present demand for a service.
-func (d *Demand) Current(now time.Duration, service fleet.ServiceName) float64 {
-	d.update(now)
-	return d.current[service]
-}
-
 func (d *Demand) update(now time.Duration) {
 	current := make(map[fleet.ServiceName]float64)
 	for node, r := range d.reports {
@@ -66,7 +59,7 @@
 		}
 	}
 	keep := 1 - min(float64(now-d.updated)/float64(2*decayHalf), 1)
-	d.updated, d.current = now, current
+	d.updated = now
 	for service := range d.peaks {
 		d.peaks[service] = current[service] + (d.peaks[service]-current[service])*keep
 	}
--- a/internal/core/scaling/plan.go
+++ b/internal/core/scaling/plan.go
@@ -18,7 +18,7 @@
 	utilization = 0.7
 	// scarceUtilization is the same while on-demand endpoints take the place
 	// of reclaimable ones, at several times the price.
-	scarceUtilization = 0.9
+	scarceUtilization = 0.85
 	// leastNeed is the number of endpoints assumed before demand is known.
 	leastNeed = 5.0
 	// onDemandShare is the part of the needed endpoints that cannot be
@@ -95,27 +95,28 @@
 	if !ok && p.inherited {
 		last, ok = ordered{count: present, accepted: true, at: now}, present > o.Count
 	}
-	if ok && o.Count < last.count {
-		if last.lowerSince == 0 {
-			last.lowerSince = now
-			p.orders[o.Subject] = last
-		}
-		return now-last.lowerSince >= lowerAfter
+	if !ok || o.Count > last.count {
+		return !ok || last.accepted || now >= last.at+refusedWait
+	}
+	if present < o.Count {
+		return now >= last.at+p.reorderDelay(c, o, last)
 	}
-	last.lowerSince = 0
-	if ok {
-		p.orders[o.Subject] = last
+	if o.Count == last.count {
+		last.lowerSince = 0
+	} else if last.lowerSince == 0 {
+		last.lowerSince = now
 	}
-	switch {
-	case !ok, last.count != o.Count:
-		return true
-	case !last.accepted:
-		return now >= last.at+refusedWait
-	case present < o.Count:
-		return now >= last.at+c.Services[o.Service].Scaling.BootTime+reorderAfter
-	default:
-		return false
+	p.orders[o.Subject] = last
+	return o.Count < last.count && now-last.lowerSince >= lowerAfter
+}
+
+// reorderDelay returns the time after which endpoints that are missing are
+// ordered again.
+func (p *Planner) reorderDelay(c *catalog.Catalog, o Order, last ordered) time.Duration {
+	if !last.accepted {
+		return refusedWait
 	}
+	return c.Services[o.Service].Scaling.BootTime + reorderAfter
 }
 
 // Accepted tells that the platform took an order.
@@ -155,7 +156,7 @@
 	slices.Sort(names)
 	for _, name := range names {
 		need := max(demand.Peak(now, name)/utilization, leastNeed)
-		scarce := demand.Current(now, name) / scarceUtilization
+		scarce := demand.Peak(now, name) / scarceUtilization
 		orders = append(orders, p.serviceTargets(now, name, c.Services[name].Scaling, present, need, scarce)...)
 	}
 	return orders
@@ -170,13 +171,14 @@
 	onDemand := int(math.Ceil(need * onDemandShare))
 	others := max(len(centres)-1, 1)
 	each := min(max(int(math.Ceil((need-float64(onDemand))/float64(others))), s.Min), s.Max)
-	reclaimable := 0
+	reclaimable, kept := 0, 0
 	for _, dc := range centres {
 		subject := Subject{name, dc, true}
 		reclaimable += present[subject]
+		kept += present[Subject{name, dc, false}]
 		orders = append(orders, Order{subject, each})
 	}
-	if now < p.scarceUntil {
+	if now < p.scarceUntil || kept > onDemand {
 		onDemand = max(onDemand, int(math.Ceil(scarceNeed))-reclaimable)
 	}
 	for i, dc := range centres {
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -22,7 +22,9 @@
 	dutyTick = 100 * time.Millisecond
 	// sharedWindows is the number of usage windows in a report to peers.
 	sharedWindows = 3
-	leaseKey      = "duties"
+	// maxOrders bounds the orders sent in one tick.
+	maxOrders = 8
+	leaseKey  = "duties"
 )
 
 // peerNews is what a peer's report says about the duties.
@@ -70,7 +72,6 @@
 	demand   *scaling.Demand
 	state    directoryState
 	held     bool
-	ordering bool
 	// use is what the instances used of the allowances lately.
 	use      map[string]instanceUse
 	saving   bool
@@ -214,10 +215,14 @@
 		t.performReport(ctx, by, a)
 	}
 	t.saveAllowances(ctx, now)
-	if t.ordering || t.state.Catalog == nil {
+	if t.state.Catalog == nil {
 		return
 	}
-	if order, ok := t.planner.Next(now, t.state.Catalog, t.state.Endpoints, t.demand); ok {
+	for range maxOrders {
+		order, ok := t.planner.Next(now, t.state.Catalog, t.state.Endpoints, t.demand)
+		if !ok {
+			return
+		}
 		t.order(ctx, by, order)
 	}
 }
@@ -348,7 +353,6 @@
 }
 
 func (t *dutiesTask) order(ctx context.Context, by platform.Authority, o scaling.Order) {
-	t.ordering = true
 	t.call(ctx, func() func(time.Duration) {
 		err := t.cloud.Scale(ctx, by, platform.Order{
 			Service: o.Service, DataCentre: o.DataCentre, Reclaimable: o.Reclaimable, Count: o.Count,
@@ -363,7 +367,6 @@
 			entry.Info("endpoints ordered")
 		}
 		return func(now time.Duration) {
-			t.ordering = false
 			switch {
 			case err == nil:
 				t.planner.Accepted(o)
