--- a/internal/core/catalog/directory.go
+++ b/internal/core/catalog/directory.go
@@ -24,6 +24,9 @@
 	DataCentre fleet.DataCentre
 	Slots      int
 	Draining   bool
+	// Lapsed endpoints lost their entry in an outage of the store. They may be
+	// alive and are used only if there is no other.
+	Lapsed bool
 	// Reclaimable endpoints can be taken back on short notice.
 	Reclaimable bool
 	// Started is the start of this incarnation in Unix milliseconds.
@@ -105,7 +108,10 @@
 	}
 	if removed && !known.endpoint.Draining && d.catchingUp {
 		known.missingUntil = d.outageEnd + ReturnGrace
-		return false
+		lapsed := *known.endpoint
+		lapsed.Lapsed = true
+		known.endpoint = &lapsed
+		return true
 	}
 	known.endpoint, known.goneAt = nil, now
 	return true
@@ -125,7 +131,7 @@
 	}
 	old := known.endpoint
 	known.endpoint, known.last, known.missingUntil, known.goneAt = e, e, 0, 0
-	return old == nil || old.Draining != e.Draining || old.Address != e.Address ||
+	return old == nil || old.Lapsed || old.Draining != e.Draining || old.Address != e.Address ||
 		old.Started != e.Started || old.Service != e.Service || old.Slots != e.Slots
 }
 
--- a/internal/core/catalog/directory_test.go
+++ b/internal/core/catalog/directory_test.go
@@ -53,6 +53,7 @@
 	d.Apply(10*time.Second, Entry{ID: "e-x", Offset: 2, Removed: true})
 	d.CaughtUp()
 	is.Equal(usable(d), 1)
+	is.True(d.Endpoints()[0].Lapsed) // used only if there is no other
 	is.True(!d.Expire(11 * time.Second))
 	is.True(d.Expire(12 * time.Second))
 	is.Equal(usable(d), 0)
--- a/internal/core/duty/usage.go
+++ b/internal/core/duty/usage.go
@@ -126,10 +126,10 @@
 	reported map[int64]bool
 	// first and newest are the first and the newest decided window known.
 	first, newest int64
-	end    int64
-	synced bool
-	busy   bool
-	next   time.Duration
+	end           int64
+	synced        bool
+	busy          bool
+	next          time.Duration
 }
 
 // NewReporter returns a reporter of windows of the given width.
--- a/internal/core/gateway/choose.go
+++ b/internal/core/gateway/choose.go
@@ -23,6 +23,9 @@
 		if e.DataCentre != m.options.DataCentre {
 			cost += remoteDelay
 		}
+		if e.Lapsed {
+			cost += lapsedCost
+		}
 		if now < e.suspectUntil {
 			cost += suspectCost
 		}
@@ -33,8 +36,12 @@
 	return best, bestExpected
 }
 
-// suspectCost ranks every suspect behind every other endpoint.
-const suspectCost = time.Hour
+// suspectCost ranks every suspect behind every other endpoint, lapsedCost every
+// endpoint whose entry lapsed behind the suspects.
+const (
+	suspectCost = time.Hour
+	lapsedCost  = 2 * time.Hour
+)
 
 // expected returns the time until the first byte of the answer.
 func (m *Machine) expected(now time.Duration, o *open, e *endpoint, home bool) time.Duration {
--- a/internal/core/gateway/machine_test.go
+++ b/internal/core/gateway/machine_test.go
@@ -217,3 +217,24 @@
 	is.Equal(kind(Request{Host: "h", Path: "/unsafe/x"}), fleet.RefusedUnauthorized)
 	is.Equal(kind(Request{Host: "h", Path: "/unknown/x", Key: "key", HasKey: true}), fleet.RefusedNotFound)
 }
+
+// TestLapsedEndpointIsLastResort guards against DRAIN as found in a hunt on
+// rdsign scale-2: an entry that was removed while the instance was cut off was
+// taken for one that lapsed, and its endpoint was used beside others.
+func TestLapsedEndpointIsLastResort(t *testing.T) {
+	is := is.New(t)
+	m := readyMachine(1)
+	list := testEndpoints(2, func(int) bool { return false })
+	list[0].Lapsed = true
+	target := func(id RequestID) fleet.EndpointID {
+		send, ok := m.Step(0, Arrive{ID: id, Request: Request{Host: "h", Path: "/idempotent/x", Key: "key", HasKey: true}})[0].(Send)
+		is.True(ok)
+		return send.Endpoint.ID
+	}
+	m.Step(0, SetEndpoints{Endpoints: list})
+	for id := range RequestID(50) {
+		is.Equal(target(id), list[1].ID)
+	}
+	m.Step(0, SetEndpoints{Endpoints: list[:1]})
+	is.Equal(target(100), list[0].ID)
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -14,7 +14,7 @@
 const (
 	// configWait is the time that a read of the configuration waits for one.
 	// It bounds how long a channel that went silent is trusted.
-	configWait = 4 * time.Second
+	configWait = 2500 * time.Millisecond
 	// endpointInterval is the time between two reads of the instance list. It
 	// leaves most of the time in which a leaving endpoint must be left.
 	endpointInterval = 700 * time.Millisecond
@@ -35,6 +35,8 @@
 	// lost and returned tell of the beginning and end of an outage.
 	lost     func()
 	returned func(ctx context.Context)
+	// interrupts end a read that waits, after which the topic is read again.
+	interrupts <-chan struct{}
 }
 
 // run follows the topic until ctx ends. The state of the store is logged when
@@ -49,6 +51,8 @@
 			f.log.WithField("topic", f.topic).Info("records expired; reading the newest ones")
 			resync = true
 			continue
+		case errors.Is(err, errInterrupted):
+			continue
 		case err != nil:
 			if !down && ctx.Err() == nil {
 				f.log.WithField("topic", f.topic).WithError(err).Warn("store lost")
@@ -74,9 +78,25 @@
 	if resync {
 		return f.store.Newest(ctx, f.topic)
 	}
-	return f.store.Read(ctx, f.topic, next, f.wait)
+	reading, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-f.interrupts:
+			cancel(errInterrupted)
+		case <-reading.Done():
+		}
+	}()
+	batch, err := f.store.Read(reading, f.topic, next, f.wait)
+	if err != nil && errors.Is(context.Cause(reading), errInterrupted) {
+		return batch, errInterrupted
+	}
+	return batch, err
 }
 
+// errInterrupted ends a read that another reader found to be out of date.
+var errInterrupted = errors.New("the read was interrupted; read again")
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -61,6 +61,9 @@
 	stage      atomic.Uint32
 	drain      chan struct{}
 	requests   atomic.Uint64
+	// storeBack tells the reader of the configuration that the store answers
+	// again, since its own read may wait on a channel that went silent.
+	storeBack chan struct{}
 	// listReadAt is the boot time of the last successful read of the instance
 	// list, in nanoseconds.
 	listReadAt atomic.Int64
@@ -95,7 +98,7 @@
 	p := &process{
 		deployment: d, clock: task.NewClock(), log: logger, metrics: m, registry: registry,
 		pool: upstream.NewPool(), store: platform.NewStore(d.StoreAddr),
-		began: task.NewMailbox[gateway.Started](beganMailbox), drain: make(chan struct{}),
+		began: task.NewMailbox[gateway.Started](beganMailbox), drain: make(chan struct{}), storeBack: make(chan struct{}, 1),
 	}
 	p.gateway = newGatewayTask(p.clock, gateway.Options{
 		Node: d.Node, DataCentre: d.DataCentre,
@@ -257,7 +260,7 @@
 func (p *process) configFollower() *follower {
 	return &follower{
 		store: p.store, topic: platform.TopicConfig, log: p.log, wait: configWait,
-		lost: func() {}, returned: func(context.Context) {},
+		lost: func() {}, returned: func(context.Context) {}, interrupts: p.storeBack,
 		found: func(ctx context.Context, batch platform.Batch, _ bool) {
 			if r, ok := platform.ConfigRecord(batch.Records); ok {
 				_ = p.directory.mailbox.Send(ctx, configFound{record: r, source: sourceStore})
@@ -269,8 +272,14 @@
 func (p *process) endpointFollower() *follower {
 	return &follower{
 		store: p.store, topic: platform.TopicEndpoints, log: p.log, pause: endpointInterval,
-		returned: func(ctx context.Context) { _ = p.directory.mailbox.Send(ctx, storeReturned{}) },
-		lost:     func() { p.listSteadySince.Store(0) },
+		returned: func(ctx context.Context) {
+			_ = p.directory.mailbox.Send(ctx, storeReturned{})
+			select {
+			case p.storeBack <- struct{}{}:
+			default:
+			}
+		},
+		lost: func() { p.listSteadySince.Store(0) },
 		found: func(ctx context.Context, batch platform.Batch, resync bool) {
 			p.listReadAt.Store(int64(task.BootTime()))
 			p.listSteadySince.CompareAndSwap(0, int64(task.BootTime()))
