--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -150,7 +150,7 @@
 	if o.team != nil && !m.quota.Admit(now, o.team.Name, o.team.Rate, o.team.Burst, o.amount) {
 		return refuse(fleet.RefusedTeamLimit, teamRetryAfter, "the team has used its allowance; retry later")
 	}
-	m.ask(now, o, e)
+	m.ask(now, o)
 	if expected > m.patience(o) {
 		m.returnAmount(now, o)
 		return refuse(fleet.RefusedOverload, min(max(expected/2, retryAfter), (o.giveUpAt-now)/3), "the endpoints are overloaded; retry")
--- a/internal/core/gateway/overload.go
+++ b/internal/core/gateway/overload.go
@@ -14,6 +14,10 @@
 	// outputShare is the part of the most output tokens that requests use on
 	// average.
 	outputShare = 0.6
+	// rereadShare is the part of the shared prompt tokens that engines read
+	// again on average. Demand does not depend on what is cached now, since new
+	// endpoints start without it.
+	rereadShare = 0.15
 )
 
 // patienceByPriority is the expected time until the first token, as a multiple
@@ -35,7 +39,7 @@
 }
 
 // ask counts the engine time that a request asks for.
-func (m *Machine) ask(now time.Duration, o *open, e *endpoint) {
+func (m *Machine) ask(now time.Duration, o *open) {
 	if !o.request.HasTokens {
 		return
 	}
@@ -44,7 +48,8 @@
 		sum = window.New(demandWindow)
 		m.demand[o.service] = sum
 	}
-	read := float64(e.unread(now, o.request)) / prefillRate / 1000
+	last := m.lastPart(o)
+	read := (float64(last) + rereadShare*float64(max(o.request.Prompt-last, 0))) / prefillRate / 1000
 	made := float64(o.request.Output) * outputShare * outputTime.Seconds()
 	sum.Add(now, read+made)
 }
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -15,12 +15,15 @@
 	freshFor = 1200 * time.Millisecond
 	// slackShare is the part of the permitted overrun that is used on purpose.
 	// The rest covers what peers admitted since their last report.
-	slackShare = 0.25
+	slackShare = 0.4
+	// partBurst is the number of bursts that a part of the window may hold. A
+	// team whose requests come in clumps is not refused for it.
+	partBurst = 2.0
 	// reportLag is how long what a peer admits takes to be known here. Peers
 	// are assumed to admit as much as this instance in that time.
 	reportLag = 250 * time.Millisecond
 	// recallLag is the time before the end of an earlier run whose use is not in
-	// its last record. A team may have used its burst and its rate in it.
+	// its last record. A team may have used its bursts and its rate in it.
 	recallLag = 450 * time.Millisecond
 	// nearLimit is the share of an allowance from which its use is recorded
 	// more often.
@@ -162,22 +165,22 @@
 	}
 }
 
-// fits reports whether the team may use the amount: over each part of the
-// window up to the whole, what is used stays within rate and burst, as it does
-// in a token bucket.
+// fits reports whether the team may use the amount: over the whole window what
+// is used stays within rate and burst, over each part of it within rate and
+// partBurst bursts.
 func (m *Meter) fits(now time.Duration, team fleet.TeamName, rate, burst, amount float64) bool {
 	allowance := rate*m.bounds.Window.Seconds() + burst
 	slack := slackShare * (allowance*m.bounds.Overrun + m.bounds.Slack)
 	used := m.usedByAll(now, team, allowance)
 	if len(m.recalled) > 0 {
-		unrecorded := Use{burst + rate*recallLag.Seconds()}
+		unrecorded := Use{partBurst*burst + rate*recallLag.Seconds()}
 		used.add(unrecorded.after(now-m.recalledAt, m.bounds.Window))
 	}
 	part := (m.bounds.Window / useSlices).Seconds()
 	total := amount
 	for i := range used {
 		total += used[i]
-		if total > rate*part*float64(i+1)+burst+slack {
+		if total > min(rate*part*float64(i+1)+partBurst*burst, allowance)+slack {
 			return false
 		}
 	}
