--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -121,7 +121,7 @@
 		m.peerReport(now, msg)
 	case Recalled:
 		m.recalled = true
-		m.quota.Recall(now, msg.Age, msg.Used)
+		m.quota.Recall(now, msg.Age, msg.Used, msg.Total)
 	case PeerLeft:
 		m.peerLeft(msg.Node)
 	}
@@ -148,7 +148,10 @@
 		return refuse(fleet.RefusedNoEndpoint, retryAfter, "no endpoint of the service is available; retry")
 	}
 	if o.team != nil && !m.quota.Admit(now, o.team.Name, o.team.Rate, o.team.Burst, o.amount) {
-		return refuse(fleet.RefusedTeamLimit, teamRetryAfter, "the team has used its allowance; retry later")
+		return Refuse{
+			ID: msg.ID, Refusal: fleet.Refuse(fleet.RefusedTeamLimit, teamRetryAfter, "the team has used its allowance; retry later"),
+			Detail: m.quota.Describe(now, o.team.Name, o.team.Rate, o.team.Burst),
+		}
 	}
 	m.ask(now, o)
 	if expected > m.patience(o) {
--- a/internal/core/gateway/messages.go
+++ b/internal/core/gateway/messages.go
@@ -116,7 +116,9 @@
 // it was known Age ago. The machine is not ready before it.
 type Recalled struct {
 	Used map[fleet.TeamName]quota.Use
-	Age  time.Duration
+	// Total is what all instances had admitted.
+	Total map[fleet.TeamName]float64
+	Age   time.Duration
 }
 
 // PeerLeft tells that an instance has left.
@@ -157,6 +159,8 @@
 type Refuse struct {
 	ID      RequestID
 	Refusal *fleet.Refusal
+	// Detail gives the inputs of the decision, for the log.
+	Detail string
 }
 
 // Started counts a request that an endpoint began to run.
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -4,6 +4,7 @@
 package quota
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
@@ -15,13 +16,14 @@
 	freshFor = 1200 * time.Millisecond
 	// slackShare is the part of the permitted overrun that is used on purpose.
 	// The rest covers what peers admitted since their last report.
-	slackShare = 0.4
+	slackShare = 0.5
 	// partBurst is the number of bursts that a part of the window may hold. A
 	// team whose requests come in clumps is not refused for it.
 	partBurst = 2.0
 	// reportLag is how long what a peer admits takes to be known here. Peers
-	// are assumed to admit as much as this instance in that time.
-	reportLag = 250 * time.Millisecond
+	// are assumed to be asked as much as this instance was in askedWindow.
+	reportLag   = 250 * time.Millisecond
+	askedWindow = time.Second
 	// recallLag is the time before the end of an earlier run whose use is not in
 	// its last record. A team may have used its bursts and its rate in it.
 	recallLag = 450 * time.Millisecond
@@ -92,17 +94,19 @@
 type Meter struct {
 	bounds Bounds
 	own    map[fleet.TeamName]*window.Sum
-	// latest is what this instance admitted within reportLag.
-	latest map[fleet.TeamName]*window.Sum
-	peers  map[string]Peer
+	// asked is what the team asked this instance for within askedWindow.
+	asked map[fleet.TeamName]*window.Sum
+	peers map[string]Peer
 	// recalled is what this instance admitted before it was started again.
 	recalled   map[fleet.TeamName]Use
 	recalledAt time.Duration
+	// recalledTotal is what all instances had admitted then.
+	recalledTotal map[fleet.TeamName]float64
 }
 
 // New returns a meter without use.
 func New(bounds Bounds) *Meter {
-	return &Meter{bounds: bounds, own: make(map[fleet.TeamName]*window.Sum), latest: make(map[fleet.TeamName]*window.Sum), peers: make(map[string]Peer)}
+	return &Meter{bounds: bounds, own: make(map[fleet.TeamName]*window.Sum), asked: make(map[fleet.TeamName]*window.Sum), peers: make(map[string]Peer)}
 }
 
 // SetPeer records what a peer reported.
@@ -117,9 +121,9 @@
 }
 
 // Recall takes what this instance had admitted before it was started again, as
-// it was known age ago.
-func (m *Meter) Recall(now, age time.Duration, used map[fleet.TeamName]Use) {
-	m.recalled, m.recalledAt = used, now-age
+// it was known age ago, and the total of all instances.
+func (m *Meter) Recall(now, age time.Duration, used map[fleet.TeamName]Use, total map[fleet.TeamName]float64) {
+	m.recalled, m.recalledAt, m.recalledTotal = used, now-age, total
 }
 
 func (m *Meter) remembered(now time.Duration, team fleet.TeamName) Use {
@@ -148,13 +152,13 @@
 	sum, ok := m.own[team]
 	if !ok {
 		sum = window.New(m.bounds.Window)
-		m.own[team], m.latest[team] = sum, window.New(reportLag)
+		m.own[team], m.asked[team] = sum, window.New(askedWindow)
 	}
+	m.asked[team].Add(now, amount)
 	if rate > 0 && !m.fits(now, team, rate, burst, amount) {
 		return false
 	}
 	sum.Add(now, amount)
-	m.latest[team].Add(now, amount)
 	return true
 }
 
@@ -173,7 +177,9 @@
 	slack := slackShare * (allowance*m.bounds.Overrun + m.bounds.Slack)
 	used := m.usedByAll(now, team, allowance)
 	if len(m.recalled) > 0 {
-		unrecorded := Use{partBurst*burst + rate*recallLag.Seconds()}
+		// What was admitted after the record still fitted the allowance.
+		room := max(allowance+slack-m.recalledTotal[team], 0)
+		unrecorded := Use{min(partBurst*burst+rate*recallLag.Seconds(), room)}
 		used.add(unrecorded.after(now-m.recalledAt, m.bounds.Window))
 	}
 	part := (m.bounds.Window / useSlices).Seconds()
@@ -187,15 +193,22 @@
 	return true
 }
 
+// Describe tells what is known about a team's use.
+func (m *Meter) Describe(now time.Duration, team fleet.TeamName, rate, burst float64) string {
+	allowance := rate*m.bounds.Window.Seconds() + burst
+	used := m.usedByAll(now, team, allowance)
+	return fmt.Sprintf("used %.0f of %.0f, by age %.0f, peers %d", used.Total(), allowance, []float64(used), len(m.peers))
+}
+
 // usedByAll returns what all instances together used of a team's allowance.
 func (m *Meter) usedByAll(now time.Duration, team fleet.TeamName, allowance float64) Use {
 	used := m.remembered(now, team)
 	if sum, ok := m.own[team]; ok {
 		used.add(sum.Slices(now, useSlices))
 	}
-	latest := 0.0
-	if sum, ok := m.latest[team]; ok {
-		latest = sum.Total(now)
+	unseen := 0.0
+	if sum, ok := m.asked[team]; ok {
+		unseen = sum.Total(now) * float64(reportLag) / float64(askedWindow)
 	}
 	share := allowance / float64(len(m.peers)+1)
 	if len(m.peers) == 0 {
@@ -205,7 +218,7 @@
 		known := p.Used[team]
 		if now-p.At <= freshFor {
 			used.add(known)
-			used[0] += latest
+			used[0] += unseen
 			continue
 		}
 		used.add(known)
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -79,7 +79,11 @@
 	d.meters[i] = New(bounds)
 	for _, r := range slices.Backward(d.records) {
 		if r.at <= now-writeLag {
-			d.meters[i].Recall(now, now-r.at, r.used[i])
+			total := make(map[fleet.TeamName]float64)
+			for _, used := range r.used {
+				total[team] += used[team].Total()
+			}
+			d.meters[i].Recall(now, now-r.at, r.used[i], total)
 			return
 		}
 	}
--- a/internal/edge/allowances.go
+++ b/internal/edge/allowances.go
@@ -113,8 +113,13 @@
 		return gateway.Recalled{}
 	}
 	age := time.Since(time.UnixMilli(m.GetWallMs()))
-	r := gateway.Recalled{Age: min(max(age, 0), p.deployment.Bounds.QuotaWindow)}
+	r := gateway.Recalled{
+		Age: min(max(age, 0), p.deployment.Bounds.QuotaWindow), Total: make(map[fleet.TeamName]float64),
+	}
 	for _, i := range m.GetInstances() {
+		for team, use := range decodeUse(i.GetUse()) {
+			r.Total[team] += use.Total()
+		}
 		if i.GetNode() == p.deployment.Node {
 			r.Used = decodeUse(i.GetUse())
 		}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -54,7 +54,7 @@
 	m.log.WithFields(log.Fields{
 		"request": o.Attempt, "route": o.Route, "kind": o.Kind, "team": string(o.Team),
 		"service": string(o.Service), "endpoint": string(o.Endpoint), "attempts": o.Attempts,
-		"status": o.Status, "result": o.Result, "reason": o.Reason,
+		"status": o.Status, "result": o.Result, "reason": o.Reason, "detail": o.Detail,
 		"wait_ms": o.Wait.Milliseconds(), "total_ms": o.Total.Milliseconds(),
 	}).Info("request ended")
 }
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -149,6 +149,7 @@
 	case gateway.Send:
 		r.start(ctx, a)
 	case gateway.Refuse:
+		r.outcome.Detail = a.Detail
 		return true, r.final(a.Refusal)
 	}
 	return false, false
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -45,6 +45,8 @@
 	Status   int
 	Result   string
 	Reason   string
+	// Detail gives the inputs of a refusal.
+	Detail string
 	// Wait is the time from the request's arrival until its first byte was
 	// sent, Total until its end.
 	Wait, Total time.Duration
