--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -114,6 +114,8 @@
 func (t *dutiesTask) run(ctx context.Context) error {
 	ticker := time.NewTicker(dutyTick)
 	defer ticker.Stop()
+	// Requests that begin before the first tick must find their window.
+	t.tick(ctx)
 	for {
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/internal/standin/userplatform/cloud.go
@@ -0,0 +1,98 @@
+package userplatform
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/standin/httpjson"
+)
+
+// UsageCall is a usage report as the platform got it.
+type UsageCall struct {
+	Holder string
+	Fence  int64
+	Window int64          `json:"window-id"`
+	Counts map[string]int `json:"counts"`
+}
+
+// ScaleCall is an order of replicas as the platform got it.
+type ScaleCall struct {
+	Holder      string
+	Fence       int64
+	Service     string `json:"service"`
+	Zone        string `json:"zone"`
+	Desired     int    `json:"desired"`
+	Preemptible bool   `json:"preemptible"`
+}
+
+type cloudState struct {
+	usage []UsageCall
+	scale []ScaleCall
+}
+
+// Cloud takes the calls that are the duty of one node at a time. One task owns
+// the calls.
+type Cloud struct{ commands chan func(*cloudState) }
+
+// StartCloud serves the calls on a listener until ctx ends.
+func StartCloud(ctx context.Context, listener net.Listener) *Cloud {
+	c := &Cloud{commands: make(chan func(*cloudState), storeMailbox)}
+	go c.run(ctx)
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /usage", func(w http.ResponseWriter, r *http.Request) {
+		if call, ok := httpjson.Decode[UsageCall](w, r); ok {
+			call.Holder, call.Fence = holder(r)
+			c.do(func(s *cloudState) { s.usage = append(s.usage, call) })
+		}
+	})
+	mux.HandleFunc("POST /scale", func(w http.ResponseWriter, r *http.Request) {
+		if call, ok := httpjson.Decode[ScaleCall](w, r); ok {
+			call.Holder, call.Fence = holder(r)
+			c.do(func(s *cloudState) { s.scale = append(s.scale, call) })
+		}
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	return c
+}
+
+func holder(r *http.Request) (string, int64) {
+	fence, _ := strconv.ParseInt(r.Header.Get("Fencing-Token"), 10, 64)
+	return r.Header.Get("Lease-Holder"), fence
+}
+
+func (c *Cloud) run(ctx context.Context) {
+	state := &cloudState{}
+	for {
+		select {
+		case command := <-c.commands:
+			command(state)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Cloud) do(command func(*cloudState)) {
+	done := make(chan struct{})
+	c.commands <- func(s *cloudState) { command(s); close(done) }
+	<-done
+}
+
+// Usage returns the usage reports that came.
+func (c *Cloud) Usage() []UsageCall {
+	var calls []UsageCall
+	c.do(func(s *cloudState) { calls = append(calls, s.usage...) })
+	return calls
+}
+
+// Scale returns the orders that came.
+func (c *Cloud) Scale() []ScaleCall {
+	var calls []ScaleCall
+	c.do(func(s *cloudState) { calls = append(calls, s.scale...) })
+	return calls
+}
--- /dev/null
+++ b/internal/standin/userplatform/store.go
@@ -0,0 +1,242 @@
+// Package userplatform is a stand-in of the users' platform for tests and
+// development: its store, its calls for duties, and replicas. It speaks the
+// users' published protocol, so that the real adapter is exercised.
+package userplatform
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/binary"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/standin/httpjson"
+)
+
+// Topics and keys of the users' protocol.
+const (
+	ConfigTopic  = "keyed.op"
+	ConfigKey    = "config"
+	ServersTopic = "keyed.servers"
+)
+
+const storeMailbox = 64
+
+// StoredRecord is one record of a topic. A nil Value removes the key.
+type StoredRecord struct {
+	Key   string
+	Value []byte
+}
+
+type topic struct {
+	records []StoredRecord
+	waiting []chan struct{}
+}
+
+// Store is the log with keyed topics. One task owns the records; handlers post
+// functions to it.
+type Store struct {
+	commands chan func(*storeState)
+	handler  http.Handler
+}
+
+type storeState struct {
+	topics map[string]*topic
+	// refused are the addresses at which the store turns callers away.
+	refused map[string]bool
+	calls   int
+}
+
+// StartStore runs a store until ctx ends. Serve gives it addresses.
+func StartStore(ctx context.Context) *Store {
+	s := &Store{commands: make(chan func(*storeState), storeMailbox)}
+	go s.run(ctx)
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /log-append", s.append)
+	mux.HandleFunc("GET /log-read", s.read)
+	mux.HandleFunc("GET /log-newest", s.newest)
+	s.handler = mux
+	return s
+}
+
+// Serve serves the store on one more listener until ctx ends, so that machines
+// with addresses of their own can be turned away one by one.
+func (s *Store) Serve(ctx context.Context, listener net.Listener) {
+	server := &http.Server{Handler: s.handler, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+}
+
+func (s *Store) run(ctx context.Context) {
+	state := &storeState{topics: make(map[string]*topic), refused: make(map[string]bool)}
+	for {
+		select {
+		case command := <-s.commands:
+			command(state)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// do runs a function in the task and waits for it.
+func (s *Store) do(command func(*storeState)) {
+	done := make(chan struct{})
+	s.commands <- func(state *storeState) { command(state); close(done) }
+	<-done
+}
+
+// Put appends a record to a keyed topic, as the operator or a replica does.
+func (s *Store) Put(name, key string, value []byte) {
+	s.do(func(state *storeState) { state.topic(name).add(StoredRecord{Key: key, Value: value}) })
+}
+
+// Records returns the records of a topic.
+func (s *Store) Records(name string) []StoredRecord {
+	var records []StoredRecord
+	s.do(func(state *storeState) { records = append(records, state.topic(name).records...) })
+	return records
+}
+
+// Refuse turns callers at one of the store's addresses away, or serves them
+// again.
+func (s *Store) Refuse(address string, refuse bool) {
+	s.do(func(state *storeState) { state.refused[address] = refuse })
+}
+
+func (state *storeState) topic(name string) *topic {
+	t, ok := state.topics[name]
+	if !ok {
+		t = &topic{}
+		state.topics[name] = t
+	}
+	return t
+}
+
+func (t *topic) add(r StoredRecord) {
+	t.records = append(t.records, r)
+	for _, waiting := range t.waiting {
+		close(waiting)
+	}
+	t.waiting = nil
+}
+
+// admitted answers with status 503 and reports false if the caller is refused.
+func (s *Store) admitted(w http.ResponseWriter, r *http.Request) bool {
+	local, _ := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	refused := false
+	s.do(func(state *storeState) {
+		state.calls++
+		refused = local != nil && state.refused[local.String()]
+	})
+	if refused {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	return !refused
+}
+
+func (s *Store) append(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, httpjson.MaxBodyBytes))
+	if err != nil || !s.admitted(w, r) {
+		return
+	}
+	query := r.URL.Query()
+	conditional := query.Has("at")
+	at, _ := strconv.Atoi(query.Get("at"))
+	var offset, end int
+	conflict := false
+	s.do(func(state *storeState) {
+		t := state.topic(query.Get("topic"))
+		offset, conflict = len(t.records), conditional && at != len(t.records)
+		for len(body) >= 5 && !conflict {
+			size := int(binary.BigEndian.Uint32(body))
+			key := int(body[4])
+			record := StoredRecord{Key: string(body[5 : 5+key])}
+			if size > 1+key {
+				record.Value = body[5+key : 4+size]
+			}
+			t.add(record)
+			body = body[4+size:]
+		}
+		end = len(t.records)
+	})
+	if conflict {
+		w.WriteHeader(http.StatusPreconditionFailed)
+	}
+	httpjson.Write(w, map[string]int{"offset": offset, "end": end})
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request) {
+	if !s.admitted(w, r) {
+		return
+	}
+	query := r.URL.Query()
+	from, _ := strconv.Atoi(query.Get("from"))
+	wait, _ := strconv.Atoi(query.Get("wait-ms"))
+	timeout, release := httpjson.Timeout(time.Duration(wait) * time.Millisecond)
+	defer release()
+	records, end, more := s.readFrom(query.Get("topic"), from)
+	if len(records) == 0 && wait > 0 {
+		select {
+		case <-more:
+			records, end, _ = s.readFrom(query.Get("topic"), from)
+		case <-timeout:
+		case <-r.Context().Done():
+		}
+	}
+	out := binary.BigEndian.AppendUint64(nil, uint64(end))
+	out = binary.BigEndian.AppendUint64(out, 0)
+	for _, record := range records {
+		out = binary.BigEndian.AppendUint32(out, uint32(1+len(record.Key)+len(record.Value)))
+		out = append(out, byte(len(record.Key)))
+		out = append(out, record.Key...)
+		out = append(out, record.Value...)
+	}
+	_, _ = w.Write(out)
+}
+
+// readFrom returns records from an offset, and a channel that is closed when
+// there are more.
+func (s *Store) readFrom(name string, from int) ([]StoredRecord, int, <-chan struct{}) {
+	var records []StoredRecord
+	var end int
+	more := make(chan struct{})
+	s.do(func(state *storeState) {
+		t := state.topic(name)
+		end = len(t.records)
+		records = append(records, t.records[min(from, end):]...)
+		t.waiting = append(t.waiting, more)
+	})
+	return records, end, more
+}
+
+func (s *Store) newest(w http.ResponseWriter, r *http.Request) {
+	if !s.admitted(w, r) {
+		return
+	}
+	type item struct {
+		Key    string `json:"key"`
+		Value  string `json:"value"`
+		Offset int    `json:"offset"`
+	}
+	newest := make(map[string]item)
+	end := 0
+	s.do(func(state *storeState) {
+		t := state.topic(r.URL.Query().Get("topic"))
+		end = len(t.records)
+		for offset, record := range t.records {
+			delete(newest, record.Key)
+			if record.Value != nil {
+				newest[record.Key] = item{record.Key, base64.StdEncoding.EncodeToString(record.Value), offset}
+			}
+		}
+	})
+	items := make([]item, 0, len(newest))
+	for _, i := range newest {
+		items = append(items, i)
+	}
+	httpjson.Write(w, map[string]any{"items": items, "truncated": false, "end": end})
+}
