--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,125 @@
+package cli
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// maxLogLine bounds a line of a log, in bytes.
+const maxLogLine = 1 << 20
+
+// beliefs are the messages that tell what a process believes. The last one of
+// each before a request explains its decisions.
+var beliefs = []string{
+	"start", "configuration in force", "endpoints changed", "store lost", "store regained",
+	"snapshot of a peer received", "peer lost", "drain",
+}
+
+// logLine is one structured log line of a cornelhold process.
+type logLine struct {
+	Fields  map[string]any `json:"fields"`
+	Level   string         `json:"level"`
+	At      time.Time      `json:"timestamp"`
+	Message string         `json:"message"`
+}
+
+func (l logLine) node() string { return fmt.Sprint(l.Fields["node"]) }
+
+// explainCommand prints what happened to one request.
+func explainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain REQUEST [FILE...]",
+		Short: "Print what happened to a request, from log lines",
+		Long: "explain reads log lines of cornelhold-edge from files or standard input. It prints the\n" +
+			"lines of one request and, before them, what its process believed then.",
+		Example: "  cornelctl explain 9c41d07be2a35f68 edge-*.log",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var lines []logLine
+			if len(args) == 1 {
+				lines = readLog(cmd.InOrStdin())
+			}
+			for _, path := range args[1:] {
+				file, err := os.Open(path) //nolint:gosec // the operator names the file
+				if err != nil {
+					return Error.New("cannot read %s: %w; check the path", path, err)
+				}
+				lines = append(lines, readLog(file)...)
+				_ = file.Close()
+			}
+			story := explain(lines, args[0])
+			if len(story) == 0 {
+				return Error.New("no line of request %s; check the id and pass the logs of all machines", args[0])
+			}
+			for _, l := range story {
+				if _, err := fmt.Fprintln(cmd.OutOrStdout(), format(l)); err != nil {
+					return Error.Wrap(err)
+				}
+			}
+			return nil
+		},
+	}
+}
+
+// readLog returns the structured lines of a log. Text before a line's object,
+// such as a time that a supervisor adds, and other lines are passed over.
+func readLog(r io.Reader) []logLine {
+	var lines []logLine
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		_, object, found := strings.Cut(scanner.Text(), "{")
+		var l logLine
+		if found && json.Unmarshal([]byte("{"+object), &l) == nil && l.Message != "" {
+			lines = append(lines, l)
+		}
+	}
+	return lines
+}
+
+// explain returns the lines of a request in order of time and, before the first
+// of each process, its last beliefs.
+func explain(lines []logLine, request string) []logLine {
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.At.Compare(b.At) })
+	var story []logLine
+	believed := make(map[string]map[string]logLine)
+	for _, l := range lines {
+		node := l.node()
+		if slices.Contains(beliefs, l.Message) {
+			if believed[node] == nil || l.Message == "start" {
+				believed[node] = make(map[string]logLine)
+			}
+			topic := fmt.Sprint(l.Message, l.Fields["topic"])
+			believed[node][topic] = l
+			continue
+		}
+		if l.Fields["request"] != request {
+			continue
+		}
+		before := slices.SortedFunc(maps.Values(believed[node]), func(a, b logLine) int { return a.At.Compare(b.At) })
+		story = append(append(story, before...), l)
+		delete(believed, node)
+	}
+	return story
+}
+
+// format returns a line as text: time, process, message and fields by name.
+func format(l logLine) string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "%s %-18s %s", l.At.UTC().Format("15:04:05.000"), l.node(), l.Message)
+	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
+		if value := fmt.Sprint(l.Fields[name]); name != "node" && name != "request" && value != "" {
+			fmt.Fprintf(&out, " %s=%s", name, value)
+		}
+	}
+	return out.String()
+}
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -121,7 +121,7 @@
 		m.peerReport(now, msg)
 	case Recalled:
 		m.recalled = true
-		m.quota.Recall(now, msg.Age, msg.Used, msg.Total)
+		m.quota.Recall(now, msg.Age, msg.Used, msg.Others)
 	case PeerLeft:
 		m.peerLeft(msg.Node)
 	}
@@ -224,11 +224,12 @@
 	o.sends++
 	o.current, o.sentAt, o.expected = e, now, expected
 	o.tried[e.ID] = true
+	load := e.load(now)
 	o.backlog = e.begin(now, o.request)
 	return Send{
 		ID: id, Endpoint: e.Endpoint, Route: o.route, Team: teamName(o.team), GiveUpAt: o.giveUpAt,
 		AttemptTimeout: m.attemptTimeout(now, o), Priority: requestPriority(o),
-		Attempt: o.sends, Expected: expected,
+		Attempt: o.sends, Expected: expected, Load: load, Version: m.catalog.Version,
 	}
 }
 
--- a/internal/core/gateway/machine_test.go
+++ b/internal/core/gateway/machine_test.go
@@ -60,10 +60,9 @@
 }
 
 type tracked struct {
-	route      string
-	sends      int
-	mayHaveRun bool
-	runs       int
+	route string
+	sends int
+	runs  int
 }
 
 // TestAttemptsKeepTheRoute guards against a request that runs twice although it
--- a/internal/core/gateway/messages.go
+++ b/internal/core/gateway/messages.go
@@ -116,9 +116,9 @@
 // it was known Age ago. The machine is not ready before it.
 type Recalled struct {
 	Used map[fleet.TeamName]quota.Use
-	// Total is what all instances had admitted.
-	Total map[fleet.TeamName]float64
-	Age   time.Duration
+	// Others is what the other instances had admitted.
+	Others map[fleet.TeamName]quota.Use
+	Age    time.Duration
 }
 
 // PeerLeft tells that an instance has left.
@@ -151,8 +151,12 @@
 	Priority int
 	// Attempt counts from 1.
 	Attempt int
-	// Expected is the time until the first byte that the choice assumed.
+	// Expected is the time until the first byte that the choice assumed, Load
+	// what all instances had under way at the endpoint.
 	Expected time.Duration
+	Load     Load
+	// Version is the configuration that decided.
+	Version catalog.Version
 }
 
 // Refuse ends a request.
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -27,6 +27,8 @@
 	// recallLag is the time before the end of an earlier run whose use is not in
 	// its last record. A team may have used its bursts and its rate in it.
 	recallLag = 450 * time.Millisecond
+	// hearWithin is how long after its start an instance hears of its peers.
+	hearWithin = time.Second
 	// nearLimit is the share of an allowance from which its use is recorded
 	// more often.
 	nearLimit = 0.6
@@ -59,6 +61,14 @@
 	return total
 }
 
+// Plus returns the sum of two uses.
+func (u Use) Plus(other Use) Use {
+	sum := make(Use, useSlices)
+	sum.add(u)
+	sum.add(other)
+	return sum
+}
+
 func (u Use) add(other Use) {
 	for i := range min(len(u), len(other)) {
 		u[i] += other[i]
@@ -100,8 +110,10 @@
 	// recalled is what this instance admitted before it was started again.
 	recalled   map[fleet.TeamName]Use
 	recalledAt time.Duration
-	// recalledTotal is what all instances had admitted then.
-	recalledTotal map[fleet.TeamName]float64
+	// othersRecalled is what the other instances had admitted then. It stands
+	// for them until they are heard of, at the latest until isolatedAt.
+	othersRecalled map[fleet.TeamName]Use
+	isolatedAt     time.Duration
 }
 
 // New returns a meter without use.
@@ -121,9 +133,10 @@
 }
 
 // Recall takes what this instance had admitted before it was started again, as
-// it was known age ago, and the total of all instances.
-func (m *Meter) Recall(now, age time.Duration, used map[fleet.TeamName]Use, total map[fleet.TeamName]float64) {
-	m.recalled, m.recalledAt, m.recalledTotal = used, now-age, total
+// it was known age ago, and what the others had.
+func (m *Meter) Recall(now, age time.Duration, used, others map[fleet.TeamName]Use) {
+	m.recalled, m.othersRecalled, m.recalledAt = used, others, now-age
+	m.isolatedAt = now + hearWithin
 }
 
 func (m *Meter) remembered(now time.Duration, team fleet.TeamName) Use {
@@ -178,7 +191,8 @@
 	used := m.usedByAll(now, team, allowance)
 	if len(m.recalled) > 0 {
 		// What was admitted after the record still fitted the allowance.
-		room := max(allowance+slack-m.recalledTotal[team], 0)
+		recalled := m.recalled[team].Total() + m.othersRecalled[team].Total()
+		room := max(allowance+slack-recalled, 0)
 		unrecorded := Use{min(partBurst*burst+rate*recallLag.Seconds(), room)}
 		used.add(unrecorded.after(now-m.recalledAt, m.bounds.Window))
 	}
@@ -212,7 +226,11 @@
 	}
 	share := allowance / float64(len(m.peers)+1)
 	if len(m.peers) == 0 {
-		used.spread(allowance * (1 - 1.0/unknownInstances))
+		if now < m.isolatedAt && len(m.othersRecalled) > 0 {
+			used.add(m.othersRecalled[team].after(now-m.recalledAt, m.bounds.Window))
+		} else {
+			used.spread(allowance * (1 - 1.0/unknownInstances))
+		}
 	}
 	for _, p := range m.peers {
 		known := p.Used[team]
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -79,11 +79,13 @@
 	d.meters[i] = New(bounds)
 	for _, r := range slices.Backward(d.records) {
 		if r.at <= now-writeLag {
-			total := make(map[fleet.TeamName]float64)
-			for _, used := range r.used {
-				total[team] += used[team].Total()
+			others := map[fleet.TeamName]Use{team: make(Use, useSlices)}
+			for j, used := range r.used {
+				if i != j {
+					others[team].add(used[team])
+				}
 			}
-			d.meters[i].Recall(now, now-r.at, r.used[i], total)
+			d.meters[i].Recall(now, now-r.at, r.used[i], others)
 			return
 		}
 	}
@@ -189,3 +191,14 @@
 	}
 	is.True(used <= allowance/4+slackShare*(allowance*bounds.Overrun+bounds.Slack)+9000)
 }
+
+// TestStartedInstanceAdmitsAtOnce guards against refusals in the first moments
+// after a start, before peers are heard, of teams far below their allowance
+// (hzk-dial trouble-1 after all machines lost power).
+func TestStartedInstanceAdmitsAtOnce(t *testing.T) {
+	is := is.New(t)
+	m := New(bounds)
+	half := Use{0.55 * rate * 2, 0.55 * rate * 2, 0.55 * rate * 2, 0.55 * rate * 2}
+	m.Recall(0, 300*time.Millisecond, map[fleet.TeamName]Use{team: {}}, map[fleet.TeamName]Use{team: half})
+	is.True(m.Admit(100*time.Millisecond, team, rate, burst, 9000))
+}
--- a/internal/edge/allowances.go
+++ b/internal/edge/allowances.go
@@ -114,14 +114,15 @@
 	}
 	age := time.Since(time.UnixMilli(m.GetWallMs()))
 	r := gateway.Recalled{
-		Age: min(max(age, 0), p.deployment.Bounds.QuotaWindow), Total: make(map[fleet.TeamName]float64),
+		Age: min(max(age, 0), p.deployment.Bounds.QuotaWindow), Others: make(map[fleet.TeamName]quota.Use),
 	}
 	for _, i := range m.GetInstances() {
-		for team, use := range decodeUse(i.GetUse()) {
-			r.Total[team] += use.Total()
-		}
 		if i.GetNode() == p.deployment.Node {
 			r.Used = decodeUse(i.GetUse())
+			continue
+		}
+		for team, use := range decodeUse(i.GetUse()) {
+			r.Others[team] = r.Others[team].Plus(use)
 		}
 	}
 	return r
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -108,7 +108,7 @@
 		RetryRatio: d.Bounds.RetryRatio, RetrySlack: d.Bounds.RetrySlack, RetryWindow: d.Bounds.RetryWindow,
 	}, p.began)
 	p.directory = newDirectoryTask(p.clock, logger, m, p.gateway)
-	seed := rand.Uint64() //nolint:gosec // distinguishes starts, no secret
+	seed := rand.Uint64()
 	boot := strconv.FormatUint(seed, 36)
 	p.duties = newDutiesTask(p, boot, seed>>1)
 	p.peers = newPeersTask(p, boot)
@@ -168,7 +168,8 @@
 		address string
 		into    *net.Listener
 	}{
-		{p.deployment.Front, &l.front}, {p.deployment.Ready, &l.ready},
+		{p.deployment.Front, &l.front},
+		{p.deployment.Ready, &l.ready},
 		{net.JoinHostPort(p.deployment.IP, strconv.Itoa(MetricsPort)), &l.metrics},
 		{net.JoinHostPort(p.deployment.IP, p.snapshotPort()), &l.snapshots},
 	}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
@@ -49,7 +50,9 @@
 	splitter  stream.Splitter
 	// failed is an endpoint's own failure, which the caller gets if the
 	// request is not tried again.
-	failed  *upstream.Complete
+	failed *upstream.Complete
+	// cause is the error of the attempt that failed last.
+	cause   string
 	closing bool
 	outcome Outcome
 	giveUp  *task.Alarm
@@ -161,6 +164,11 @@
 	r.outcome.Route, r.outcome.Kind, r.outcome.Team = a.Route.Name, a.Route.Kind.String(), a.Team
 	r.outcome.Service, r.outcome.Endpoint, r.outcome.Attempts = a.Endpoint.Service, a.Endpoint.ID, a.Attempt
 	now := clock.Now()
+	r.channel.server.options.Log.WithFields(log.Fields{
+		"request": r.call.Attempt, "endpoint": string(a.Endpoint.ID), "address": a.Endpoint.Address, "attempt": a.Attempt,
+		"expected_ms": a.Expected.Milliseconds(), "active": a.Load.Active, "backlog": a.Load.Backlog,
+		"left_ms": (a.GiveUpAt - now).Milliseconds(), "config_version": a.Version,
+	}).Info("request sent")
 	r.giveUp.Arm(a.GiveUpAt - now)
 	if a.AttemptTimeout > 0 {
 		r.attempt.Arm(a.AttemptTimeout)
@@ -186,6 +194,11 @@
 
 // fail ends the attempt and asks the gateway whether to try again.
 func (r *request) fail(ctx context.Context, f gateway.Failure, stale bool) {
+	r.channel.server.options.Log.WithFields(log.Fields{
+		"request": r.call.Attempt, "endpoint": string(r.send.Endpoint.ID), "attempt": r.send.Attempt,
+		"failure": f.String(), "cause": r.cause, "events": r.splitter.Events(), "reused_channel": stale,
+	}).Warn("attempt failed")
+	r.cause = ""
 	r.cancel()
 	r.events = nil
 	r.attempt.Stop()
@@ -210,6 +223,7 @@
 	case upstream.Complete:
 		return r.complete(ctx, e)
 	case upstream.Failed:
+		r.cause = e.Cause.Error()
 		r.fail(ctx, failureOf(e), e.Reused)
 	}
 	return false, false
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -257,7 +257,7 @@
 			x.post(ctx, Data{Bytes: bytes.Clone(buf[:n])})
 		}
 		switch {
-		case err == io.EOF: //nolint:errorlint // Read returns io.EOF itself
+		case err == io.EOF:
 			return End{}, nil
 		case err != nil:
 			return nil, err
