--- a/internal/core/gateway/choose.go
+++ b/internal/core/gateway/choose.go
@@ -21,7 +21,7 @@
 		expected := m.expected(now, o, e, e == home)
 		cost := expected + time.Duration(e.failing*float64(failureCost))
 		if e.DataCentre != m.options.DataCentre {
-			cost += remoteDelay
+			cost += remoteDelay + time.Duration(o.request.Output)*remoteTokenCost
 		}
 		if e.Lapsed {
 			cost += lapsedCost
--- a/internal/core/gateway/endpoints.go
+++ b/internal/core/gateway/endpoints.go
@@ -21,6 +21,9 @@
 	// remoteDelay is the cost of another data centre: a round trip and the
 	// price of its bytes.
 	remoteDelay = 6 * time.Millisecond
+	// remoteTokenCost is the cost of each output token from another data centre:
+	// an event whose packet is lost on the way makes the answer late.
+	remoteTokenCost = 300 * time.Microsecond
 	// failureCost is what a certain failure counts in the choice.
 	failureCost = 2 * time.Second
 	// smoothing is the weight of a new observation of speed and failures.
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -19,9 +19,10 @@
 	retryReserveShare = 0.8
 	// maxDials bounds the endpoints to which a channel is tried.
 	maxDials = 4
-	// teamRetryAfter is when a refused request of a team over its allowance
-	// may come back.
-	teamRetryAfter = 1500 * time.Millisecond
+	// leastTeamRetry and mostTeamRetry bound when a refused request of a team
+	// over its allowance may come back.
+	leastTeamRetry = 250 * time.Millisecond
+	mostTeamRetry  = 3 * time.Second
 	// retryAfter is when a request refused for lack of room may come back.
 	retryAfter = 700 * time.Millisecond
 	// startRetryAfter is when a request may come back to an instance that has
@@ -148,8 +149,10 @@
 		return refuse(fleet.RefusedNoEndpoint, retryAfter, "no endpoint of the service is available; retry")
 	}
 	if o.team != nil && !m.quota.Admit(now, o.team.Name, o.team.Rate, o.team.Burst, o.amount) {
+		room := m.quota.RoomIn(now, o.team.Name, o.team.Rate, o.team.Burst, o.amount)
+		after := min(max(room, leastTeamRetry), mostTeamRetry)
 		return Refuse{
-			ID: msg.ID, Refusal: fleet.Refuse(fleet.RefusedTeamLimit, teamRetryAfter, "the team has used its allowance; retry later"),
+			ID: msg.ID, Refusal: fleet.Refuse(fleet.RefusedTeamLimit, after, "the team has used its allowance; retry later"),
 			Detail: m.quota.Describe(now, o.team.Name, o.team.Rate, o.team.Burst),
 		}
 	}
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -207,6 +207,20 @@
 	return true
 }
 
+// RoomIn returns the time until the amount fits the team's allowance, as far as
+// the use in the oldest part of the window tells.
+func (m *Meter) RoomIn(now time.Duration, team fleet.TeamName, rate, burst, amount float64) time.Duration {
+	allowance := rate*m.bounds.Window.Seconds() + burst
+	used := m.usedByAll(now, team, allowance)
+	over := used.Total() + amount - allowance - slackShare*(allowance*m.bounds.Overrun+m.bounds.Slack)
+	leaving := used[useSlices-1]
+	part := m.bounds.Window / useSlices
+	if leaving <= 0 {
+		return part
+	}
+	return time.Duration(max(over, 0) / leaving * float64(part))
+}
+
 // Describe tells what is known about a team's use.
 func (m *Meter) Describe(now time.Duration, team fleet.TeamName, rate, burst float64) string {
 	allowance := rate*m.bounds.Window.Seconds() + burst
--- a/internal/core/scaling/plan.go
+++ b/internal/core/scaling/plan.go
@@ -21,9 +21,6 @@
 	scarceUtilization = 0.85
 	// leastNeed is the number of endpoints assumed before demand is known.
 	leastNeed = 5.0
-	// onDemandShare is the part of the needed endpoints that cannot be
-	// reclaimed.
-	onDemandShare = 0.1
 	// reorderAfter is the time after which an order that has not taken effect
 	// is sent again, beside the time that endpoints take to start.
 	reorderAfter = 2 * time.Second
@@ -167,16 +164,16 @@
 // ones take the place of those that are missing.
 func (p *Planner) serviceTargets(now time.Duration, name fleet.ServiceName, s *catalog.Scaling, present map[Subject]int, need, scarceNeed float64) []Order {
 	centres := byPrice(s)
-	onDemand := int(math.Ceil(need * onDemandShare))
 	others := max(len(centres)-1, 1)
-	each := max(int(math.Ceil((need-float64(onDemand))/float64(others))), s.Min)
+	each := max(int(math.Ceil(need/float64(others))), s.Min)
 	reclaimable, kept := 0, 0
 	for _, dc := range centres {
 		reclaimable += present[Subject{name, dc, true}]
 		kept += present[Subject{name, dc, false}]
 	}
-	if now < p.scarceUntil || kept > onDemand {
-		onDemand = max(onDemand, int(math.Ceil(scarceNeed))-reclaimable)
+	onDemand := 0
+	if now < p.scarceUntil || kept > 0 {
+		onDemand = max(int(math.Ceil(scarceNeed))-reclaimable, 0)
 	}
 	orders := make([]Order, 0, 2*len(centres))
 	for i, dc := range centres {
