Order by the number of instances at the start and by the demand since the first request

Cause: demand was averaged over four seconds from the first request on, and a large deployment was cut to nine endpoints before its traffic began.

--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -81,6 +81,8 @@
 	crashes   *crashes
 	peers     map[string]bool
 	demand    map[fleet.ServiceName]*window.Sum
+	// askedSince is when a service was first asked for.
+	askedSince map[fleet.ServiceName]time.Duration
 }
 
 // New returns a machine without configuration and endpoints.
@@ -91,6 +93,7 @@
 		open:      make(map[RequestID]*open), quota: quota.New(options.Quota),
 		budgets: make(map[fleet.ServiceName]*budget.Shared), crashes: newCrashes(),
 		peers: make(map[string]bool), demand: make(map[fleet.ServiceName]*window.Sum),
+		askedSince: make(map[fleet.ServiceName]time.Duration),
 	}
 }
 
@@ -414,7 +417,9 @@
 		Demand: make(map[fleet.ServiceName]float64),
 	}
 	for service, sum := range m.demand {
-		r.Demand[service] = sum.Total(now) / demandWindow.Seconds()
+		// Shortly after the first request the window is not full yet.
+		span := min(max(now-m.askedSince[service], demandWindow/4), demandWindow)
+		r.Demand[service] = sum.Total(now) / span.Seconds()
 	}
 	for id, e := range m.endpoints {
 		if e.own.Active > 0 {
--- a/internal/core/gateway/overload.go
+++ b/internal/core/gateway/overload.go
@@ -46,7 +46,7 @@
 	sum, ok := m.demand[o.service]
 	if !ok {
 		sum = window.New(demandWindow)
-		m.demand[o.service] = sum
+		m.demand[o.service], m.askedSince[o.service] = sum, now
 	}
 	last := m.lastPart(o)
 	read := (float64(last) + rereadShare*float64(max(o.request.Prompt-last, 0))) / prefillRate / 1000
--- a/internal/core/scaling/demand.go
+++ b/internal/core/scaling/demand.go
@@ -25,12 +25,17 @@
 type Demand struct {
 	reports map[string]demandReport
 	peaks   map[fleet.ServiceName]float64
+	// since is when demand for a service was first seen.
+	since   map[fleet.ServiceName]time.Duration
 	updated time.Duration
 }
 
 // NewDemand returns a demand without reports.
 func NewDemand() *Demand {
-	return &Demand{reports: make(map[string]demandReport), peaks: make(map[fleet.ServiceName]float64)}
+	return &Demand{
+		reports: make(map[string]demandReport), peaks: make(map[fleet.ServiceName]float64),
+		since: make(map[fleet.ServiceName]time.Duration),
+	}
 }
 
 // Report takes the demand that an instance sees.
@@ -47,6 +52,20 @@
 	return d.peaks[service]
 }
 
+// Instances returns the number of instances that reported lately.
+func (d *Demand) Instances() int { return len(d.reports) }
+
+// SeenFor returns how long ago demand for a service was first seen, 0 if it
+// was not.
+func (d *Demand) SeenFor(now time.Duration, service fleet.ServiceName) time.Duration {
+	d.update(now)
+	since, ok := d.since[service]
+	if !ok {
+		return 0
+	}
+	return now - since
+}
+
 func (d *Demand) update(now time.Duration) {
 	current := make(map[fleet.ServiceName]float64)
 	for node, r := range d.reports {
@@ -65,5 +84,8 @@
 	}
 	for service, n := range current {
 		d.peaks[service] = max(d.peaks[service], n)
+		if _, ok := d.since[service]; !ok && n > 0 {
+			d.since[service] = now
+		}
 	}
 }
--- a/internal/core/scaling/plan.go
+++ b/internal/core/scaling/plan.go
@@ -19,8 +19,13 @@
 	// scarceUtilization is the same while on-demand endpoints take the place
 	// of reclaimable ones, at several times the price.
 	scarceUtilization = 0.85
-	// leastNeed is the number of endpoints assumed before demand is known.
-	leastNeed = 5.0
+	// leastNeed is the least number of endpoints of a service.
+	leastNeed = 4.0
+	// startShare is the number of endpoints needed for each own instance, as
+	// long as demand has not been seen for settleFor. Deployments have about as
+	// many endpoints as own instances.
+	startShare = 0.55
+	settleFor  = 10 * time.Second
 	// reorderAfter is the time after which an order that has not taken effect
 	// is sent again, beside the time that endpoints take to start.
 	reorderAfter = 2 * time.Second
@@ -152,13 +157,21 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		need := max(demand.Peak(now, name)/utilization, leastNeed)
+		need := max(demand.Peak(now, name)/utilization, p.least(now, name, demand))
 		scarce := demand.Peak(now, name) / scarceUtilization
 		orders = append(orders, p.serviceTargets(now, name, c.Services[name].Scaling, present, need, scarce)...)
 	}
 	return orders
 }
 
+// least returns the endpoints that are needed whatever the demand seen so far.
+func (p *Planner) least(now time.Duration, name fleet.ServiceName, demand *Demand) float64 {
+	if p.inherited || demand.SeenFor(now, name) >= settleFor {
+		return leastNeed
+	}
+	return max(startShare*float64(demand.Instances()), leastNeed)
+}
+
 // serviceTargets spreads the needed endpoints so that the loss of one data
 // centre's reclaimable ones leaves enough. While none are to be had, on-demand
 // ones take the place of those that are missing.
--- a/internal/core/scaling/plan_test.go
+++ b/internal/core/scaling/plan_test.go
@@ -26,6 +26,7 @@
 // world is a platform that obeys orders at once, except for reclaimable
 // endpoints while these are scarce.
 type world struct {
+	catalog *catalog.Catalog
 	planner *Planner
 	demand  *Demand
 	counts  map[Subject]int
@@ -34,7 +35,7 @@
 }
 
 func newWorld(inherited bool) *world {
-	w := &world{planner: NewPlanner(), demand: NewDemand(), counts: make(map[Subject]int)}
+	w := &world{catalog: testCatalog(), planner: NewPlanner(), demand: NewDemand(), counts: make(map[Subject]int)}
 	w.planner.Reset(inherited)
 	for _, dc := range centres {
 		w.counts[Subject{"s", dc, false}] = 3
@@ -46,7 +47,7 @@
 	for ; w.now < until; w.now += 100 * time.Millisecond {
 		w.demand.Report(w.now, "n", map[fleet.ServiceName]float64{"s": load})
 		for {
-			o, ok := w.planner.Next(w.now, testCatalog(), w.endpoints(), w.demand)
+			o, ok := w.planner.Next(w.now, w.catalog, w.endpoints(), w.demand)
 			if !ok {
 				break
 			}
@@ -127,3 +128,23 @@
 		is.True(both >= service.Scaling.Min && both <= service.Scaling.Max)
 	}
 }
+
+// TestLargeDeploymentStartsWithEnough guards against a large deployment that is
+// cut down to a handful of endpoints before its traffic begins, as on
+// hzk-dial-grown scale-1, whose first twelve seconds were lost.
+func TestLargeDeploymentStartsWithEnough(t *testing.T) {
+	is := is.New(t)
+	big := service
+	scaling := *service.Scaling
+	scaling.Max = 40
+	big.Scaling = &scaling
+	w := newWorld(false)
+	w.catalog = catalog.Build(catalog.Catalog{Version: 1, Services: map[fleet.ServiceName]catalog.Service{"s": big}})
+	for i := range 59 {
+		w.demand.Report(0, fmt.Sprint("other", i), nil)
+	}
+	w.run(2*time.Second, 0)
+	is.True(w.total(true) >= 33)
+	w.run(60*time.Second, 5)
+	is.True(w.total(true) <= 15)
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -12,12 +12,15 @@
 )
 
 const (
-	// configWait is the time that a read of the configuration waits for one.
-	// It bounds how long a channel that went silent is trusted.
-	configWait = 2500 * time.Millisecond
-	// endpointInterval is the time between two reads of the instance list. It
-	// leaves most of the time in which a leaving endpoint must be left.
-	endpointInterval = 700 * time.Millisecond
+	// configWaitShare is the time that a read of the configuration waits for
+	// one, as a share of the bound within which it must be in force. It bounds
+	// how long a channel that went silent is trusted.
+	configWaitShare = 1.25
+	// listPauseShare is the time between two reads of the instance list, as a
+	// share of the bound within which a leaving endpoint must be left.
+	listPauseShare = 0.35
+	// defaultBound stands for bounds that the settings do not give.
+	defaultBound = 2 * time.Second
 	// retryInterval is the wait after a failed read.
 	retryInterval = 250 * time.Millisecond
 )
@@ -97,6 +100,14 @@
 // errInterrupted ends a read that another reader found to be out of date.
 var errInterrupted = errors.New("the read was interrupted; read again")
 
+// shareOf returns a share of a bound.
+func shareOf(bound time.Duration, share float64) time.Duration {
+	if bound <= 0 {
+		bound = defaultBound
+	}
+	return time.Duration(float64(bound) * share)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -40,9 +40,10 @@
 	pullAfter = 200 * time.Millisecond
 	// pullInterval is the least time between two pulls.
 	pullInterval = 400 * time.Millisecond
-	// listStaleAfter is the time without a read of the instance list after
-	// which a peer is asked for it.
-	listStaleAfter = 1100 * time.Millisecond
+	// listStaleShare is the time without a read of the instance list after
+	// which a peer is asked for it, as a share of the bound within which a
+	// leaving endpoint must be left.
+	listStaleShare = 0.55
 	// steadyAfter is how long a peer must have read the instance list without
 	// an outage for its reading to show that the store itself was available.
 	steadyAfter  = 2500 * time.Millisecond
@@ -245,7 +246,7 @@
 	} else if t.behindSince == 0 {
 		t.behindSince = now
 	}
-	stale := t.process.listAge() > listStaleAfter && m.GetListOffset() > state.Offset
+	stale := t.process.listAge() > shareOf(t.process.deployment.Bounds.Drain, listStaleShare) && m.GetListOffset() > state.Offset
 	wanted := !t.pulled || stale || (behind && now-t.behindSince > pullAfter)
 	if !wanted || now-t.lastPull < pullInterval || !t.pulling.CompareAndSwap(false, true) {
 		return
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -260,7 +260,7 @@
 
 func (p *process) configFollower() *follower {
 	return &follower{
-		store: p.store, topic: platform.TopicConfig, log: p.log, wait: configWait,
+		store: p.store, topic: platform.TopicConfig, log: p.log, wait: shareOf(p.deployment.Bounds.ConfigApply, configWaitShare),
 		lost: func() {}, returned: func(context.Context) {}, interrupts: p.storeBack,
 		found: func(ctx context.Context, batch platform.Batch, _ bool) {
 			if r, ok := platform.ConfigRecord(batch.Records); ok {
@@ -272,7 +272,7 @@
 
 func (p *process) endpointFollower() *follower {
 	return &follower{
-		store: p.store, topic: platform.TopicEndpoints, log: p.log, pause: endpointInterval,
+		store: p.store, topic: platform.TopicEndpoints, log: p.log, pause: shareOf(p.deployment.Bounds.Drain, listPauseShare),
 		returned: func(ctx context.Context) {
 			_ = p.directory.mailbox.Send(ctx, storeReturned{})
 			select {
