--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -49,14 +49,11 @@
 	Timeout time.Duration
 	// Objective is the time within which an answer has its full value.
 	Objective time.Duration
-	// MaxGap is the longest pause between events of a stream that is on time.
-	MaxGap time.Duration
 	// MaxAttempts bounds the endpoints to which one attempt of a caller is sent.
 	MaxAttempts int
 	// Priority is the rank, 0 is the most urgent.
 	Priority  int
 	Public    bool
-	Sticky    bool
 	Resumable bool
 }
 
@@ -65,7 +62,6 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	Slots int
 	// Memory is the capacity of one engine in tokens.
 	Memory int
 }
@@ -75,20 +71,15 @@
 	Min, Max int
 	// BootTime passes between an order and the first request served.
 	BootTime time.Duration
-	// ReclaimablePrice is the price of a reclaimable endpoint as a share of the
-	// price of an on-demand one.
-	ReclaimablePrice float64
 	// Prices is the price of an endpoint for each second, by data centre.
 	Prices map[fleet.DataCentre]float64
 }
 
 // Service is a group of interchangeable endpoints.
 type Service struct {
-	Name fleet.ServiceName
-	// MaxChannels is the number of channels one endpoint accepts from all callers.
-	MaxChannels int
-	Engine      *Engine
-	Scaling     *Scaling
+	Name    fleet.ServiceName
+	Engine  *Engine
+	Scaling *Scaling
 }
 
 // Team is a customer of the deployment with its keys and allowance.
--- a/internal/core/gateway/endpoints.go
+++ b/internal/core/gateway/endpoints.go
@@ -117,7 +117,7 @@
 }
 
 // end counts a request that is no longer at the endpoint.
-func (e *endpoint) end(_ time.Duration, backlog int, began bool) {
+func (e *endpoint) end(backlog int, began bool) {
 	e.own.Active--
 	if !began {
 		e.own.Backlog -= backlog
@@ -140,7 +140,8 @@
 	e.callTime = time.Duration(float64(e.callTime)*(1-smoothing) + smoothing*float64(max(took, 0)))
 }
 
-func (e *endpoint) succeeded(_ time.Duration, _ *open) {
+// succeeded counts a whole successful answer.
+func (e *endpoint) succeeded() {
 	e.failing *= 1 - smoothing
 }
 
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -114,7 +114,7 @@
 	case Began:
 		return m.began(now, msg)
 	case Finished:
-		m.finished(now, msg)
+		m.finished(msg)
 	case SetCatalog:
 		if m.catalog == nil || msg.Catalog.Version > m.catalog.Version {
 			m.catalog = msg.Catalog
@@ -279,7 +279,7 @@
 		return nil
 	}
 	e := o.current
-	e.end(now, o.backlog, o.began)
+	e.end(o.backlog, o.began)
 	o.current = nil
 	m.observeFailure(now, o, e, msg)
 	if msg.Failure == FailureDial {
@@ -352,7 +352,7 @@
 	return []Action{Started{Team: o.team.Name}}
 }
 
-func (m *Machine) finished(now time.Duration, msg Finished) {
+func (m *Machine) finished(msg Finished) {
 	o, ok := m.open[msg.ID]
 	if !ok {
 		return
@@ -361,9 +361,9 @@
 	if o.current == nil {
 		return
 	}
-	o.current.end(now, o.backlog, o.began)
+	o.current.end(o.backlog, o.began)
 	if msg.Succeeded {
-		o.current.succeeded(now, o)
+		o.current.succeeded()
 	}
 }
 
@@ -376,8 +376,8 @@
 	return b
 }
 
-// instances returns the number of own instances, at least as many as a
-// deployment has in each of three data centres until peers are known.
+// instances returns the number of own instances; until peers are known it is
+// assumed, so that an isolated instance does not repeat for all of them.
 func (m *Machine) instances() int {
 	const unknown = 9
 	if len(m.peers) == 0 {
--- a/internal/core/scaling/plan_test.go
+++ b/internal/core/scaling/plan_test.go
@@ -14,7 +14,7 @@
 var (
 	centres = []fleet.DataCentre{"a", "b", "c"}
 	service = catalog.Service{Name: "s", Scaling: &catalog.Scaling{
-		Min: 1, Max: 6, BootTime: 4 * time.Second, ReclaimablePrice: 0.2,
+		Min: 1, Max: 6, BootTime: 4 * time.Second,
 		Prices: map[fleet.DataCentre]float64{"a": 0.85, "b": 1.2, "c": 1},
 	}}
 )
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -31,8 +31,6 @@
 	// limits and ready are published for tasks that only read them.
 	limits atomic.Pointer[catalog.Limits]
 	ready  atomic.Bool
-	// applied is called with each configuration that comes into force.
-	applied func(*catalog.Catalog)
 }
 
 func newGatewayTask(clock task.Clock, options gateway.Options, began task.Mailbox[gateway.Started]) *gatewayTask {
@@ -41,7 +39,6 @@
 		mailbox: task.NewMailbox[gatewayMessage](gatewayMailbox),
 		reports: task.NewMailbox[reportRequest](4),
 		replies: make(map[gateway.RequestID]chan<- gateway.Action),
-		applied: func(*catalog.Catalog) {},
 	}
 }
 
@@ -71,7 +68,6 @@
 	}
 	if now := t.machine.Catalog(); now != before {
 		t.limits.Store(&now.Limits)
-		t.applied(now)
 	}
 	t.ready.Store(t.machine.Ready())
 }
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -17,8 +17,10 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/lo"
 	"github.com/zeebo/errs"
 
+	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
 	"github.com/cornelhold/cornelhold/internal/core/quota"
 	"github.com/cornelhold/cornelhold/internal/front"
@@ -115,6 +117,7 @@
 	p.directory.changed = func(s directoryState) {
 		// The state that does not fit is followed by a newer one.
 		p.duties.mailbox.TrySend(endpointsNews{state: s})
+		p.pool.Retain(lo.SliceToMap(s.Endpoints, func(e catalog.Endpoint) (string, bool) { return e.Address, true }))
 	}
 	return p
 }
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -29,7 +29,7 @@
 	unsafeIdle = 300 * time.Millisecond
 	// repeatableIdle is the same for requests that may be repeated.
 	repeatableIdle = time.Second
-	// resetTimeout bounds the wait for the gateway's first decision.
+	// decisionTimeout bounds the wait for the gateway's first decision.
 	decisionTimeout = 2 * time.Second
 )
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -26,6 +26,9 @@
 	// idleMargin is the time before the endpoint's own timeout at which a
 	// channel is no longer used, so that no request crosses its close.
 	idleMargin = 500 * time.Millisecond
+	// idlePerEndpoint bounds the idle channels to one endpoint, which takes a
+	// limited number from all instances together.
+	idlePerEndpoint = 4
 	// readBuffer is the size of the read buffer of a channel, in bytes.
 	readBuffer = 4096
 )
@@ -71,21 +74,17 @@
 
 type release struct{ channel *Channel }
 
-type retain struct {
-	addresses map[string]bool
-	perTarget int
-}
+type retain struct{ addresses map[string]bool }
 
 // Pool keeps idle channels by the address of their endpoint.
 type Pool struct {
-	mailbox   task.Mailbox[any]
-	idle      map[string][]*Channel
-	perTarget int
+	mailbox task.Mailbox[any]
+	idle    map[string][]*Channel
 }
 
 // NewPool returns a pool without channels.
 func NewPool() *Pool {
-	return &Pool{mailbox: task.NewMailbox[any](poolMailbox), idle: make(map[string][]*Channel), perTarget: 4}
+	return &Pool{mailbox: task.NewMailbox[any](poolMailbox), idle: make(map[string][]*Channel)}
 }
 
 // Run serves the pool until ctx ends, then closes the idle channels.
@@ -111,13 +110,12 @@
 		msg.reply <- p.take(msg.address, msg.maxIdle)
 	case release:
 		list := p.idle[msg.channel.address]
-		if len(list) >= p.perTarget {
+		if len(list) >= idlePerEndpoint {
 			_ = msg.channel.conn.Close()
 			return
 		}
 		p.idle[msg.channel.address] = append(list, msg.channel)
 	case retain:
-		p.perTarget = msg.perTarget
 		for address, list := range p.idle {
 			if !msg.addresses[address] {
 				closeChannels(list)
@@ -173,10 +171,10 @@
 	}
 }
 
-// Retain closes the idle channels to other addresses and bounds the idle
-// channels for each address.
-func (p *Pool) Retain(ctx context.Context, addresses map[string]bool, perTarget int) error {
-	return p.mailbox.Send(ctx, retain{addresses: addresses, perTarget: max(perTarget, 1)})
+// Retain closes the idle channels to all other addresses. It does not wait; a
+// later call or the idle timeout closes what a full mailbox left open.
+func (p *Pool) Retain(addresses map[string]bool) {
+	p.mailbox.TrySend(retain{addresses: addresses})
 }
 
 // acquire returns an idle channel, or nil if there is none.
