--- a/cmd/cornelhold-edge/main.go
+++ b/cmd/cornelhold-edge/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
 	"github.com/spf13/cobra"
@@ -13,6 +12,8 @@
 	"github.com/cornelhold/cornelhold/platform"
 )
 
+const exampleCheck = "  cornelhold-edge config check --settings local.yaml"
+
 func main() {
 	if err := command().Execute(); err != nil {
 		os.Exit(1)
@@ -24,7 +25,7 @@
 	root := &cobra.Command{
 		Use:          "cornelhold-edge",
 		Short:        "Serve callers on an entry instance of the users' platform",
-		Example:      "  cornelhold-edge --settings local.yaml\n  cornelhold-edge config check --settings local.yaml",
+		Example:      "  cornelhold-edge --settings local.yaml\n" + exampleCheck,
 		Args:         cobra.NoArgs,
 		SilenceUsage: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -36,23 +37,11 @@
 		},
 	}
 	root.PersistentFlags().StringVar(&path, "settings", platform.SettingsPath(), "the platform's settings file (YAML)")
-	root.AddCommand(configCommand(&path), daemon.VersionCommand("cornelhold-edge"))
+	root.AddCommand(daemon.ConfigCommand(exampleCheck, &path, check), daemon.VersionCommand("cornelhold-edge"))
 	return root
 }
 
-func configCommand(path *string) *cobra.Command {
-	config := &cobra.Command{Use: "config", Short: "Work with the settings file"}
-	config.AddCommand(&cobra.Command{
-		Use:   "check",
-		Short: "Check the settings file and exit",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if _, err := platform.LoadSettings(*path); err != nil {
-				return err
-			}
-			_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: ok\n", *path)
-			return err
-		},
-	})
-	return config
+func check(path string) error {
+	_, err := platform.LoadSettings(path)
+	return err
 }
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -58,7 +58,9 @@
 }
 
 // Repeatable reports whether a request that may have run can be sent again.
-func (r *Route) Repeatable() bool { return r.Kind == KindIdempotent }
+func (r *Route) Repeatable() bool {
+	return r.Kind == KindIdempotent || (r.Kind == KindStream && r.Resumable)
+}
 
 // Engine describes the model engines of a service.
 type Engine struct {
--- a/internal/core/duty/lease.go
+++ b/internal/core/duty/lease.go
@@ -41,6 +41,15 @@
 	Released bool
 }
 
+// holderFence returns the fence of the record's holder, also for the record that
+// acquires the lease.
+func (r *LeaseRecord) holderFence() int64 {
+	if r.Fence != 0 {
+		return r.Fence
+	}
+	return r.Offset + 1
+}
+
 // LeaseMessage is an input of Lease.
 type LeaseMessage interface{ leaseMessage() }
 
@@ -193,10 +202,7 @@
 		return
 	}
 	l.sent, l.record, l.end, l.synced, l.seenAt = nil, &record, offset+1, true, now
-	l.fence = record.Fence
-	if record.Fence == 0 {
-		l.fence = offset + 1
-	}
+	l.fence = record.holderFence()
 	l.validUntil = l.sentAt + validity
 	if record.Released {
 		l.validUntil = 0
@@ -218,11 +224,11 @@
 	case !l.synced:
 		return l.readAgain(now)
 	case l.leaving && own:
-		return l.append(now, LeaseRecord{Fence: l.fenceOf(l.record), Released: true})
+		return l.append(now, LeaseRecord{Fence: l.record.holderFence(), Released: true})
 	case l.leaving:
 		return nil
 	case own && now >= l.sentAt+renewInterval:
-		return l.append(now, LeaseRecord{Fence: l.fenceOf(l.record)})
+		return l.append(now, LeaseRecord{Fence: l.record.holderFence()})
 	case own:
 		return nil
 	case l.free(now):
@@ -239,13 +245,6 @@
 	return now >= l.seenAt+takeoverAfter+l.stagger
 }
 
-func (l *Lease) fenceOf(r *LeaseRecord) int64 {
-	if r.Fence != 0 {
-		return r.Fence
-	}
-	return r.Offset + 1
-}
-
 func (l *Lease) readAgain(now time.Duration) []LeaseAction {
 	if now < l.nextRead {
 		return nil
--- a/internal/core/duty/timebase.go
+++ b/internal/core/duty/timebase.go
@@ -18,7 +18,6 @@
 type TimeBase struct {
 	offset  time.Duration
 	known   bool
-	own     time.Duration
 	samples map[string]clockSample
 }
 
@@ -30,8 +29,7 @@
 // Observe takes the local time of day and updates the estimate. The estimate is
 // kept as long as a third of the clocks agree with it.
 func (t *TimeBase) Observe(now, wall time.Duration) {
-	t.own = wall - now
-	offsets := []time.Duration{t.own}
+	offsets := []time.Duration{wall - now}
 	for name, s := range t.samples {
 		if now-s.at > sampleFor {
 			delete(t.samples, name)
--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -47,16 +47,8 @@
 	}
 }
 
-// unreachable confirms the recent breaks of an endpoint.
-func (c *crashes) unreachable(now time.Duration, id fleet.EndpointID, started int64) {
-	c.confirm(now, id, started)
-}
-
-// restarted confirms the recent breaks of an incarnation that has ended.
-func (c *crashes) restarted(now time.Duration, id fleet.EndpointID, started int64) {
-	c.confirm(now, id, started)
-}
-
+// confirm counts the recent breaks of an incarnation that was found down or has
+// ended.
 func (c *crashes) confirm(now time.Duration, id fleet.EndpointID, started int64) {
 	c.pending = slices.DeleteFunc(c.pending, func(e crashEvidence) bool {
 		if e.Endpoint != id || e.Started != started {
--- a/internal/core/gateway/endpoints.go
+++ b/internal/core/gateway/endpoints.go
@@ -81,7 +81,7 @@
 		e, ok := known[l.ID]
 		if !ok || e.Started != l.Started || e.Address != l.Address {
 			if ok {
-				m.crashes.restarted(now, e.ID, e.Started)
+				m.crashes.confirm(now, e.ID, e.Started)
 			}
 			e = newEndpoint(l)
 		}
@@ -193,7 +193,7 @@
 	case FailureDial:
 		e.inRow++
 		e.suspectUntil = now + min(suspectBase<<min(e.inRow-1, 4), suspectMax)
-		m.crashes.unreachable(now, e.ID, e.Started)
+		m.crashes.confirm(now, e.ID, e.Started)
 	case FailureBroken:
 		if !msg.Stale {
 			m.crashes.broken(now, Crash{Fingerprint: o.request.Fingerprint, Endpoint: e.ID, Started: e.Started})
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -320,11 +320,10 @@
 // repeat returns the endpoint at which the request is tried again.
 func (m *Machine) repeat(now time.Duration, o *open, msg AttemptFailed) (*endpoint, time.Duration, bool) {
 	notRun := msg.Failure == FailureDial || msg.Failure == FailureRejected
-	repeatable := o.route.Kind == catalog.KindIdempotent || (o.route.Kind == catalog.KindStream && o.route.Resumable)
 	switch {
 	case now >= o.giveUpAt, o.sends >= o.route.MaxAttempts, o.dials >= maxDials:
 		return nil, 0, false
-	case !notRun && !repeatable, !notRun && m.crashes.poisonous(now, o.request.Fingerprint):
+	case !notRun && !o.route.Repeatable(), !notRun && m.crashes.poisonous(now, o.request.Fingerprint):
 		return nil, 0, false
 	}
 	next, expected := m.choose(now, o)
--- a/internal/core/gateway/machine_test.go
+++ b/internal/core/gateway/machine_test.go
@@ -170,7 +170,7 @@
 		is.True(ok)
 		now := time.Duration(id)*time.Second + 10*time.Millisecond
 		m.observeFailure(now, m.open[id], m.endpoints[a.Endpoint.ID], AttemptFailed{ID: id, Failure: FailureBroken})
-		m.crashes.unreachable(now, a.Endpoint.ID, a.Endpoint.Started)
+		m.crashes.confirm(now, a.Endpoint.ID, a.Endpoint.Started)
 		m.Step(now, Finished{ID: id})
 	}
 	m.Step(3*time.Second, PeerReport{Node: "n2", Crashes: []Crash{{Fingerprint: 99, Endpoint: "other", Started: 4}}})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,19 +71,23 @@
 		},
 	}
 	root.PersistentFlags().StringVar(&path, "config", "", "settings file (YAML)")
-	root.AddCommand(p.configCommand(&path), VersionCommand(p.Name))
+	example := "  " + p.Name + " config check --config " + p.Name + ".yaml"
+	root.AddCommand(ConfigCommand(example, &path, func(path string) error {
+		return settings.Load(path, p.Defaults())
+	}), VersionCommand(p.Name))
 	return root
 }
 
-func (p Program[S]) configCommand(path *string) *cobra.Command {
+// ConfigCommand returns the command that checks the settings file at path.
+func ConfigCommand(example string, path *string, check func(path string) error) *cobra.Command {
 	config := &cobra.Command{Use: "config", Short: "Work with the settings file"}
 	config.AddCommand(&cobra.Command{
 		Use:     "check",
 		Short:   "Check the settings file and exit",
-		Example: "  " + p.Name + " config check --config " + p.Name + ".yaml",
+		Example: example,
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := settings.Load(*path, p.Defaults()); err != nil {
+			if err := check(*path); err != nil {
 				return err
 			}
 			_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: ok\n", *path)
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -151,20 +152,19 @@
 	case endpointsNews:
 		t.state = msg.state
 	case windowsRequest:
-		msg.reply <- t.windows(0)
+		msg.reply <- t.windows(0, func(string) bool { return true })
 	case finished:
 		msg.apply(now)
 	}
 }
 
-func (t *dutiesTask) windows(from int64) []usageWindow {
+// windows returns copies of the usage counts of some origins from a window on.
+func (t *dutiesTask) windows(from int64, wanted func(origin string) bool) []usageWindow {
 	var list []usageWindow
 	t.usage.Each(from, func(number int64, origin string, counts duty.Counts) {
-		copied := make(duty.Counts, len(counts))
-		for team, n := range counts {
-			copied[team] = n
+		if wanted(origin) {
+			list = append(list, usageWindow{number: number, origin: origin, counts: maps.Clone(counts)})
 		}
-		list = append(list, usageWindow{number: number, origin: origin, counts: copied})
 	})
 	return list
 }
@@ -187,12 +187,7 @@
 
 func (t *dutiesTask) publish(now time.Duration, held bool) {
 	from := t.reporter.Window(t.base.TrueTime(now)) - sharedWindows + 1
-	own := make([]usageWindow, 0, sharedWindows)
-	for _, w := range t.windows(from) {
-		if w.origin == t.origin {
-			own = append(own, w)
-		}
-	}
+	own := t.windows(from, func(origin string) bool { return origin == t.origin })
 	t.snapshot.Store(&sharedDuties{windows: own, leaseOffset: t.lease.Known(), held: held})
 }
 
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
 	"github.com/cornelhold/cornelhold/internal/core/stream"
@@ -27,8 +28,8 @@
 	// request that must not be repeated. A channel that the endpoint just
 	// closed would leave its outcome unknown.
 	unsafeIdle = 300 * time.Millisecond
-	// repeatableIdle is the same for requests that may be repeated.
-	repeatableIdle = time.Second
+	// idempotentIdle is the same for idempotent requests.
+	idempotentIdle = time.Second
 	// decisionTimeout bounds the wait for the gateway's first decision.
 	decisionTimeout = 2 * time.Second
 )
@@ -180,8 +181,8 @@
 		forward.LastEventID = strconv.FormatInt(id, 10)
 	}
 	idle := unsafeIdle
-	if a.Route.Repeatable() {
-		idle = repeatableIdle
+	if a.Route.Kind == catalog.KindIdempotent {
+		idle = idempotentIdle
 	}
 	attempt, cancel := context.WithCancel(ctx)
 	r.cancel = cancel
