--- a/internal/core/scaling/plan.go
+++ b/internal/core/scaling/plan.go
@@ -174,18 +174,25 @@
 
 // serviceTargets spreads the needed endpoints so that the loss of one data
 // centre's reclaimable ones leaves enough. While none are to be had, on-demand
-// ones take the place of those that are missing.
+// ones take the place of those that are missing, and of those that the next
+// reclaim of a data centre would take: reclaims come in series, and on-demand
+// endpoints take longer to start than the notice lasts.
 func (p *Planner) serviceTargets(now time.Duration, name fleet.ServiceName, s *catalog.Scaling, present map[Subject]int, need, scarceNeed float64) []Order {
 	centres := byPrice(s)
 	others := max(len(centres)-1, 1)
 	each := max(int(math.Ceil(need/float64(others))), s.Min)
-	reclaimable, kept := 0, 0
+	reclaimable, largest, kept := 0, 0, 0
 	for _, dc := range centres {
-		reclaimable += present[Subject{name, dc, true}]
+		n := present[Subject{name, dc, true}]
+		reclaimable += n
+		largest = max(largest, n)
 		kept += present[Subject{name, dc, false}]
 	}
 	onDemand := 0
-	if now < p.scarceUntil || kept > 0 {
+	switch {
+	case now < p.scarceUntil:
+		onDemand = max(int(math.Ceil(scarceNeed))-(reclaimable-largest), 0)
+	case kept > 0:
 		onDemand = max(int(math.Ceil(scarceNeed))-reclaimable, 0)
 	}
 	orders := make([]Order, 0, 2*len(centres))
--- a/internal/core/scaling/plan_test.go
+++ b/internal/core/scaling/plan_test.go
@@ -108,6 +108,25 @@
 	is.True(w.total(false) <= 2)
 }
 
+// TestNextReclaimIsPreparedFor guards against a service that loses its second
+// data centre's reclaimable endpoints while no others are to be had and nothing
+// has been ordered in their place, as on hzk-dial-grown scale-1.
+func TestNextReclaimIsPreparedFor(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(false)
+	const load = 5.0
+	w.run(15*time.Second, load)
+	w.scarce = true
+	for _, dc := range centres {
+		w.counts[Subject{"s", dc, true}] = 0
+		w.run(w.now+5*time.Second, load)
+		left := w.total(false) + w.total(true)
+		for _, next := range centres {
+			is.True(left-w.counts[Subject{"s", next, true}] >= load) // the next reclaim leaves enough
+		}
+	}
+}
+
 // TestNewHolderKeepsEndpoints guards against a new holder that takes endpoints
 // away before it knows the demand.
 func TestNewHolderKeepsEndpoints(t *testing.T) {
