--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -85,6 +85,9 @@
 	records map[fleet.EndpointID]platform.Record
 	offset  int64
 	listed  bool
+	// complete is the offset up to which the newest records of all entries were
+	// read from the store. An unknown entry of an older record is gone.
+	complete int64
 	// outageIsLocal is set if peers read the store while this instance could not.
 	outageIsLocal bool
 	// publish passes a change on.
@@ -168,12 +171,16 @@
 		}
 	}
 	changed := !t.listed
+	if msg.resync {
+		t.complete = 0
+	}
 	seen := make(map[fleet.EndpointID]bool, len(msg.records))
 	for _, r := range msg.records {
 		seen[fleet.EndpointID(r.Key)] = true
 		changed = t.applyEntry(now, r) || changed
 	}
 	if msg.resync {
+		t.complete = msg.end
 		for id, r := range t.records {
 			if !seen[id] && r.Offset < msg.end {
 				changed = t.applyEntry(now, platform.Record{Key: string(id), Offset: msg.end - 1}) || changed
@@ -192,7 +199,8 @@
 }
 
 func (t *directoryTask) applyEntry(now time.Duration, r platform.Record) bool {
-	if known, ok := t.records[fleet.EndpointID(r.Key)]; ok && r.Offset <= known.Offset {
+	known, ok := t.records[fleet.EndpointID(r.Key)]
+	if (ok && r.Offset <= known.Offset) || (!ok && r.Offset < t.complete) {
 		return false
 	}
 	entry, err := platform.DecodeEntry(r)
