Count the time that a request was read against its caller's time; drop it if the caller left

Tests: TestEdgeCountsTheReadingOfARequest, seen to fail without the change; TestEdgeDropsRequestsOfCallersThatLeft, which also passed without it.

--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -143,7 +143,10 @@
 	if refusal != nil {
 		return Refuse{ID: msg.ID, Refusal: refusal}
 	}
-	o.giveUpAt = now + giveUp(msg.Request.Deadline, o.route.Timeout)
+	o.giveUpAt = now + giveUp(msg.Request.Deadline, o.route.Timeout) - msg.Request.Waited
+	if o.giveUpAt <= now {
+		return refuse(fleet.RefusedOverload, retryAfter, "the caller's time was over before the request was read; retry")
+	}
 	if m.crashes.poisonous(now, msg.Request.Fingerprint) {
 		return refuse(fleet.RefusedQuarantined, o.giveUpAt-now, "endpoints crashed repeatedly while they ran this request; change it")
 	}
--- a/internal/core/gateway/messages.go
+++ b/internal/core/gateway/messages.go
@@ -21,6 +21,9 @@
 	HasKey     bool
 	// Deadline is how long the caller waits; 0 means that it did not say.
 	Deadline time.Duration
+	// Waited is how long the caller has waited already, such as for a long
+	// request to be read.
+	Waited time.Duration
 	// Prompt and Output are the prompt's tokens and the most output tokens.
 	Prompt, Output int
 	HasTokens      bool
--- a/internal/e2e/edge_test.go
+++ b/internal/e2e/edge_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -439,6 +440,42 @@
 	})
 }
 
+// TestEdgeDropsRequestsOfCallersThatLeft guards against requests that reach a
+// replica although their callers left before the process could read them, as on
+// rdsign-cornelhold-grown scale-1 (rule GONE).
+func TestEdgeDropsRequestsOfCallersThatLeft(t *testing.T) {
+	is := is.New(t)
+	f := newEdgeFleet(t, 1)
+	e := f.edges[0]
+	is.NoErr(e.cmd.Process.Signal(syscall.SIGSTOP))
+	for range 20 {
+		conn, _ := f.open(e, call{method: http.MethodGet, target: "/check/x"})
+		is.NoErr(conn.Close())
+	}
+	is.NoErr(e.cmd.Process.Signal(syscall.SIGCONT))
+	resp, _, _ := f.do(e, call{method: http.MethodGet, target: "/check/x"})
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(len(runs(f.plain)), 1) // the others were accepted before it
+}
+
+// TestEdgeCountsTheReadingOfARequest guards against a caller's deadline that
+// begins only once the whole request was read (rules BUDGET, GONE).
+func TestEdgeCountsTheReadingOfARequest(t *testing.T) {
+	is := is.New(t)
+	f := newEdgeFleet(t, 1)
+	conn, _ := f.open(f.edges[0], call{method: http.MethodPost, target: "/order/x", header: "Transfer-Encoding: chunked\r\nX-Ignored: "})
+	const reading = 600 * time.Millisecond
+	time.Sleep(reading)
+	_, err := io.WriteString(conn, "0\r\n\r\n")
+	is.NoErr(err)
+	resp, _, err := f.answer(conn, http.MethodPost)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	left, err := strconv.Atoi(runs(f.plain)[0].Header.Get("Deadline-Ms"))
+	is.NoErr(err)
+	is.True(left <= 1500-int(reading.Milliseconds())) // the route's timeout is 1,500 ms
+}
+
 // TestEdgeReportsUsage guards against usage that is missing, wrong or reported
 // with two counts, when the holder of the duty is killed.
 func TestEdgeReportsUsage(t *testing.T) {
--- a/internal/front/channel.go
+++ b/internal/front/channel.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
+	"github.com/cornelhold/cornelhold/internal/socket"
 )
 
 const (
@@ -161,6 +162,18 @@
 	}
 }
 
+// callerLeft reports whether the caller closed the channel. A process that was
+// held up finds the close behind the request; the reading goroutine may not
+// have come to it yet.
+func (c *channel) callerLeft() bool {
+	select {
+	case <-c.gone:
+		return true
+	default:
+		return socket.Peek(c.conn) == socket.Closed
+	}
+}
+
 // readRequest reads a whole request. It reports false if the channel broke.
 func (c *channel) readRequest() (incoming, bool) {
 	limits := c.limits()
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -34,6 +34,9 @@
 	decisionTimeout = 2 * time.Second
 )
 
+// resultCallerLeft is the outcome of a request whose caller left before its end.
+const resultCallerLeft = "caller-left"
+
 // request is the state of one request of a caller.
 type request struct {
 	channel *channel
@@ -105,7 +108,7 @@
 		case <-ctx.Done():
 			return false
 		case <-r.channel.gone:
-			r.outcome.Result = "caller-left"
+			r.outcome.Result = resultCallerLeft
 			return false
 		case <-r.giveUp.C():
 			return r.timeout()
@@ -143,6 +146,7 @@
 	_, _ = print.Write(r.in.body)
 	return gateway.Request{
 		Host: req.Host, Path: path, Key: r.call.Key, HasKey: r.call.HasKey, Deadline: deadline,
+		Waited: r.channel.server.options.Clock.Now() - r.in.arrived,
 		Prompt: r.call.PromptTokens, Output: r.call.MaxOutput, HasTokens: r.call.HasTokens,
 		Parts: r.call.Parts, Fingerprint: fleet.Fingerprint(print.Sum64()), Pick: pick,
 	}
@@ -151,6 +155,10 @@
 func (r *request) act(ctx context.Context, a gateway.Action) (done, reusable bool) {
 	switch a := a.(type) {
 	case gateway.Send:
+		if r.channel.callerLeft() {
+			r.outcome.Result = resultCallerLeft
+			return true, false
+		}
 		r.start(ctx, a)
 	case gateway.Refuse:
 		r.outcome.Detail = a.Detail
@@ -275,7 +283,7 @@
 		out.WriteString(lastChunk)
 	}
 	if err := r.channel.write(out.Bytes()); err != nil {
-		r.outcome.Result = "caller-left"
+		r.outcome.Result = resultCallerLeft
 		return true, false
 	}
 	if last {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/samber/lo"
-	"golang.org/x/sys/unix"
 
+	"github.com/cornelhold/cornelhold/internal/socket"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
 
@@ -45,25 +45,7 @@
 
 // alive reports whether an idle channel is open and holds no unread bytes.
 func (c *Channel) alive() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	conn, ok := c.conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		_, _, readErr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = readErr == unix.EAGAIN
-		return true
-	})
-	return err == nil && open
+	return c.reader.Buffered() == 0 && socket.Peek(c.conn) == socket.Open
 }
 
 type acquire struct {
