Let one instance of each data centre read the store for the others

Change: core/feed ranks the instances of a data centre; the first reads the list and waits for configurations. Reports tell how much of the list is known and how old that is. The others pull changes from a peer, read a newer configuration when a peer reports one, and read the store themselves when what they know is too old.

--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -43,6 +43,8 @@
 	// steady is set for records of a peer that reads the store without an
 	// outage. Entries that it saw disappear are gone.
 	steady bool
+	// applied is closed once the records are applied; nil if nobody waits.
+	applied chan<- struct{}
 }
 
 // storeReturned tells that reads of the store succeed again.
@@ -130,6 +132,9 @@
 		t.applyConfig(ctx, msg)
 	case entriesFound:
 		t.applyEntries(ctx, msg)
+		if msg.applied != nil {
+			close(msg.applied)
+		}
 	case storeReturned:
 		if !t.outageIsLocal {
 			t.directory.StoreReturned(t.clock.Now())
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -16,13 +16,20 @@
 	// one, as a share of the bound within which it must be in force. It bounds
 	// how long a channel that went silent is trusted.
 	configWaitShare = 1.25
-	// listPauseShare is the time between two reads of the instance list, as a
-	// share of the bound within which a leaving endpoint must be left.
-	listPauseShare = 0.35
+	// listPauseShare is the time between two reads of the instance list by the
+	// instance that reads it for its data centre, as a share of the bound within
+	// which a leaving endpoint must be left.
+	listPauseShare = 0.25
+	// listStaleShare is the age of what is known of the list, as a share of the
+	// same bound, from which an instance reads the store itself and asks its
+	// peers. It leaves time for a read that fails.
+	listStaleShare = 0.55
 	// defaultBound stands for bounds that the settings do not give.
 	defaultBound = 2 * time.Second
-	// retryInterval is the wait after a failed read.
-	retryInterval = 250 * time.Millisecond
+	// retryInterval is the wait after a failed read, of the instance that reads
+	// for its data centre and of the others.
+	retryInterval       = 250 * time.Millisecond
+	othersRetryInterval = time.Second
 )
 
 // follower reads one keyed topic of the store and posts what it finds.
@@ -30,16 +37,21 @@
 	store *platform.Store
 	topic string
 	log   log.Interface
-	// wait is how long a read waits for records, pause the time between reads.
-	wait, pause time.Duration
+	// wait is how long a read waits for records.
+	wait time.Duration
+	// due returns the time until the topic has to be read again, retry the wait
+	// after a failed read.
+	due, retry func() time.Duration
+	// known returns the offset up to which peers have told the records.
+	known func() int64
 	// found receives the records; resync is set if they are the newest of all
 	// keys rather than the next ones.
 	found func(ctx context.Context, batch platform.Batch, resync bool)
 	// lost and returned tell of the beginning and end of an outage.
 	lost     func()
 	returned func(ctx context.Context)
-	// interrupts end a read that waits, after which the topic is read again.
-	interrupts <-chan struct{}
+	// wake ends a wait, also that of a read, after which the topic is read again.
+	wake <-chan struct{}
 }
 
 // run follows the topic until ctx ends. The state of the store is logged when
@@ -62,7 +74,7 @@
 			}
 			down = true
 			f.lost()
-			sleep(ctx, retryInterval)
+			sleep(ctx, f.retry())
 			continue
 		}
 		if down {
@@ -71,12 +83,29 @@
 			down = false
 		}
 		f.found(ctx, batch, resync)
-		next, resync = batch.Next, false
-		sleep(ctx, f.pause)
+		resync = false
+		f.rest(ctx)
+		next = max(batch.Next, f.known())
 	}
 	return nil
 }
 
+// rest waits until the topic has to be read again.
+func (f *follower) rest(ctx context.Context) {
+	alarm := task.NewAlarm()
+	defer alarm.Stop()
+	for d := f.due(); d > 0; d = f.due() {
+		alarm.Arm(d)
+		select {
+		case <-alarm.C():
+		case <-f.wake:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (f *follower) read(ctx context.Context, next int64, resync bool) (platform.Batch, error) {
 	if resync {
 		return f.store.Newest(ctx, f.topic)
@@ -85,7 +114,7 @@
 	defer cancel(nil)
 	go func() {
 		select {
-		case <-f.interrupts:
+		case <-f.wake:
 			cancel(errInterrupted)
 		case <-reading.Done():
 		}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -15,6 +16,8 @@
 	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/duty"
+	"github.com/cornelhold/cornelhold/internal/core/feed"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
 	"github.com/cornelhold/cornelhold/internal/task"
 	"github.com/cornelhold/cornelhold/platform"
@@ -40,16 +43,42 @@
 	pullAfter = 200 * time.Millisecond
 	// pullInterval is the least time between two pulls.
 	pullInterval = 400 * time.Millisecond
-	// listStaleShare is the time without a read of the instance list after
-	// which a peer is asked for it, as a share of the bound within which a
-	// leaving endpoint must be left.
-	listStaleShare = 0.55
+	// pullSpread bounds the random delay of a pull of list changes, for each
+	// known peer, so that the first peers that know them are not asked by all.
+	pullSpread    = 10 * time.Millisecond
+	maxPullSpread = 250 * time.Millisecond
+	// remoteAfter is how long list changes are awaited from a peer of the own
+	// data centre before another one is asked.
+	remoteAfter = 400 * time.Millisecond
 	// steadyAfter is how long a peer must have read the instance list without
 	// an outage for its reading to show that the store itself was available.
 	steadyAfter  = 2500 * time.Millisecond
 	peersMailbox = 256
 )
 
+// lag tells since when a peer has known more than this instance. Peers that know
+// no more do not end it, only progress of this instance does.
+type lag struct {
+	own    int64
+	since  time.Duration
+	behind bool
+}
+
+// observe compares what a peer knows with what this instance knows. It reports
+// whether the peer knows more, and how long any peer has known more.
+func (l *lag) observe(now time.Duration, own, peer int64) (time.Duration, bool) {
+	if own != l.own {
+		*l = lag{own: own}
+	}
+	if peer <= own {
+		return 0, false
+	}
+	if !l.behind {
+		l.behind, l.since = true, now
+	}
+	return now - l.since, true
+}
+
 // peer is another instance.
 type peer struct {
 	address  netip.Addr
@@ -75,10 +104,16 @@
 	peers    map[netip.Addr]*peer
 	self     netip.Addr
 	boot     string
-	// behindSince is when a peer with a newer configuration was first heard.
-	behindSince time.Duration
-	lastPull    time.Duration
-	pulled      bool
+	// roster tells whether this instance reads the store for its data centre.
+	roster *feed.Roster
+	// config and list tell since when peers have known more than this instance.
+	config, list lag
+	// woken is the version for which the follower of the configuration was woken.
+	woken catalog.Version
+	// pullDelay is the random delay of the next pull of list changes.
+	pullDelay time.Duration
+	lastPull  time.Duration
+	pulled    bool
 	// pulling is set while a pull is under way.
 	pulling atomic.Bool
 	puller  *puller
@@ -88,7 +123,7 @@
 	t := &peersTask{
 		process: p, boot: boot, peers: make(map[netip.Addr]*peer),
 		received: task.NewMailbox[datagram](peersMailbox), found: task.NewMailbox[[]netip.Addr](4),
-		puller: newPuller(p),
+		puller: newPuller(p), roster: feed.NewRoster(p.deployment.Node, p.deployment.DataCentre),
 	}
 	t.self, _ = netip.ParseAddr(p.deployment.IP)
 	for _, seed := range p.deployment.Seeds {
@@ -124,6 +159,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			t.assign()
 			t.report(ctx)
 			t.expire(ctx)
 		case addresses := <-t.found.Receive():
@@ -152,6 +188,20 @@
 	}
 }
 
+// assign decides whether this instance reads the store for its data centre.
+func (t *peersTask) assign() {
+	now := task.BootTime()
+	if lostAt := time.Duration(t.process.list.lostAt.Load()); lostAt != 0 {
+		t.roster.StoreLost(lostAt)
+	} else {
+		t.roster.StoreRead()
+	}
+	reads := t.roster.Reads(now)
+	if t.process.list.reads.Swap(reads) != reads {
+		t.process.log.WithFields(log.Fields{"reads": reads, "store_lost": t.roster.Lost(now)}).Info("reader of the store changed")
+	}
+}
+
 func (t *peersTask) report(ctx context.Context) {
 	own, err := t.process.gateway.report(ctx)
 	if err != nil {
@@ -165,7 +215,9 @@
 		Node: t.process.deployment.Node, Boot: t.boot, Ip: t.process.deployment.IP,
 		ConfigVersion: int64(state.Version), ListOffset: state.Offset, WallMs: time.Now().UnixMilli(),
 		Windows: lo.Map(shared.windows, encodeWindow), LeaseOffset: shared.leaseOffset, Held: shared.held,
-		Leaving: t.process.draining(), ListHealthyMs: t.process.listHealthy().Milliseconds(),
+		Leaving: t.process.draining(), ListHealthyMs: t.process.list.healthy().Milliseconds(),
+		ListAgeMs: t.process.list.age().Milliseconds(), DataCentre: string(t.process.deployment.DataCentre),
+		StoreLost: t.roster.Lost(now),
 	}
 	encodeReport(own, message)
 	for _, p := range t.peers {
@@ -230,24 +282,20 @@
 		windows: lo.Map(m.GetWindows(), decodeWindow),
 		lease:   duty.LeaseHeard{Offset: m.GetLeaseOffset(), Held: m.GetHeld()},
 	})
+	t.roster.Hear(now, feed.Instance{
+		Node: m.GetNode(), DataCentre: fleet.DataCentre(m.GetDataCentre()), Leaving: m.GetLeaving(), StoreLost: m.GetStoreLost(),
+	})
 	t.compare(ctx, now, d.from, &m)
 }
 
 // compare asks a peer for what this instance lacks: its first snapshot, a
-// configuration that the store has not delivered, or the instance list while
-// the store does not answer.
+// configuration that the store has not delivered, or changes of the instance
+// list that another instance has read.
 func (t *peersTask) compare(ctx context.Context, now time.Duration, from netip.Addr, m *cornelholdv1.InstanceReport) {
 	state := t.process.directory.known.Load()
-	behind := catalog.Version(m.GetConfigVersion()) > state.Version
-	if !behind {
-		if catalog.Version(m.GetConfigVersion()) == state.Version {
-			t.behindSince = 0
-		}
-	} else if t.behindSince == 0 {
-		t.behindSince = now
-	}
-	stale := t.process.listAge() > shareOf(t.process.deployment.Bounds.Drain, listStaleShare) && m.GetListOffset() > state.Offset
-	wanted := !t.pulled || stale || (behind && now-t.behindSince > pullAfter)
+	behind := t.configBehind(now, state.Version, catalog.Version(m.GetConfigVersion()))
+	listed := t.listBehind(now, state.Offset, m)
+	wanted := !t.pulled || listed || behind
 	if !wanted || now-t.lastPull < pullInterval || !t.pulling.CompareAndSwap(false, true) {
 		return
 	}
@@ -259,6 +307,41 @@
 	}()
 }
 
+// configBehind reports whether a peer has known a newer configuration for so
+// long that it is asked. The store is read first.
+func (t *peersTask) configBehind(now time.Duration, own, peer catalog.Version) bool {
+	behindFor, behind := t.config.observe(now, int64(own), int64(peer))
+	if !behind {
+		return false
+	}
+	if peer > t.woken && !t.process.list.reads.Load() {
+		t.woken = peer
+		t.process.readConfig()
+	}
+	return behindFor > pullAfter
+}
+
+// listBehind reports whether a peer is asked for changes of the list. An
+// instance that reads the store itself asks only if it cannot.
+func (t *peersTask) listBehind(now time.Duration, own int64, m *cornelholdv1.InstanceReport) bool {
+	list := &t.process.list
+	behindFor, behind := t.list.observe(now, own, m.GetListOffset())
+	if !behind {
+		if !list.reads.Load() {
+			list.heard(now-time.Duration(m.GetListAgeMs())*time.Millisecond, time.Duration(m.GetListHealthyMs())*time.Millisecond)
+		}
+		return false
+	}
+	if behindFor == 0 {
+		t.pullDelay = time.Duration(rand.Float64() * float64(min(pullSpread*time.Duration(len(t.peers)), maxPullSpread)))
+	}
+	if m.GetDataCentre() != string(t.process.deployment.DataCentre) && behindFor < remoteAfter {
+		return false
+	}
+	reading := list.reads.Load() && !t.roster.Lost(now)
+	return (!reading && behindFor >= t.pullDelay) || list.age() > shareOf(t.process.deployment.Bounds.Drain, listStaleShare)
+}
+
 // joinThroughStore registers this instance and learns the addresses of others.
 func (t *peersTask) joinThroughStore(ctx context.Context) error {
 	record := platform.Record{Key: t.process.deployment.Node, Value: []byte(t.process.deployment.IP)}
--- /dev/null
+++ b/internal/edge/peers_test.go
@@ -0,0 +1,43 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestLagEndsWithProgressOnly guards against an instance that never asks a peer
+// for what it lacks, because other peers that lack it too report in between.
+func TestLagEndsWithProgressOnly(t *testing.T) {
+	is := is.New(t)
+	var l lag
+	_, behind := l.observe(time.Second, 5, 5)
+	is.True(!behind)
+	since, behind := l.observe(2*time.Second, 5, 7)
+	is.True(behind && since == 0)
+	_, behind = l.observe(2100*time.Millisecond, 5, 5)
+	is.True(!behind)
+	since, behind = l.observe(2200*time.Millisecond, 5, 6)
+	is.True(behind && since == 200*time.Millisecond)
+	since, behind = l.observe(3*time.Second, 6, 7) // one step further
+	is.True(behind && since == 0)
+	_, behind = l.observe(4*time.Second, 7, 7)
+	is.True(!behind)
+}
+
+// TestHeardAgeIsTheNewest guards against an age of the list that grows with an
+// older report, and against one that hides an outage of the store.
+func TestHeardAgeIsTheNewest(t *testing.T) {
+	is := is.New(t)
+	var l listAge
+	l.lost()
+	is.Equal(l.healthy(), time.Duration(0))
+	l.read()
+	age := l.age()
+	l.heard(time.Duration(l.readAt.Load())-time.Second, time.Hour)
+	is.True(l.age() < age+time.Second)
+	is.True(l.healthy() < time.Second)
+	l.heard(time.Duration(l.readAt.Load())+time.Nanosecond, 3*time.Second)
+	is.True(l.healthy() >= 3*time.Second)
+}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -63,15 +63,10 @@
 	stage      atomic.Uint32
 	drain      chan struct{}
 	requests   atomic.Uint64
-	// storeBack tells the reader of the configuration that the store answers
-	// again, since its own read may wait on a channel that went silent.
-	storeBack chan struct{}
-	// listReadAt is the boot time of the last successful read of the instance
-	// list, in nanoseconds.
-	listReadAt atomic.Int64
-	// listSteadySince is the boot time since which the reads of the instance
-	// list succeed, in nanoseconds; 0 in an outage.
-	listSteadySince atomic.Int64
+	// list is what is known of the age of the instance list.
+	list listAge
+	// wakeConfig lets the follower of the configuration read it at once.
+	wakeConfig chan struct{}
 	// stopAt is the time at which a draining process ends, in nanoseconds of
 	// the process clock.
 	stopAt atomic.Int64
@@ -100,7 +95,7 @@
 	p := &process{
 		deployment: d, clock: task.NewClock(), log: logger, metrics: m, registry: registry,
 		pool: upstream.NewPool(), store: platform.NewStore(d.StoreAddr),
-		began: task.NewMailbox[gateway.Started](beganMailbox), drain: make(chan struct{}), storeBack: make(chan struct{}, 1),
+		began: task.NewMailbox[gateway.Started](beganMailbox), drain: make(chan struct{}), wakeConfig: make(chan struct{}, 1),
 	}
 	p.gateway = newGatewayTask(p.clock, gateway.Options{
 		Node: d.Node, DataCentre: d.DataCentre,
@@ -190,20 +185,6 @@
 
 func (p *process) draining() bool { return front.Stage(p.stage.Load()) != front.StageServing }
 
-// listAge returns the time since the instance list was last read.
-func (p *process) listAge() time.Duration {
-	return task.BootTime() - time.Duration(p.listReadAt.Load())
-}
-
-// listHealthy returns how long the reads of the instance list have succeeded.
-func (p *process) listHealthy() time.Duration {
-	since := time.Duration(p.listSteadySince.Load())
-	if since == 0 {
-		return 0
-	}
-	return task.BootTime() - since
-}
-
 func (p *process) frontOptions() front.Options {
 	return front.Options{
 		Clock: p.clock, Gateway: p.gateway, Pool: p.pool, Observer: p.metrics, Log: p.log,
@@ -260,36 +241,3 @@
 	p.stage.Store(uint32(front.StageClosing))
 	sleep(ctx, max(grace-min(closeAfter, grace/2)-stopMargin, 0))
 }
-
-func (p *process) configFollower() *follower {
-	return &follower{
-		store: p.store, topic: platform.TopicConfig, log: p.log, wait: shareOf(p.deployment.Bounds.ConfigApply, configWaitShare),
-		lost: func() {}, returned: func(context.Context) {}, interrupts: p.storeBack,
-		found: func(ctx context.Context, batch platform.Batch, _ bool) {
-			if r, ok := platform.ConfigRecord(batch.Records); ok {
-				_ = p.directory.mailbox.Send(ctx, configFound{record: r, source: sourceStore})
-			}
-		},
-	}
-}
-
-func (p *process) endpointFollower() *follower {
-	return &follower{
-		store: p.store, topic: platform.TopicEndpoints, log: p.log, pause: shareOf(p.deployment.Bounds.Drain, listPauseShare),
-		returned: func(ctx context.Context) {
-			_ = p.directory.mailbox.Send(ctx, storeReturned{})
-			select {
-			case p.storeBack <- struct{}{}:
-			default:
-			}
-		},
-		lost: func() { p.listSteadySince.Store(0) },
-		found: func(ctx context.Context, batch platform.Batch, resync bool) {
-			p.listReadAt.Store(int64(task.BootTime()))
-			p.listSteadySince.CompareAndSwap(0, int64(task.BootTime()))
-			_ = p.directory.mailbox.Send(ctx, entriesFound{
-				records: batch.Records, resync: resync, end: batch.Next, source: sourceStore,
-			})
-		},
-	}
-}
