Keep allowances while instances are cut off from each other

Cause: each isolated instance used the whole permitted overrun beside its share, and for up to 1.2 s after a cut peers were assumed to have admitted only what fits into 0.25 s. Test: TestAllowanceHoldsWhenInstancesAreCutOff; seen to fail with either of the two changes taken back.

--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -20,8 +20,9 @@
 	// partBurst is the number of bursts that a part of the window may hold. A
 	// team whose requests come in clumps is not refused for it.
 	partBurst = 2.0
-	// reportLag is how long what a peer admits takes to be known here. Peers
-	// are assumed to be asked as much as this instance was in askedWindow.
+	// reportLag is how long what a peer admits takes at least to be known here.
+	// Peers are assumed to be asked as much as this instance was in askedWindow,
+	// also since their last report.
 	reportLag   = 250 * time.Millisecond
 	askedWindow = time.Second
 	// recallLag is the time before the end of an earlier run whose use is not in
@@ -187,7 +188,7 @@
 // partBurst bursts.
 func (m *Meter) fits(now time.Duration, team fleet.TeamName, rate, burst, amount float64) bool {
 	allowance := rate*m.bounds.Window.Seconds() + burst
-	slack := slackShare * (allowance*m.bounds.Overrun + m.bounds.Slack)
+	slack := m.slack(now, allowance)
 	used := m.usedByAll(now, team, allowance)
 	if len(m.recalled) > 0 {
 		// What was admitted after the record still fitted the allowance.
@@ -207,12 +208,25 @@
 	return true
 }
 
+// slack returns what may be used beyond the allowance. Instances that do not
+// hear each other use only their shares of it, since each group adds its own.
+func (m *Meter) slack(now time.Duration, allowance float64) float64 {
+	fresh := 0
+	for _, p := range m.peers {
+		if now-p.At <= freshFor {
+			fresh++
+		}
+	}
+	share := float64(fresh+1) / float64(len(m.peers)+1)
+	return slackShare * share * (allowance*m.bounds.Overrun + m.bounds.Slack)
+}
+
 // RoomIn returns the time until the amount fits the team's allowance, as far as
 // the use in the oldest part of the window tells.
 func (m *Meter) RoomIn(now time.Duration, team fleet.TeamName, rate, burst, amount float64) time.Duration {
 	allowance := rate*m.bounds.Window.Seconds() + burst
 	used := m.usedByAll(now, team, allowance)
-	over := used.Total() + amount - allowance - slackShare*(allowance*m.bounds.Overrun+m.bounds.Slack)
+	over := used.Total() + amount - allowance - m.slack(now, allowance)
 	leaving := used[useSlices-1]
 	part := m.bounds.Window / useSlices
 	if leaving <= 0 {
@@ -234,9 +248,9 @@
 	if sum, ok := m.own[team]; ok {
 		used.add(sum.Slices(now, useSlices))
 	}
-	unseen := 0.0
+	askedRate := 0.0
 	if sum, ok := m.asked[team]; ok {
-		unseen = sum.Total(now) * float64(reportLag) / float64(askedWindow)
+		askedRate = sum.Total(now) / float64(askedWindow)
 	}
 	share := allowance / float64(len(m.peers)+1)
 	if len(m.peers) == 0 {
@@ -250,7 +264,7 @@
 		known := p.Used[team]
 		if now-p.At <= freshFor {
 			used.add(known)
-			used[0] += unseen
+			used[0] += askedRate * float64(max(now-p.At, reportLag))
 			continue
 		}
 		used.add(known)
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -54,10 +54,13 @@
 	return d
 }
 
-func (d *deploymentOf) report(now time.Duration) {
-	for i, m := range d.meters {
+func (d *deploymentOf) report(now time.Duration) { d.reportAmong(now, len(d.meters)) }
+
+// reportAmong is report while only the first n instances reach each other.
+func (d *deploymentOf) reportAmong(now time.Duration, n int) {
+	for i, m := range d.meters[:n] {
 		used := m.Own(now)
-		for j, other := range d.meters {
+		for j, other := range d.meters[:n] {
 			if i != j {
 				other.SetPeer(fmt.Sprint(i), Peer{At: now, Used: used})
 			}
@@ -155,6 +158,41 @@
 	})
 }
 
+// TestAllowanceHoldsWhenInstancesAreCutOff guards against what instances that
+// were just cut off admit beside the others before either counts the other's
+// share, as on rdsign-cornelhold-grown scale-2 (rule QUOTA).
+func TestAllowanceHoldsWhenInstancesAreCutOff(t *testing.T) {
+	allowed := (rate*bounds.Window.Seconds()+burst)*(1+bounds.Overrun) + bounds.Slack
+	check := proptest.Bounds{Seed: 20261204, Checks: 200}
+	proptest.Check(t, check, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		n := rapid.IntRange(3, 30).Draw(t, "instances")
+		reached := rapid.IntRange(1, n-1).Draw(t, "reached")
+		flood := rapid.Float64Range(1, 8).Draw(t, "flood")
+		cutAt := time.Duration(rapid.IntRange(0, 8000).Draw(t, "cut at ms")) * time.Millisecond
+		d := newDeployment(n)
+		const amount, cutFor = 9000.0, 6 * time.Second
+		owed := 0.0
+		for now := time.Duration(0); now < 20*time.Second; now += step {
+			switch {
+			case now%(200*time.Millisecond) != 0:
+			case now >= cutAt && now < cutAt+cutFor:
+				d.reportAmong(now, reached)
+			default:
+				d.report(now)
+			}
+			for owed += flood * rate * step.Seconds(); owed > amount; owed -= amount {
+				if d.meters[random.IntN(n)].Admit(now, team, rate, burst, amount) {
+					d.log = append(d.log, admitted{now, amount})
+				}
+			}
+		}
+		if worst := d.worst(); worst > allowed {
+			t.Fatalf("%.0f tokens in a window instead of at most %.0f", worst, allowed)
+		}
+	})
+}
+
 // TestTeamWithinItsRateIsAdmitted guards against refusals of requests that the
 // team is owed.
 func TestTeamWithinItsRateIsAdmitted(t *testing.T) {
