Learn the first byte of idle engines apart from the work before a request

It was taken for slowness, which multiplies the work of an overload; and only requests that were served in time were observed. Expected waits were far too low from 2 to 12 s and 1,500 of 2,500 requests came late instead of being spread or refused.

--- a/internal/core/gateway/choose.go
+++ b/internal/core/gateway/choose.go
@@ -7,19 +7,24 @@
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 )
 
+// wait is the expected time until the first byte of an answer. queued is the part
+// that depends on the endpoint's work.
+type wait struct{ expected, queued time.Duration }
+
 // choose returns the endpoint with the least expected time until the first
 // byte, and that time. It avoids endpoints that were tried, leave or cannot be
 // reached; suspects are used only if nothing else is left.
-func (m *Machine) choose(now time.Duration, o *open) (*endpoint, time.Duration) {
+func (m *Machine) choose(now time.Duration, o *open) (*endpoint, wait) {
 	var best *endpoint
-	var bestCost, bestExpected time.Duration
+	var bestCost time.Duration
+	var bestWait wait
 	home := m.home(o)
 	for _, e := range m.byService[o.service] {
 		if e.Draining || o.tried[e.ID] {
 			continue
 		}
-		expected := m.expected(now, o, e, e == home)
-		cost := expected + time.Duration(e.failing*float64(failureCost))
+		w := m.expected(now, o, e, e == home)
+		cost := w.expected + time.Duration(e.failing*float64(failureCost))
 		if e.DataCentre != m.options.DataCentre {
 			cost += remoteDelay + time.Duration(o.request.Output)*remoteTokenCost
 		}
@@ -30,10 +35,10 @@
 			cost += suspectCost
 		}
 		if best == nil || cost < bestCost {
-			best, bestCost, bestExpected = e, cost, expected
+			best, bestCost, bestWait = e, cost, w
 		}
 	}
-	return best, bestExpected
+	return best, bestWait
 }
 
 // suspectCost ranks every suspect behind every other endpoint, lapsedCost every
@@ -44,11 +49,11 @@
 )
 
 // expected returns the time until the first byte of the answer.
-func (m *Machine) expected(now time.Duration, o *open, e *endpoint, home bool) time.Duration {
+func (m *Machine) expected(now time.Duration, o *open, e *endpoint, home bool) wait {
 	load := e.load(now)
 	slots := max(e.Slots, 1)
 	if !o.request.HasTokens {
-		return time.Duration(float64(e.callTime) * (1 + float64(load.Active)/float64(slots)))
+		return wait{expected: time.Duration(float64(e.callTime) * (1 + float64(load.Active)/float64(slots)))}
 	}
 	engine := m.engine(o)
 	if engine != nil {
@@ -61,7 +66,27 @@
 	reading := time.Duration(float64(load.Backlog+unread) / prefillRate * float64(time.Millisecond))
 	beside := time.Duration(min(load.Active, slots)) * decodeDelay
 	waiting := time.Duration(max(load.Active-slots, 0)) * queueDelay
-	return time.Duration(float64(reading+beside+waiting) * e.slowness)
+	queued := reading + beside + waiting
+	return wait{expected: m.idleFirstByte(o.service) + time.Duration(float64(queued)*e.slowness), queued: queued}
+}
+
+// idleFirstByte returns the time until the first byte of an idle engine.
+func (m *Machine) idleFirstByte(s fleet.ServiceName) time.Duration {
+	if learned, ok := m.firstByte[s]; ok {
+		return learned
+	}
+	return firstByte
+}
+
+// learnFirstByte learns from a request that an idle engine began to answer. The
+// events of a stream hold several tokens, and engines take a fixed time besides.
+func (m *Machine) learnFirstByte(now time.Duration, o *open) {
+	if !o.request.HasTokens || o.queued > idleQueued {
+		return
+	}
+	known := m.idleFirstByte(o.service)
+	took := max(now-o.sentAt-o.queued, 0)
+	m.firstByte[o.service] = known + time.Duration(firstByteSmoothing*float64(min(took, 2*known)-known))
 }
 
 // queueDelay is what each request that waits for a slot adds.
--- a/internal/core/gateway/endpoints.go
+++ b/internal/core/gateway/endpoints.go
@@ -36,6 +36,15 @@
 	suspectMax  = 4 * time.Second
 	// loadFreshFor is how long a peer's report of its load counts.
 	loadFreshFor = 1500 * time.Millisecond
+	// leastQueued bounds the expected time of the work before a request to which
+	// a deviation is compared.
+	leastQueued = 100 * time.Millisecond
+	// firstByte is the time until the first byte of an idle engine, assumed until
+	// it is learned, firstByteSmoothing the weight of a new observation and
+	// idleQueued the work before a request up to which an engine counts as idle.
+	firstByte          = 100 * time.Millisecond
+	firstByteSmoothing = 0.03
+	idleQueued         = 60 * time.Millisecond
 	// cacheShare is the part of an engine's memory that holds cached parts.
 	cacheShare = 0.6
 	// cacheFor is how long a part is assumed to stay cached.
@@ -133,13 +142,27 @@
 		took -= remoteDelay
 	}
 	if o.request.HasTokens {
-		ratio := float64(took) / float64(max(o.expected, 30*time.Millisecond))
-		e.slowness = min(max(e.slowness*(1-smoothing)+smoothing*ratio, fastest), slowest)
+		e.observe(took, o)
 		return
 	}
 	e.callTime = time.Duration(float64(e.callTime)*(1-smoothing) + smoothing*float64(max(took, 0)))
 }
 
+// overdue learns from an attempt that ended before its first byte: it took at
+// least as long as it lasted. Without it, only the requests that were served in
+// time would tell how slow an overloaded endpoint is.
+func (e *endpoint) overdue(now time.Duration, o *open) {
+	if took := now - o.sentAt; o.request.HasTokens && !o.began && took > o.expected {
+		e.observe(took, o)
+	}
+}
+
+// observe compares the time that a first byte took with the expected one.
+func (e *endpoint) observe(took time.Duration, o *open) {
+	ratio := e.slowness + float64(took-o.expected)/float64(max(o.queued, leastQueued))
+	e.slowness = min(max(e.slowness*(1-smoothing)+smoothing*ratio, fastest), slowest)
+}
+
 // succeeded counts a whole successful answer.
 func (e *endpoint) succeeded() {
 	e.failing *= 1 - smoothing
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -63,8 +63,10 @@
 	tried      map[fleet.EndpointID]bool
 	current    *endpoint
 	sentAt     time.Duration
-	expected   time.Duration
-	backlog    int
+	// expected is the time until the first byte that the choice assumed, queued
+	// the part of it that depends on the endpoint's work.
+	expected, queued time.Duration
+	backlog          int
 }
 
 // Machine holds the open requests and what is known about the endpoints.
@@ -81,6 +83,8 @@
 	crashes   *crashes
 	peers     map[string]bool
 	demand    map[fleet.ServiceName]*window.Sum
+	// firstByte is the learned time until the first byte of idle engines.
+	firstByte map[fleet.ServiceName]time.Duration
 	// askedSince is when a service was first asked for.
 	askedSince map[fleet.ServiceName]time.Duration
 }
@@ -93,7 +97,7 @@
 		open:      make(map[RequestID]*open), quota: quota.New(options.Quota),
 		budgets: make(map[fleet.ServiceName]*budget.Shared), crashes: newCrashes(),
 		peers: make(map[string]bool), demand: make(map[fleet.ServiceName]*window.Sum),
-		askedSince: make(map[fleet.ServiceName]time.Duration),
+		askedSince: make(map[fleet.ServiceName]time.Duration), firstByte: make(map[fleet.ServiceName]time.Duration),
 	}
 }
 
@@ -114,7 +118,7 @@
 	case Began:
 		return m.began(now, msg)
 	case Finished:
-		m.finished(msg)
+		m.finished(now, msg)
 	case SetCatalog:
 		if m.catalog == nil || msg.Catalog.Version > m.catalog.Version {
 			m.catalog = msg.Catalog
@@ -150,7 +154,7 @@
 	if m.crashes.poisonous(now, msg.Request.Fingerprint) {
 		return refuse(fleet.RefusedQuarantined, o.giveUpAt-now, "endpoints crashed repeatedly while they ran this request; change it")
 	}
-	e, expected := m.choose(now, o)
+	e, wait := m.choose(now, o)
 	if e == nil {
 		return refuse(fleet.RefusedNoEndpoint, retryAfter, "no endpoint of the service is available; retry")
 	}
@@ -163,13 +167,13 @@
 		}
 	}
 	m.ask(now, o)
-	if expected > m.patience(o) {
+	if wait.expected > m.patience(o) {
 		m.returnAmount(now, o)
-		return refuse(fleet.RefusedOverload, min(max(expected/2, retryAfter), (o.giveUpAt-now)/3), "the endpoints are overloaded; retry")
+		return refuse(fleet.RefusedOverload, min(max(wait.expected/2, retryAfter), (o.giveUpAt-now)/3), "the endpoints are overloaded; retry")
 	}
 	m.open[msg.ID] = o
 	m.budget(o.service).Request(now)
-	return m.send(now, msg.ID, o, e, expected)
+	return m.send(now, msg.ID, o, e, wait)
 }
 
 // resolve finds route, team, service and priority of a request.
@@ -229,16 +233,16 @@
 	}
 }
 
-func (m *Machine) send(now time.Duration, id RequestID, o *open, e *endpoint, expected time.Duration) Action {
+func (m *Machine) send(now time.Duration, id RequestID, o *open, e *endpoint, w wait) Action {
 	o.sends++
-	o.current, o.sentAt, o.expected = e, now, expected
+	o.current, o.sentAt, o.expected, o.queued = e, now, w.expected, w.queued
 	o.tried[e.ID] = true
 	load := e.load(now)
 	o.backlog = e.begin(now, o.request)
 	return Send{
 		ID: id, Endpoint: e.Endpoint, Route: o.route, Team: teamName(o.team), GiveUpAt: o.giveUpAt,
 		AttemptTimeout: m.attemptTimeout(now, o), Priority: requestPriority(o),
-		Attempt: o.sends, Expected: expected, Load: load, Version: m.catalog.Version,
+		Attempt: o.sends, Expected: w.expected, Load: load, Version: m.catalog.Version,
 	}
 }
 
@@ -282,6 +286,9 @@
 		return nil
 	}
 	e := o.current
+	if msg.Failure == FailureSilent {
+		e.overdue(now, o)
+	}
 	e.end(o.backlog, o.began)
 	o.current = nil
 	m.observeFailure(now, o, e, msg)
@@ -292,9 +299,9 @@
 	if msg.Failure != FailureDial && msg.Failure != FailureRejected {
 		o.mayHaveRun = true
 	}
-	if next, expected, ok := m.repeat(now, o, msg); ok {
+	if next, wait, ok := m.repeat(now, o, msg); ok {
 		o.began = false
-		return []Action{m.send(now, msg.ID, o, next, expected)}
+		return []Action{m.send(now, msg.ID, o, next, wait)}
 	}
 	delete(m.open, msg.ID)
 	if !o.mayHaveRun {
@@ -321,23 +328,23 @@
 }
 
 // repeat returns the endpoint at which the request is tried again.
-func (m *Machine) repeat(now time.Duration, o *open, msg AttemptFailed) (*endpoint, time.Duration, bool) {
+func (m *Machine) repeat(now time.Duration, o *open, msg AttemptFailed) (*endpoint, wait, bool) {
 	notRun := msg.Failure == FailureDial || msg.Failure == FailureRejected
 	switch {
 	case now >= o.giveUpAt, o.sends >= o.route.MaxAttempts, o.dials >= maxDials:
-		return nil, 0, false
+		return nil, wait{}, false
 	case !notRun && !o.route.Repeatable(), !notRun && m.crashes.poisonous(now, o.request.Fingerprint):
-		return nil, 0, false
+		return nil, wait{}, false
 	}
-	next, expected := m.choose(now, o)
+	next, w := m.choose(now, o)
 	if next == nil {
-		return nil, 0, false
+		return nil, wait{}, false
 	}
 	reserve := m.options.RetrySlack * retryReserveShare / float64(m.instances())
 	if o.sends > 0 && !m.budget(o.service).Spend(now, reserve) {
-		return nil, 0, false
+		return nil, wait{}, false
 	}
-	return next, expected, true
+	return next, w, true
 }
 
 func (m *Machine) began(now time.Duration, msg Began) []Action {
@@ -347,6 +354,7 @@
 	}
 	first := !o.mayHaveRun
 	o.began, o.mayHaveRun = true, true
+	m.learnFirstByte(now, o)
 	o.current.started(now, o, m.options.DataCentre)
 	if !first || o.team == nil {
 		return nil
@@ -354,7 +362,7 @@
 	return []Action{Started{Team: o.team.Name}}
 }
 
-func (m *Machine) finished(msg Finished) {
+func (m *Machine) finished(now time.Duration, msg Finished) {
 	o, ok := m.open[msg.ID]
 	if !ok {
 		return
@@ -363,6 +371,7 @@
 	if o.current == nil {
 		return
 	}
+	o.current.overdue(now, o)
 	o.current.end(o.backlog, o.began)
 	if msg.Succeeded {
 		o.current.succeeded()
--- a/internal/core/gateway/overload.go
+++ b/internal/core/gateway/overload.go
@@ -3,14 +3,18 @@
 import (
 	"time"
 
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/window"
 )
 
 const (
 	// demandWindow is the time over which demand is averaged.
 	demandWindow = 4 * time.Second
-	// outputTime is the engine time of one output token, beside others.
+	// outputTime is the engine time of one output token, beside others, tokenTime
+	// the time that it occupies a slot. An engine with few slots is busy when
+	// these are taken.
 	outputTime = 180 * time.Microsecond
+	tokenTime  = 7 * time.Millisecond
 	// outputShare is the part of the most output tokens that requests use on
 	// average.
 	outputShare = 0.6
@@ -23,7 +27,7 @@
 // patienceByPriority is the expected time until the first token, as a multiple
 // of the route's objective, beyond which a request is refused. What is less
 // urgent is refused first, so that an overload costs the least valuable work.
-var patienceByPriority = [...]float64{3.2, 1.2, 0.6}
+var patienceByPriority = [...]float64{1.2, 0.55, 0.4}
 
 // maxPatience bounds the wait that is accepted; callers leave a stream that is
 // silent for longer.
@@ -50,6 +54,15 @@
 	}
 	last := m.lastPart(o)
 	read := (float64(last) + rereadShare*float64(max(o.request.Prompt-last, 0))) / prefillRate / 1000
-	made := float64(o.request.Output) * outputShare * outputTime.Seconds()
+	each := max(outputTime, tokenTime/time.Duration(m.slots(o.service)))
+	made := float64(o.request.Output) * outputShare * each.Seconds()
 	sum.Add(now, read+made)
 }
+
+// slots returns the slots of an endpoint of a service.
+func (m *Machine) slots(s fleet.ServiceName) int {
+	if list := m.byService[s]; len(list) > 0 {
+		return max(list[0].Slots, 1)
+	}
+	return 1
+}
--- a/internal/core/scaling/plan.go
+++ b/internal/core/scaling/plan.go
@@ -24,7 +24,7 @@
 	// startShare is the number of endpoints needed for each own instance, as
 	// long as demand has not been seen for settleFor. Deployments have about as
 	// many endpoints as own instances.
-	startShare = 0.55
+	startShare = 0.85
 	settleFor  = 10 * time.Second
 	// reorderAfter is the time after which an order that has not taken effect
 	// is sent again, beside the time that endpoints take to start.
