--- a/internal/e2e/edge_test.go
+++ b/internal/e2e/edge_test.go
@@ -7,9 +7,7 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -19,6 +17,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cornelhold/cornelhold/internal/edgefleet"
 	"github.com/cornelhold/cornelhold/internal/procs"
 	"github.com/cornelhold/cornelhold/internal/standin/userplatform"
 )
@@ -33,38 +32,13 @@
 )
 
 // edgeProcess is one cornelhold-edge process.
-type edgeProcess struct {
-	cmd          *exec.Cmd
-	done         chan struct{}
-	err          error
-	front, ready string
-	store        string
-	log          string
-}
+type edgeProcess = edgefleet.Edge
 
 // edgeFleet is edge processes before stand-ins of the users' platform.
 type edgeFleet struct {
-	t        *testing.T
-	ctx      context.Context
-	store    *userplatform.Store
-	cloud    *userplatform.Cloud
-	model    []*userplatform.Replica
-	plain    []*userplatform.Replica
-	edges    []*edgeProcess
-	cloudAt  string
-	sequence int
-	version  int
-	port     int
-	seeds    []string
-}
-
-func listen(t *testing.T) net.Listener {
-	t.Helper()
-	l, err := net.Listen("tcp", procs.FreeAddress())
-	if err != nil {
-		t.Fatal(err)
-	}
-	return l
+	*edgefleet.Fleet
+	t   *testing.T
+	ctx context.Context
 }
 
 // newEdgeFleet starts the stand-ins and n edge processes and waits until these
@@ -73,119 +47,43 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), processTimeout)
 	t.Cleanup(cancel)
-	f := &edgeFleet{t: t, ctx: ctx, version: 1}
-	f.store = userplatform.StartStore(ctx)
-	l := listen(t)
-	f.cloudAt = l.Addr().String()
-	f.cloud = userplatform.StartCloud(ctx, l)
-	for i := range 2 {
-		f.model = append(f.model, userplatform.StartReplica(ctx, fmt.Sprint("m", i), listen(t)))
-		f.plain = append(f.plain, userplatform.StartReplica(ctx, fmt.Sprint("p", i), listen(t)))
+	bin, err := programs()
+	if err != nil {
+		t.Fatal(err)
 	}
-	f.announce("ready")
-	f.configure(f.config("plain", "key-1"))
-	_, port, _ := net.SplitHostPort(procs.FreeAddress())
-	_, _ = fmt.Sscan(port, &f.port)
-	for i := range n {
-		f.startEdge(i)
+	fleet, err := edgefleet.New(ctx, edgefleet.Options{
+		Program: filepath.Join(bin, "cornelhold-edge"), Dir: t.TempDir(), Replicas: 2,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &edgeFleet{Fleet: fleet, t: t, ctx: ctx}
+	t.Cleanup(f.stop)
+	f.AnnounceAll("ready")
+	f.Configure(f.Config(edgefleet.PlainService, "key-1"))
+	for range n {
+		if _, err := f.AddEdge(ctx); err != nil {
+			t.Fatal(err)
+		}
 	}
-	for _, e := range f.edges {
+	for _, e := range f.Edges {
 		f.eventually(10*time.Second, "an edge process to be ready", func() bool {
-			return procs.Status("http://"+e.ready+"/readyz") == http.StatusOK
+			return procs.Status("http://"+e.Ready+"/readyz") == http.StatusOK
 		})
 	}
 	return f
 }
 
-func (f *edgeFleet) announce(state string) {
-	f.sequence++
-	for _, r := range f.model {
-		f.store.Put(userplatform.ServersTopic, r.ID, r.Entry("model", "a", state, f.sequence))
-	}
-	for _, r := range f.plain {
-		f.store.Put(userplatform.ServersTopic, r.ID, r.Entry("plain", "a", state, f.sequence))
-	}
-}
-
-// config returns a configuration whose idempotent route leads to a service and
-// whose team holds a key.
-func (f *edgeFleet) config(service, key string) string {
-	route := func(name, kind, service string, attempts int, more string) string {
-		return fmt.Sprintf(`{"name":%q,"host":"h.example","path-prefix":"/%s/","type":%q,"timeout-ms":1500,"target-latency-ms":500,"priority":1,"service":%q,"max-attempts":%d%s}`,
-			name, name, kind, service, attempts, more)
+// stop ends the processes and shows their logs if the test failed.
+func (f *edgeFleet) stop() {
+	f.Stop()
+	if !f.t.Failed() {
+		return
 	}
-	routes := []string{
-		route("stream", "streaming", "model", 2, `,"resumable":true,"sticky":true`),
-		route("stream-once", "streaming", "model", 1, ""),
-		route("check", "idempotent", service, 2, ""),
-		route("order", "unsafe", "plain", 1, ""),
+	for _, e := range f.Edges {
+		text, err := os.ReadFile(e.Log)
+		f.t.Logf("log of %s (%v):\n%s", e.Name, err, text)
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"model","max-conns":50},{"name":"plain","max-conns":50}],`+
-		`"limits":{"max-header-bytes":8192,"max-body-bytes":100000,"header-timeout-ms":2000,"idle-timeout-ms":5000},`+
-		`"tenants":[{"name":"team-1","api-keys":[%q]}]}`, f.version, strings.Join(routes, ","), key)
-}
-
-func (f *edgeFleet) configure(config string) {
-	f.store.Put(userplatform.ConfigTopic, userplatform.ConfigKey, []byte(config))
-	f.version += 3
-}
-
-func (f *edgeFleet) startEdge(i int) {
-	f.t.Helper()
-	bin, err := programs()
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	host, _, _ := net.SplitHostPort(procs.FreeAddress())
-	prefix, _ := netip.ParseAddr(host)
-	octets := prefix.As4()
-	octets[3] = byte(100 + i)
-	ip := netip.AddrFrom4(octets).String()
-	at := func(offset int) string { return fmt.Sprintf("%s:%d", ip, f.port+offset) }
-	l := listen(f.t)
-	f.store.Serve(f.ctx, l)
-	e := &edgeProcess{front: at(0), ready: at(1), store: l.Addr().String(), done: make(chan struct{})}
-	if len(f.seeds) < 3 {
-		f.seeds = append(f.seeds, at(2))
-	}
-	settings := fmt.Sprintf(`node-name: edge-%d
-ip: %q
-zone: a
-listen: {front: %q, ready-addr: %q, control: %q}
-port-range: [%d, %d]
-seeds: ["%s"]
-platform: {addr: %q}
-cloud-api: {addr: %q}
-limits: {memory-mb: 284, max-fds: 4100}
-bounds: {drain-ms: 2000, grace-s: 4, config-apply-ms: 2000, retry-ratio: 0.2, retry-window-s: 10, retry-slack: 56,
-  quota-window-s: 8, quota-overrun: 0.1, quota-slack: 72000, lease-ms: 3000, usage-window-s: 1, usage-delay-s: 10}
-`, i, ip, e.front, e.ready, at(2), f.port+3, f.port+6, strings.Join(f.seeds, `", "`), e.store, f.cloudAt)
-	dir := f.t.TempDir()
-	path := filepath.Join(dir, "settings.yaml")
-	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
-		f.t.Fatal(err)
-	}
-	e.log = filepath.Join(dir, "log")
-	out, err := os.Create(e.log)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	e.cmd = exec.Command(filepath.Join(bin, "cornelhold-edge"), "--settings", path)
-	e.cmd.Env = append(os.Environ(), "CORNELHOLD_SETTINGS="+path)
-	e.cmd.Stdout, e.cmd.Stderr = out, out
-	if err := e.cmd.Start(); err != nil {
-		f.t.Fatal(err)
-	}
-	go func() { e.err = e.cmd.Wait(); close(e.done) }()
-	f.t.Cleanup(func() {
-		_ = e.cmd.Process.Kill()
-		<-e.done
-		if f.t.Failed() {
-			text, _ := os.ReadFile(e.log)
-			f.t.Logf("log of edge-%d:\n%s", i, text)
-		}
-	})
-	f.edges = append(f.edges, e)
 }
 
 func (f *edgeFleet) eventually(limit time.Duration, what string, condition func() bool) {
@@ -208,7 +106,7 @@
 	f.t.Helper()
 	attempts++
 	id := fmt.Sprint("attempt-", attempts)
-	conn, err := net.DialTimeout("tcp", e.front, time.Second)
+	conn, err := net.DialTimeout("tcp", e.Front, time.Second)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -275,14 +173,14 @@
 	f := newEdgeFleet(t, 1)
 	target := "/order/a%2Fb//../c?x=1&y=%20"
 	body := "POST /order/inner HTTP/1.1\r\nHost: h.example\r\n\r\n"
-	resp, got, id := f.do(f.edges[0], call{
+	resp, got, id := f.do(f.Edges[0], call{
 		method: http.MethodPost, target: target, body: body,
 		header: "Tenant: forged\r\nRetention: 5\r\nKv-From: x\r\nX-Own: kept\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n",
 	})
 	is.Equal(resp.StatusCode, http.StatusOK)
 	is.Equal(got, "answer of "+id)
 	is.True(resp.Header.Get("Replica-Signature") != "")
-	all := runs(f.plain)
+	all := runs(f.Plain)
 	is.Equal(len(all), 1)
 	run := all[0]
 	is.Equal(run.Target, target)
@@ -292,11 +190,11 @@
 	for _, name := range []string{"Authorization", "Retention", "Kv-From", "X-Hop", "Connection"} {
 		is.Equal(run.Header.Get(name), "")
 	}
-	resp, _, _ = f.do(f.edges[0], call{method: http.MethodGet, target: "/check/x", key: "unknown"})
+	resp, _, _ = f.do(f.Edges[0], call{method: http.MethodGet, target: "/check/x", key: "unknown"})
 	is.Equal(resp.StatusCode, http.StatusUnauthorized)
-	resp, _, _ = f.do(f.edges[0], call{method: http.MethodGet, target: "/nowhere/x"})
+	resp, _, _ = f.do(f.Edges[0], call{method: http.MethodGet, target: "/nowhere/x"})
 	is.Equal(resp.StatusCode, http.StatusNotFound)
-	resp, _, _ = f.do(f.edges[0], call{method: http.MethodPost, target: "/order/x", body: strings.Repeat("x", 100001)})
+	resp, _, _ = f.do(f.Edges[0], call{method: http.MethodPost, target: "/order/x", body: strings.Repeat("x", 100001)})
 	is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
 }
 
@@ -306,25 +204,25 @@
 	is := is.New(t)
 	f := newEdgeFleet(t, 1)
 	for _, fault := range []userplatform.Fault{userplatform.FaultStale, userplatform.FaultExtra, userplatform.FaultNone} {
-		setFault(f.plain, fault)
+		setFault(f.Plain, fault)
 		for range 6 {
-			resp, body, id := f.do(f.edges[0], call{method: http.MethodGet, target: "/check/x"})
+			resp, body, id := f.do(f.Edges[0], call{method: http.MethodGet, target: "/check/x"})
 			is.Equal(resp.StatusCode, http.StatusOK)
 			is.Equal(body, "answer of "+id)
 		}
 	}
-	setFault(f.plain, userplatform.FaultUnsigned)
-	resp, _, _ := f.do(f.edges[0], call{method: http.MethodGet, target: "/check/x"})
+	setFault(f.Plain, userplatform.FaultUnsigned)
+	resp, _, _ := f.do(f.Edges[0], call{method: http.MethodGet, target: "/check/x"})
 	is.Equal(resp.StatusCode, http.StatusBadGateway)
 	for range 4 {
-		f.model[0].SetFault(userplatform.FaultBreak)
-		f.model[1].SetFault(userplatform.FaultNone)
-		resp, body, _ := f.do(f.edges[0], call{method: http.MethodPost, target: "/stream/x", body: "prompt"})
+		f.Model[0].SetFault(userplatform.FaultBreak)
+		f.Model[1].SetFault(userplatform.FaultNone)
+		resp, body, _ := f.do(f.Edges[0], call{method: http.MethodPost, target: "/stream/x", body: "prompt"})
 		is.Equal(resp.StatusCode, http.StatusOK)
 		is.Equal(body, allEvents(6)) // goes on at the other replica
 	}
-	setFault(f.model, userplatform.FaultBreak)
-	conn, _ := f.open(f.edges[0], call{method: http.MethodPost, target: "/stream-once/x"})
+	setFault(f.Model, userplatform.FaultBreak)
+	conn, _ := f.open(f.Edges[0], call{method: http.MethodPost, target: "/stream-once/x"})
 	_, _, err := f.answer(conn, http.MethodPost)
 	is.True(err != nil) // an answer that ends early does not look complete
 }
@@ -334,21 +232,21 @@
 func TestEdgeRunsOnce(t *testing.T) {
 	is := is.New(t)
 	f := newEdgeFleet(t, 1)
-	setFault(f.plain, userplatform.FaultReset)
-	resp, _, _ := f.do(f.edges[0], call{method: http.MethodPost, target: "/order/x"})
+	setFault(f.Plain, userplatform.FaultReset)
+	resp, _, _ := f.do(f.Edges[0], call{method: http.MethodPost, target: "/order/x"})
 	is.Equal(resp.StatusCode, http.StatusBadGateway)
-	is.Equal(len(runs(f.plain)), 1)
-	resp, _, _ = f.do(f.edges[0], call{method: http.MethodGet, target: "/check/x"})
+	is.Equal(len(runs(f.Plain)), 1)
+	resp, _, _ = f.do(f.Edges[0], call{method: http.MethodGet, target: "/check/x"})
 	is.Equal(resp.StatusCode, http.StatusBadGateway)
-	is.Equal(len(runs(f.plain)), 3) // an idempotent request is tried at both
-	setFault(f.plain, userplatform.FaultFull)
-	resp, _, _ = f.do(f.edges[0], call{method: http.MethodPost, target: "/order/x"})
+	is.Equal(len(runs(f.Plain)), 3) // an idempotent request is tried at both
+	setFault(f.Plain, userplatform.FaultFull)
+	resp, _, _ = f.do(f.Edges[0], call{method: http.MethodPost, target: "/order/x"})
 	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
 	is.True(resp.Header.Get("Retry-After") != "")
-	is.Equal(len(runs(f.plain)), 3)
-	setFault(f.plain, userplatform.FaultMute)
+	is.Equal(len(runs(f.Plain)), 3)
+	setFault(f.Plain, userplatform.FaultMute)
 	started := time.Now()
-	resp, _, _ = f.do(f.edges[0], call{method: http.MethodPost, target: "/order/x"})
+	resp, _, _ = f.do(f.Edges[0], call{method: http.MethodPost, target: "/order/x"})
 	is.Equal(resp.StatusCode, http.StatusGatewayTimeout)
 	is.True(time.Since(started) < 1500*time.Millisecond+timeoutSlack)
 }
@@ -358,15 +256,15 @@
 func TestEdgeFollowsConfiguration(t *testing.T) {
 	is := is.New(t)
 	f := newEdgeFleet(t, 3)
-	cut := f.edges[2]
-	f.store.Refuse(cut.store, true)
+	cut := f.Edges[2]
+	f.Store.Refuse(cut.Store, true)
 	time.Sleep(reportRounds) // the cut machine hears of its peers
-	f.configure(f.config("model", "key-2"))
-	for _, e := range f.edges {
+	f.Configure(f.Config("model", "key-2"))
+	for _, e := range f.Edges {
 		f.eventually(configBound, "the configuration to be in force", func() bool {
-			before := len(runs(f.model))
+			before := len(runs(f.Model))
 			resp, _, _ := f.do(e, call{method: http.MethodGet, target: "/check/x", key: "key-2"})
-			return resp.StatusCode == http.StatusOK && len(runs(f.model)) == before+1
+			return resp.StatusCode == http.StatusOK && len(runs(f.Model)) == before+1
 		})
 		resp, _, _ := f.do(e, call{method: http.MethodGet, target: "/check/x", key: "key-1"})
 		is.Equal(resp.StatusCode, http.StatusUnauthorized)
@@ -381,18 +279,18 @@
 func TestEdgeLeavesDrainingReplicas(t *testing.T) {
 	is := is.New(t)
 	f := newEdgeFleet(t, 2)
-	f.store.Refuse(f.edges[1].store, true)
+	f.Store.Refuse(f.Edges[1].Store, true)
 	time.Sleep(reportRounds)
-	f.store.Put(userplatform.ServersTopic, "p0", f.plain[0].Entry("plain", "a", "draining", 9))
+	f.Store.Put(userplatform.ServersTopic, "p0", f.Plain[0].Entry("plain", "a", "draining", 9))
 	time.Sleep(drainBound)
-	before := len(f.plain[0].Runs())
+	before := len(f.Plain[0].Runs())
 	for range 10 {
-		for _, e := range f.edges {
+		for _, e := range f.Edges {
 			resp, _, _ := f.do(e, call{method: http.MethodGet, target: "/check/x"})
 			is.Equal(resp.StatusCode, http.StatusOK)
 		}
 	}
-	is.Equal(len(f.plain[0].Runs()), before)
+	is.Equal(len(f.Plain[0].Runs()), before)
 }
 
 // TestEdgeStops guards against a request that is cut off by a stop, a process
@@ -400,16 +298,16 @@
 func TestEdgeStops(t *testing.T) {
 	is := is.New(t)
 	f := newEdgeFleet(t, 1)
-	e := f.edges[0]
-	is.NoErr(e.cmd.Process.Signal(syscall.SIGHUP))
-	for _, m := range f.model {
+	e := f.Edges[0]
+	is.NoErr(e.Signal(syscall.SIGHUP))
+	for _, m := range f.Model {
 		m.Pause, m.Events = 100*time.Millisecond, 8
 	}
 	conn, _ := f.open(e, call{method: http.MethodPost, target: "/stream/x"})
 	time.Sleep(250 * time.Millisecond)
-	is.NoErr(e.cmd.Process.Signal(syscall.SIGTERM))
+	is.NoErr(e.Signal(syscall.SIGTERM))
 	f.eventually(time.Second, "the process to be not ready", func() bool {
-		return procs.Status("http://"+e.ready+"/readyz") == http.StatusServiceUnavailable
+		return procs.Status("http://"+e.Ready+"/readyz") == http.StatusServiceUnavailable
 	})
 	resp, _, _ := f.do(e, call{method: http.MethodGet, target: "/check/x"})
 	is.Equal(resp.StatusCode, http.StatusOK) // new channels are served until the platform has noticed
@@ -418,8 +316,8 @@
 	is.NoErr(err)
 	is.Equal(body, allEvents(8))
 	select {
-	case <-e.done:
-		is.NoErr(e.err)
+	case <-e.Done():
+		is.NoErr(e.Err())
 	case <-time.After(4 * time.Second):
 		t.Fatal("the process did not end within the grace period")
 	}
@@ -429,14 +327,14 @@
 // (rule GONE).
 func TestEdgeCancelsAtReplica(t *testing.T) {
 	f := newEdgeFleet(t, 1)
-	for _, m := range f.model {
+	for _, m := range f.Model {
 		m.Pause, m.Events = 50*time.Millisecond, 100
 	}
-	conn, _ := f.open(f.edges[0], call{method: http.MethodPost, target: "/stream/x"})
+	conn, _ := f.open(f.Edges[0], call{method: http.MethodPost, target: "/stream/x"})
 	time.Sleep(200 * time.Millisecond)
 	_ = conn.Close()
 	f.eventually(timeoutSlack, "the replica to notice", func() bool {
-		return f.model[0].Abandoned()+f.model[1].Abandoned() == 1
+		return f.Model[0].Abandoned()+f.Model[1].Abandoned() == 1
 	})
 }
 
@@ -446,16 +344,16 @@
 func TestEdgeDropsRequestsOfCallersThatLeft(t *testing.T) {
 	is := is.New(t)
 	f := newEdgeFleet(t, 1)
-	e := f.edges[0]
-	is.NoErr(e.cmd.Process.Signal(syscall.SIGSTOP))
+	e := f.Edges[0]
+	is.NoErr(e.Signal(syscall.SIGSTOP))
 	for range 20 {
 		conn, _ := f.open(e, call{method: http.MethodGet, target: "/check/x"})
 		is.NoErr(conn.Close())
 	}
-	is.NoErr(e.cmd.Process.Signal(syscall.SIGCONT))
+	is.NoErr(e.Signal(syscall.SIGCONT))
 	resp, _, _ := f.do(e, call{method: http.MethodGet, target: "/check/x"})
 	is.Equal(resp.StatusCode, http.StatusOK)
-	is.Equal(len(runs(f.plain)), 1) // the others were accepted before it
+	is.Equal(len(runs(f.Plain)), 1) // the others were accepted before it
 }
 
 // TestEdgeCountsTheReadingOfARequest guards against a caller's deadline that
@@ -463,7 +361,7 @@
 func TestEdgeCountsTheReadingOfARequest(t *testing.T) {
 	is := is.New(t)
 	f := newEdgeFleet(t, 1)
-	conn, _ := f.open(f.edges[0], call{method: http.MethodPost, target: "/order/x", header: "Transfer-Encoding: chunked\r\nX-Ignored: "})
+	conn, _ := f.open(f.Edges[0], call{method: http.MethodPost, target: "/order/x", header: "Transfer-Encoding: chunked\r\nX-Ignored: "})
 	const reading = 600 * time.Millisecond
 	time.Sleep(reading)
 	_, err := io.WriteString(conn, "0\r\n\r\n")
@@ -471,7 +369,7 @@
 	resp, _, err := f.answer(conn, http.MethodPost)
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, http.StatusOK)
-	left, err := strconv.Atoi(runs(f.plain)[0].Header.Get("Deadline-Ms"))
+	left, err := strconv.Atoi(runs(f.Plain)[0].Header.Get("Deadline-Ms"))
 	is.NoErr(err)
 	is.True(left <= 1500-int(reading.Milliseconds())) // the route's timeout is 1,500 ms
 }
@@ -492,15 +390,14 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 	}
-	serve(f.edges)
-	f.eventually(10*time.Second, "a usage report", func() bool { return len(f.cloud.Usage()) > 0 })
-	first := f.cloud.Usage()[0]
+	serve(f.Edges)
+	f.eventually(10*time.Second, "a usage report", func() bool { return len(f.Cloud.Usage()) > 0 })
+	first := f.Cloud.Usage()[0]
 	var rest []*edgeProcess
-	for i, e := range f.edges {
+	for i, e := range f.Edges {
 		if fmt.Sprint("edge-", i) == first.Holder {
 			time.Sleep(reportRounds) // its counts reach the others
-			_ = e.cmd.Process.Kill()
-			<-e.done
+			e.Kill()
 			continue
 		}
 		rest = append(rest, e)
@@ -509,7 +406,7 @@
 	serve(rest)
 	counted := func() int {
 		windows := make(map[int64]int)
-		for _, u := range f.cloud.Usage() {
+		for _, u := range f.Cloud.Usage() {
 			n := 0
 			for _, count := range u.Counts {
 				n += count
@@ -526,7 +423,7 @@
 		return total
 	}
 	f.eventually(20*time.Second, "all requests to be reported", func() bool { return counted() == sent })
-	last := f.cloud.Usage()[len(f.cloud.Usage())-1]
+	last := f.Cloud.Usage()[len(f.Cloud.Usage())-1]
 	is.True(last.Holder != first.Holder)
 	is.True(last.Fence > first.Fence)
 }
--- /dev/null
+++ b/internal/e2e/soak_test.go
@@ -0,0 +1,32 @@
+package e2e
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelhold/cornelhold/internal/soak"
+)
+
+// soakSeeds are played in each test run. Seeds that failed once are kept here
+// with a line on the cause.
+var soakSeeds = []uint64{1}
+
+// TestSoakSeeds guards against promises that are broken under kills, pauses,
+// stops, link faults and misbehaving replicas that overlap.
+func TestSoakSeeds(t *testing.T) {
+	is := is.New(t)
+	bin, err := programs()
+	is.NoErr(err)
+	for _, seed := range soakSeeds {
+		result, err := soak.Run(t.Context(), soak.Options{
+			Seed: seed, Program: filepath.Join(bin, "cornelhold-edge"), Dir: t.TempDir(),
+			Edges: 3, Clients: 8, Length: 4 * time.Second,
+		})
+		is.NoErr(err)
+		is.Equal(result.Violations, nil)
+		is.True(result.Served > 0)
+	}
+}
--- /dev/null
+++ b/internal/edgefleet/edgefleet.go
@@ -0,0 +1,272 @@
+// Package edgefleet runs cornelhold-edge processes on loopback before stand-ins
+// of the users' platform, for tests and the soak.
+package edgefleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/cornelhold/cornelhold/internal/procs"
+	"github.com/cornelhold/cornelhold/internal/standin/userplatform"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("edgefleet")
+
+// Names of what the configuration of a fleet holds.
+const (
+	Host         = "h.example"
+	Team         = "team-1"
+	ModelService = "model"
+	PlainService = "plain"
+	// Grace is the grace period of the processes.
+	Grace = 4 * time.Second
+	// firstHost is the last octet of the first process's address.
+	firstHost = 100
+	maxSeeds  = 3
+)
+
+// Options configures a fleet.
+type Options struct {
+	// Program is the path of cornelhold-edge, Dir the folder for settings and logs.
+	Program, Dir string
+	// Replicas is the number of replicas of each of the two services.
+	Replicas int
+	// Via returns the address at which a process reaches an address of the
+	// platform, such as that of a proxy. The zero value connects directly.
+	Via func(address string) (string, error)
+}
+
+// Fleet is edge processes before stand-ins of the users' platform. One task
+// uses it.
+type Fleet struct {
+	Store *userplatform.Store
+	Cloud *userplatform.Cloud
+	Model []*userplatform.Replica
+	Plain []*userplatform.Replica
+	Edges []*Edge
+
+	options  Options
+	cloudAt  string
+	replicas map[*userplatform.Replica]string
+	sequence int
+	version  int
+	port     int
+	seeds    []string
+}
+
+// Edge is one cornelhold-edge process, which may be started again.
+type Edge struct {
+	Name, Front, Ready string
+	// Store is the address of the store that only this process uses.
+	Store string
+	// Log is the file that its output goes to.
+	Log string
+
+	program, settings string
+	cmd               *exec.Cmd
+	done              chan struct{}
+	err               error
+}
+
+// New starts the stand-ins, which run until ctx ends.
+func New(ctx context.Context, o Options) (*Fleet, error) {
+	if o.Via == nil {
+		o.Via = func(address string) (string, error) { return address, nil }
+	}
+	f := &Fleet{
+		Store: userplatform.StartStore(ctx), options: o, version: 1,
+		replicas: make(map[*userplatform.Replica]string),
+	}
+	l, err := Listen()
+	if err != nil {
+		return nil, err
+	}
+	f.Cloud = userplatform.StartCloud(ctx, l)
+	if f.cloudAt, err = o.Via(l.Addr().String()); err != nil {
+		return nil, err
+	}
+	for i := range o.Replicas {
+		model, err := f.startReplica(ctx, fmt.Sprint("m", i))
+		if err != nil {
+			return nil, err
+		}
+		plain, err := f.startReplica(ctx, fmt.Sprint("p", i))
+		if err != nil {
+			return nil, err
+		}
+		f.Model, f.Plain = append(f.Model, model), append(f.Plain, plain)
+	}
+	_, port, err := net.SplitHostPort(procs.FreeAddress())
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	f.port, err = strconv.Atoi(port)
+	return f, Error.Wrap(err)
+}
+
+// Listen returns a listener on a free address.
+func Listen() (net.Listener, error) {
+	l, err := net.Listen("tcp", procs.FreeAddress())
+	return l, Error.Wrap(err)
+}
+
+func (f *Fleet) startReplica(ctx context.Context, id string) (*userplatform.Replica, error) {
+	l, err := Listen()
+	if err != nil {
+		return nil, err
+	}
+	r := userplatform.StartReplica(ctx, id, l)
+	f.replicas[r], err = f.options.Via(r.Address)
+	return r, err
+}
+
+// Announce writes a replica's entry into the list of replicas.
+func (f *Fleet) Announce(r *userplatform.Replica, state string) {
+	f.sequence++
+	service := PlainService
+	for _, m := range f.Model {
+		if m == r {
+			service = ModelService
+		}
+	}
+	f.Store.Put(userplatform.ServersTopic, r.ID, r.EntryAt(f.replicas[r], service, "a", state, f.sequence))
+}
+
+// AnnounceAll writes the entries of all replicas.
+func (f *Fleet) AnnounceAll(state string) {
+	for r := range f.replicas {
+		f.Announce(r, state)
+	}
+}
+
+// Config returns the next configuration. Its idempotent route leads to a
+// service and its team holds a key.
+func (f *Fleet) Config(service, key string) string {
+	route := func(name, kind, service string, attempts int, more string) string {
+		return fmt.Sprintf(`{"name":%q,"host":%q,"path-prefix":"/%s/","type":%q,"timeout-ms":1500,"target-latency-ms":500,"priority":1,"service":%q,"max-attempts":%d%s}`,
+			name, Host, name, kind, service, attempts, more)
+	}
+	routes := []string{
+		route("stream", "streaming", ModelService, 2, `,"resumable":true,"sticky":true`),
+		route("stream-once", "streaming", ModelService, 1, ""),
+		route("check", "idempotent", service, 2, ""),
+		route("order", "unsafe", PlainService, 1, ""),
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":%q,"max-conns":50},{"name":%q,"max-conns":50}],`+
+		`"limits":{"max-header-bytes":8192,"max-body-bytes":100000,"header-timeout-ms":2000,"idle-timeout-ms":5000},`+
+		`"tenants":[{"name":%q,"api-keys":[%q]}]}`, f.version, strings.Join(routes, ","), ModelService, PlainService, Team, key)
+}
+
+// Configure writes a configuration, as the operator does.
+func (f *Fleet) Configure(config string) {
+	f.Store.Put(userplatform.ConfigTopic, userplatform.ConfigKey, []byte(config))
+	f.version += 3
+}
+
+// AddEdge starts one more process.
+func (f *Fleet) AddEdge(ctx context.Context) (*Edge, error) {
+	i := len(f.Edges)
+	host, _, err := net.SplitHostPort(procs.FreeAddress())
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	prefix, err := netip.ParseAddr(host)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	octets := prefix.As4()
+	octets[3] = byte(firstHost + i)
+	ip := netip.AddrFrom4(octets).String()
+	at := func(offset int) string { return fmt.Sprintf("%s:%d", ip, f.port+offset) }
+	l, err := Listen()
+	if err != nil {
+		return nil, err
+	}
+	f.Store.Serve(ctx, l)
+	e := &Edge{
+		Name: fmt.Sprint("edge-", i), Front: at(0), Ready: at(1), Store: l.Addr().String(),
+		program: f.options.Program, Log: filepath.Join(f.options.Dir, fmt.Sprintf("edge-%d.log", i)),
+		settings: filepath.Join(f.options.Dir, fmt.Sprintf("edge-%d.yaml", i)),
+	}
+	store, err := f.options.Via(e.Store)
+	if err != nil {
+		return nil, err
+	}
+	if len(f.seeds) < maxSeeds {
+		f.seeds = append(f.seeds, at(2))
+	}
+	settings := fmt.Sprintf(`node-name: %s
+ip: %q
+zone: a
+listen: {front: %q, ready-addr: %q, control: %q}
+port-range: [%d, %d]
+seeds: ["%s"]
+platform: {addr: %q}
+cloud-api: {addr: %q}
+limits: {memory-mb: 284, max-fds: 4100}
+bounds: {drain-ms: 2000, grace-s: %d, config-apply-ms: 2000, retry-ratio: 0.2, retry-window-s: 10, retry-slack: 56,
+  quota-window-s: 8, quota-overrun: 0.1, quota-slack: 72000, lease-ms: 3000, usage-window-s: 1, usage-delay-s: 10}
+`, e.Name, ip, e.Front, e.Ready, at(2), f.port+3, f.port+6, strings.Join(f.seeds, `", "`), store, f.cloudAt, int(Grace.Seconds()))
+	if err := os.WriteFile(e.settings, []byte(settings), 0o600); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	f.Edges = append(f.Edges, e)
+	return e, e.Start()
+}
+
+// Start starts the process, also again after its end. Its output is appended
+// to the log.
+func (e *Edge) Start() error {
+	out, err := os.OpenFile(e.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer func() { _ = out.Close() }() // the process has its own descriptor
+	e.cmd = exec.Command(e.program, "--settings", e.settings)
+	e.cmd.Env = append(os.Environ(), "CORNELHOLD_SETTINGS="+e.settings)
+	e.cmd.Stdout, e.cmd.Stderr = out, out
+	if err := e.cmd.Start(); err != nil {
+		return Error.New("cannot start %s: %w; run make build first", e.program, err)
+	}
+	done := make(chan struct{})
+	e.done = done
+	go func() { e.err = e.cmd.Wait(); close(done) }()
+	return nil
+}
+
+// Signal sends a signal to the process.
+func (e *Edge) Signal(s syscall.Signal) error { return Error.Wrap(e.cmd.Process.Signal(s)) }
+
+// Done is closed once the process has ended.
+func (e *Edge) Done() <-chan struct{} { return e.done }
+
+// Err returns why the process ended; nil for a regular end.
+func (e *Edge) Err() error {
+	<-e.done
+	return e.err
+}
+
+// Kill ends the process without notice and waits until it is gone.
+func (e *Edge) Kill() {
+	_ = e.cmd.Process.Kill()
+	<-e.done
+}
+
+// Stop kills all processes.
+func (f *Fleet) Stop() {
+	for _, e := range f.Edges {
+		e.Kill()
+	}
+}
--- /dev/null
+++ b/internal/soak/check.go
@@ -0,0 +1,105 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/cornelhold/cornelhold/internal/edgefleet"
+	"github.com/cornelhold/cornelhold/internal/standin/userplatform"
+)
+
+// streamEvents is the number of events of a stream.
+const streamEvents = 6
+
+// violations compares what callers got with what replicas ran and what the
+// platform was told.
+func violations(calls []*call, runs []userplatform.Run, usage []userplatform.UsageCall, scale []userplatform.ScaleCall) []string {
+	var found []string
+	report := func(format string, args ...any) { found = append(found, fmt.Sprintf(format, args...)) }
+	sent := make(map[string]*call, len(calls))
+	for _, c := range calls {
+		sent[c.attempt] = c
+	}
+	ran := make(map[string]int)
+	for _, r := range runs {
+		attempt := r.Header.Get("Attempt-Id")
+		ran[attempt]++
+		if c, ok := sent[attempt]; !ok {
+			report("a replica ran request %q, which no caller sent", attempt)
+		} else {
+			checkRun(c, r, report)
+		}
+	}
+	for _, c := range calls {
+		if c.unsafe() && ran[c.attempt] > 1 {
+			report("request %s ran %d times and may run once", c.attempt, ran[c.attempt])
+		}
+		checkAnswer(c, ran[c.attempt], report)
+	}
+	checkDuties(usage, scale, report)
+	return found
+}
+
+func checkRun(c *call, r userplatform.Run, report func(string, ...any)) {
+	switch {
+	case r.Method != c.method || r.Target != c.target || r.Body != c.body:
+		report("request %s reached a replica changed: %s %s with %d bytes", c.attempt, r.Method, r.Target, len(r.Body))
+	case r.Header.Get("Tenant") != edgefleet.Team:
+		report("request %s reached a replica for team %q", c.attempt, r.Header.Get("Tenant"))
+	case r.Header.Get("Authorization") != "":
+		report("the key of request %s reached a replica", c.attempt)
+	}
+}
+
+// checkAnswer checks that an answer is the request's own and whole, and that a
+// refusal which promises that the request has not run is true.
+func checkAnswer(c *call, ran int, report func(string, ...any)) {
+	switch {
+	case c.err != nil:
+		return
+	case c.status == http.StatusOK:
+		want := "answer of " + c.attempt
+		if c.stream() {
+			var all strings.Builder
+			for id := 1; id <= streamEvents; id++ {
+				all.WriteString(userplatform.Event(id))
+			}
+			want = all.String()
+		}
+		if c.answer != want {
+			report("request %s got %q", c.attempt, c.answer)
+		}
+		if c.header.Get("Attempt-Id") != c.attempt || c.header.Get("Replica-Signature") == "" {
+			report("request %s got an answer with headers %v", c.attempt, c.header)
+		}
+	case c.status == http.StatusTooManyRequests, c.status == http.StatusServiceUnavailable,
+		c.status == http.StatusRequestTimeout, c.status == http.StatusMisdirectedRequest:
+		if ran > 0 && c.unsafe() {
+			report("request %s got status %d and ran", c.attempt, c.status)
+		}
+	}
+}
+
+// checkDuties checks that a usage window has one count and a fence one holder.
+func checkDuties(usage []userplatform.UsageCall, scale []userplatform.ScaleCall, report func(string, ...any)) {
+	windows := make(map[int64]string)
+	holders := make(map[int64]string)
+	hold := func(fence int64, holder string) {
+		if known, ok := holders[fence]; ok && known != holder {
+			report("%s and %s acted with fence %d", known, holder, fence)
+		}
+		holders[fence] = holder
+	}
+	for _, u := range usage {
+		counts := fmt.Sprint(u.Counts)
+		if known, ok := windows[u.Window]; ok && known != counts {
+			report("window %d was reported with %s and %s", u.Window, known, counts)
+		}
+		windows[u.Window] = counts
+		hold(u.Fence, u.Holder)
+	}
+	for _, s := range scale {
+		hold(s.Fence, s.Holder)
+	}
+}
--- /dev/null
+++ b/internal/soak/check_test.go
@@ -0,0 +1,82 @@
+package soak
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelhold/cornelhold/internal/edgefleet"
+	"github.com/cornelhold/cornelhold/internal/standin/userplatform"
+)
+
+func servedCall(attempt string) *call {
+	return &call{
+		attempt: attempt, method: http.MethodPost, target: "/order/x", body: "b", status: http.StatusOK, answer: "answer of " + attempt,
+		header: http.Header{"Attempt-Id": {attempt}, "Replica-Signature": {"p0"}},
+	}
+}
+
+func runOf(c *call) userplatform.Run {
+	return userplatform.Run{
+		Method: c.method, Target: c.target, Body: c.body,
+		Header: http.Header{"Attempt-Id": {c.attempt}, "Tenant": {edgefleet.Team}},
+	}
+}
+
+// TestViolationsAreFound guards against a soak that passes over a broken
+// promise.
+func TestViolationsAreFound(t *testing.T) {
+	usage := func(window int64, holder string, fence int64, n int) userplatform.UsageCall {
+		return userplatform.UsageCall{Window: window, Holder: holder, Fence: fence, Counts: map[string]int{"t": n}}
+	}
+	cases := []struct {
+		name, want string
+		calls      func(c *call) []*call
+		runs       func(r userplatform.Run) []userplatform.Run
+		usage      []userplatform.UsageCall
+	}{
+		{name: "nothing", want: ""},
+		{name: "twice", want: "ran 2 times", runs: func(r userplatform.Run) []userplatform.Run { return []userplatform.Run{r, r} }},
+		{name: "unknown", want: "which no caller sent", calls: func(*call) []*call { return nil }},
+		{name: "changed", want: "changed", runs: func(r userplatform.Run) []userplatform.Run { r.Target += "y"; return []userplatform.Run{r} }},
+		{name: "team", want: "for team", runs: func(r userplatform.Run) []userplatform.Run {
+			r.Header.Set("Tenant", "forged")
+			return []userplatform.Run{r}
+		}},
+		{name: "key", want: "the key", runs: func(r userplatform.Run) []userplatform.Run {
+			r.Header.Set("Authorization", "k")
+			return []userplatform.Run{r}
+		}},
+		{name: "refused", want: "and ran", calls: func(c *call) []*call { c.status = http.StatusServiceUnavailable; return []*call{c} }},
+		{name: "foreign", want: "got", calls: func(c *call) []*call { c.answer = "answer of other"; return []*call{c} }},
+		{name: "unsigned", want: "headers", calls: func(c *call) []*call { c.header.Del("Replica-Signature"); return []*call{c} }},
+		{name: "cut stream", want: "got", calls: func(c *call) []*call {
+			c.target, c.answer = "/stream/x", userplatform.Event(1)
+			return []*call{c}
+		}, runs: func(r userplatform.Run) []userplatform.Run { r.Target = "/stream/x"; return []userplatform.Run{r} }},
+		{name: "broken off", want: "", calls: func(c *call) []*call { c.err = errors.New("cut"); return []*call{c} }},
+		{name: "two counts", want: "was reported with", usage: []userplatform.UsageCall{usage(1, "a", 1, 2), usage(1, "a", 1, 3)}},
+		{name: "one fence", want: "acted with fence", usage: []userplatform.UsageCall{usage(1, "a", 1, 2), usage(2, "b", 1, 2)}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			c := servedCall("a-1")
+			calls, runs := []*call{c}, []userplatform.Run{runOf(c)}
+			if tc.runs != nil {
+				runs = tc.runs(runs[0])
+			}
+			if tc.calls != nil {
+				calls = tc.calls(c)
+			}
+			found := strings.Join(violations(calls, runs, tc.usage, nil), "; ")
+			if tc.want == "" {
+				is.Equal(found, "")
+			}
+			is.True(strings.Contains(found, tc.want))
+		})
+	}
+}
--- /dev/null
+++ b/internal/soak/proxy_test.go
@@ -0,0 +1,92 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelhold/cornelhold/internal/edgefleet"
+)
+
+// echo serves a listener that returns what it reads.
+func echo(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := edgefleet.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	return l
+}
+
+// passes reports whether a byte returns within a short time.
+func passes(conn net.Conn) bool {
+	_ = conn.SetDeadline(time.Now().Add(300 * time.Millisecond))
+	if _, err := conn.Write([]byte("x")); err != nil {
+		return false
+	}
+	_, err := io.ReadFull(conn, make([]byte, 1))
+	return err == nil
+}
+
+// TestProxyFaults guards against faults that do not happen, which would make
+// each run of the soak pass.
+func TestProxyFaults(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	p, err := startProxy(ctx, echo(t).Addr().String())
+	is.NoErr(err)
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", p.listener.Addr().String())
+		is.NoErr(err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	is.True(passes(dial()))
+	for _, cut := range []func(*mode, bool){
+		func(m *mode, on bool) { m.cutUp = on }, func(m *mode, on bool) { m.cutDown = on },
+	} {
+		conn := dial()
+		is.True(passes(conn))
+		p.send(ctx, change{func(m *mode) { cut(m, true) }})
+		for p.mode.Load().cutUp == p.mode.Load().cutDown {
+			time.Sleep(time.Millisecond)
+		}
+		is.True(!passes(conn))
+		p.send(ctx, change{func(m *mode) { cut(m, false) }})
+		_ = conn.SetDeadline(time.Now().Add(time.Second))
+		_, err = io.ReadFull(conn, make([]byte, 1)) // what was held arrives
+		is.NoErr(err)
+	}
+	silent := dial()
+	is.True(passes(silent))
+	p.send(ctx, silence{})
+	for p.mode.Load().silentBefore == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(!passes(silent))
+	is.True(passes(dial()))
+	broken := dial()
+	is.True(passes(broken))
+	p.send(ctx, resetAll{})
+	_ = broken.SetDeadline(time.Now().Add(time.Second))
+	_, err = broken.Read(make([]byte, 1))
+	is.True(err != nil)
+	is.True(!errors.Is(err, os.ErrDeadlineExceeded))
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,233 @@
+// Package soak runs the edge processes on loopback, injects faults from outside
+// them and checks the promises of the project's pages from what callers, replicas
+// and the platform see. All choices follow from a seed.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/zeebo/errs"
+
+	"github.com/cornelhold/cornelhold/internal/edgefleet"
+	"github.com/cornelhold/cornelhold/internal/procs"
+	"github.com/cornelhold/cornelhold/internal/standin/userplatform"
+	"github.com/cornelhold/cornelhold/internal/task"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("soak")
+
+const (
+	// readyLimit bounds the start of the processes, and their recovery once all
+	// faults have ended.
+	readyLimit = 12 * time.Second
+	// applyBound is the time within which a configuration is in force and a
+	// leaving replica is left, applySlack what is added for the contact that must
+	// have been undisturbed before.
+	applyBound = 2 * time.Second
+	applySlack = 3 * time.Second
+	// callMailbox bounds the calls that wait to be recorded.
+	callMailbox = 4096
+	replicas    = 3
+)
+
+// Options configures one run.
+type Options struct {
+	Seed uint64
+	// Program is the path of cornelhold-edge, Dir the folder for settings and logs.
+	Program, Dir string
+	// Edges is the number of processes, Clients of callers.
+	Edges, Clients int
+	// Length is how long faults are injected.
+	Length time.Duration
+}
+
+// Result is what one run found.
+type Result struct {
+	Calls, Served, Runs int
+	Faults              []string
+	Violations          []string
+}
+
+type run struct {
+	options Options
+	random  *rand.Rand
+	fleet   *edgefleet.Fleet
+	proxies []*proxy
+	key     atomic.Pointer[string]
+	keys    int
+	faults  []string
+	began   time.Time
+}
+
+// Run plays one seed. The error tells that the run itself failed.
+func Run(ctx context.Context, o Options) (Result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := &run{options: o, random: rand.New(rand.NewPCG(o.Seed, 0)), began: time.Now()}
+	if err := r.start(ctx); err != nil {
+		return Result{}, err
+	}
+	defer r.fleet.Stop()
+
+	calls := task.NewMailbox[*call](callMailbox)
+	collected := make(chan []*call, 1)
+	go func() {
+		var all []*call
+		for c := range calls.Receive() {
+			if c == nil {
+				break
+			}
+			all = append(all, c)
+		}
+		collected <- all
+	}()
+	clientContext, stopClients := context.WithCancel(ctx)
+	defer stopClients()
+	var clients sync.WaitGroup
+	fronts := lo.Map(r.fleet.Edges, func(e *edgefleet.Edge, _ int) string { return e.Front })
+	for i := range o.Clients {
+		c := &client{
+			name: fmt.Sprintf("s%d-c%d", o.Seed, i), random: rand.New(rand.NewPCG(o.Seed, uint64(i)+1)), fronts: fronts,
+			key: func() string { return *r.key.Load() }, calls: calls,
+		}
+		clients.Go(func() { c.run(clientContext) })
+	}
+	r.inject(ctx)
+	found := r.settle(ctx)
+	stopClients()
+	clients.Wait()
+	if err := calls.Send(ctx, nil); err != nil {
+		return Result{}, Error.Wrap(err)
+	}
+	all := <-collected
+	return r.result(all, found), nil
+}
+
+func (r *run) start(ctx context.Context) error {
+	fleet, err := edgefleet.New(ctx, edgefleet.Options{
+		Program: r.options.Program, Dir: r.options.Dir, Replicas: replicas,
+		Via: func(address string) (string, error) {
+			p, err := startProxy(ctx, address)
+			if err != nil {
+				return "", err
+			}
+			r.proxies = append(r.proxies, p)
+			return p.listener.Addr().String(), nil
+		},
+	})
+	if err != nil {
+		return err
+	}
+	r.fleet = fleet
+	fleet.AnnounceAll("ready")
+	r.configure()
+	for range r.options.Edges {
+		if _, err := fleet.AddEdge(ctx); err != nil {
+			fleet.Stop()
+			return err
+		}
+	}
+	if err := r.ready(ctx); err != nil {
+		fleet.Stop()
+		return err
+	}
+	return nil
+}
+
+// configure puts a configuration with a new key in force.
+func (r *run) configure() {
+	r.keys++
+	key := fmt.Sprint("key-", r.keys)
+	r.fleet.Configure(r.fleet.Config(edgefleet.PlainService, key))
+	r.key.Store(&key)
+}
+
+func (r *run) ready(ctx context.Context) error {
+	return procs.WaitFor(ctx, readyLimit, "all processes to be ready", func() bool {
+		return lo.EveryBy(r.fleet.Edges, func(e *edgefleet.Edge) bool {
+			return procs.Status("http://"+e.Ready+"/readyz") == http.StatusOK
+		})
+	})
+}
+
+func (r *run) note(format string, args ...any) {
+	r.faults = append(r.faults, fmt.Sprintf("%.2f ", time.Since(r.began).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// settle ends all faults and checks what must hold once the system is left
+// alone: every process serves, follows a new configuration and leaves a replica.
+func (r *run) settle(ctx context.Context) []string {
+	var found []string
+	if err := r.ready(ctx); err != nil {
+		found = append(found, err.Error())
+	}
+	sleep(ctx, applySlack)
+	old := *r.key.Load()
+	leaving := r.fleet.Plain[0]
+	r.configure()
+	r.fleet.Announce(leaving, "draining")
+	sleep(ctx, applyBound)
+	before := len(leaving.Runs())
+	for _, e := range r.fleet.Edges {
+		if status := r.probe(ctx, e, old); status != http.StatusUnauthorized {
+			found = append(found, fmt.Sprintf("%s answers %d to a key that was taken away", e.Name, status))
+		}
+		for range 2 * replicas {
+			if status := r.probe(ctx, e, *r.key.Load()); status != http.StatusOK {
+				found = append(found, fmt.Sprintf("%s answers %d once all faults have ended", e.Name, status))
+			}
+		}
+	}
+	if after := len(leaving.Runs()); after != before {
+		found = append(found, fmt.Sprintf("replica %s got %d requests after it had left", leaving.ID, after-before))
+	}
+	return found
+}
+
+// probe sends one request to a process and returns its status; 0 stands for none.
+func (r *run) probe(ctx context.Context, e *edgefleet.Edge, key string) int {
+	ctx, cancel := context.WithTimeout(ctx, clientDeadline)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Front+"/check/probe", nil)
+	if err != nil {
+		return 0
+	}
+	req.Host = edgefleet.Host
+	req.Header.Set("Attempt-Id", probePrefix+e.Name)
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// probePrefix begins the ids of the soak's own probes.
+const probePrefix = "probe-"
+
+func (r *run) result(calls []*call, found []string) Result {
+	var runs []userplatform.Run
+	for _, replica := range append(append([]*userplatform.Replica{}, r.fleet.Model...), r.fleet.Plain...) {
+		runs = append(runs, lo.Filter(replica.Runs(), func(x userplatform.Run, _ int) bool {
+			return len(x.Header.Get("Attempt-Id")) < len(probePrefix) || x.Header.Get("Attempt-Id")[:len(probePrefix)] != probePrefix
+		})...)
+	}
+	for _, e := range r.fleet.Edges {
+		_ = e.Signal(syscall.SIGCONT)
+	}
+	return Result{
+		Calls: len(calls), Served: lo.CountBy(calls, func(c *call) bool { return c.err == nil && c.status == http.StatusOK }),
+		Runs: len(runs), Faults: r.faults,
+		Violations: append(found, violations(calls, runs, r.fleet.Cloud.Usage(), r.fleet.Cloud.Scale())...),
+	}
+}
--- a/internal/standin/userplatform/replica.go
+++ b/internal/standin/userplatform/replica.go
@@ -120,8 +120,14 @@
 
 // Entry returns the replica's record in the list of replicas.
 func (r *Replica) Entry(service, zone, state string, sequence int) []byte {
+	return r.EntryAt(r.Address, service, zone, state, sequence)
+}
+
+// EntryAt is Entry for a replica that is reached at another address, such as
+// that of a proxy.
+func (r *Replica) EntryAt(address, service, zone, state string, sequence int) []byte {
 	return fmt.Appendf(nil, `{"service":%q,"addr":%q,"zone":%q,"version":"v1","slots":8,"state":%q,"cold-left-ms":0,"seq":%d,"born":1}`,
-		service, r.Address, zone, state, sequence)
+		service, address, zone, state, sequence)
 }
 
 func (r *Replica) serve(conn net.Conn) {
