Spread plain calls over endpoints and count the loads of peers once

Each choice added up the reports of all peers for each endpoint, and reports took a large part of the smallest machines.

--- a/internal/core/gateway/choose.go
+++ b/internal/core/gateway/choose.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
@@ -25,8 +26,11 @@
 		}
 		w := m.expected(now, o, e, e == home)
 		cost := w.expected + time.Duration(e.failing*float64(failureCost))
+		if !o.request.HasTokens {
+			cost += time.Duration(float64(callSpread) * spread(o.request.Pick, e))
+		}
 		if e.DataCentre != m.options.DataCentre {
-			cost += remoteDelay + time.Duration(o.request.Output)*remoteTokenCost
+			cost += m.remoteCost(o)
 		}
 		if e.Lapsed {
 			cost += lapsedCost
@@ -41,6 +45,21 @@
 	return best, bestWait
 }
 
+// remoteCost returns what an endpoint in another data centre costs a request.
+func (m *Machine) remoteCost(o *open) time.Duration {
+	if !o.request.HasTokens {
+		return remoteCallCost
+	}
+	return remoteDelay + time.Duration(o.request.Output)*remoteTokenCost
+}
+
+// spread returns a number from 0 up to 1 that differs by request and endpoint.
+// All instances know the same loads; without it they would choose the same
+// endpoint until they hear of each other's choices.
+func spread(pick float64, e *endpoint) float64 {
+	return float64(mix(e.hash^math.Float64bits(pick))>>11) / (1 << 53)
+}
+
 // suspectCost ranks every suspect behind every other endpoint, lapsedCost every
 // endpoint whose entry lapsed behind the suspects.
 const (
@@ -50,7 +69,7 @@
 
 // expected returns the time until the first byte of the answer.
 func (m *Machine) expected(now time.Duration, o *open, e *endpoint, home bool) wait {
-	load := e.load(now)
+	load := e.load()
 	slots := max(e.Slots, 1)
 	if !o.request.HasTokens {
 		return wait{expected: time.Duration(float64(e.callTime) * (1 + float64(load.Active)/float64(slots)))}
--- a/internal/core/gateway/endpoints.go
+++ b/internal/core/gateway/endpoints.go
@@ -21,6 +21,10 @@
 	// remoteDelay is the cost of another data centre: a round trip and the
 	// price of its bytes.
 	remoteDelay = 6 * time.Millisecond
+	// remoteCallCost is the same for a plain call, which mostly opens a channel,
+	// and callSpread the random cost that spreads plain calls.
+	remoteCallCost = 14 * time.Millisecond
+	callSpread     = 8 * time.Millisecond
 	// remoteTokenCost is the cost of each output token from another data centre:
 	// an event whose packet is lost on the way makes the answer late.
 	remoteTokenCost = 300 * time.Microsecond
@@ -51,17 +55,19 @@
 	cacheFor = 60 * time.Second
 )
 
-type peerLoad struct {
-	Load
-	at time.Duration
+// peerLoads is what one peer has under way, as it last reported it.
+type peerLoads struct {
+	loads map[fleet.EndpointID]Load
+	at    time.Duration
 }
 
 // endpoint is a listed endpoint with what was learned about it.
 type endpoint struct {
 	catalog.Endpoint
-	hash  uint64
-	own   Load
-	peers map[string]peerLoad
+	hash uint64
+	own  Load
+	// others is the sum of what all peers have under way.
+	others Load
 	// failing is the smoothed share of attempts that failed.
 	failing float64
 	// slowness is the smoothed ratio of observed to expected time.
@@ -76,7 +82,7 @@
 
 func newEndpoint(e catalog.Endpoint) *endpoint {
 	return &endpoint{
-		Endpoint: e, hash: xxhash.Sum64String(string(e.ID)), peers: make(map[string]peerLoad),
+		Endpoint: e, hash: xxhash.Sum64String(string(e.ID)),
 		slowness: 1, callTime: callTime, cached: make(map[uint64]time.Duration), partTokens: make(map[uint64]int),
 	}
 }
@@ -94,22 +100,48 @@
 			}
 			e = newEndpoint(l)
 		}
-		e.Endpoint = l
+		e.Endpoint, e.others = l, Load{}
 		m.endpoints[l.ID] = e
 		m.byService[l.Service] = append(m.byService[l.Service], e)
 	}
+	for _, p := range m.loads {
+		m.addLoads(p.loads, 1)
+	}
 }
 
-// load returns what all instances have under way at the endpoint.
-func (e *endpoint) load(now time.Duration) Load {
-	total := e.own
-	for _, p := range e.peers {
-		if now-p.at <= loadFreshFor {
-			total.Active += p.Active
-			total.Backlog += p.Backlog
+// setLoads replaces what a peer has under way.
+func (m *Machine) setLoads(now time.Duration, node string, loads map[fleet.EndpointID]Load) {
+	m.dropLoads(node)
+	m.loads[node] = peerLoads{loads: loads, at: now}
+	m.addLoads(loads, 1)
+}
+
+func (m *Machine) dropLoads(node string) {
+	m.addLoads(m.loads[node].loads, -1)
+	delete(m.loads, node)
+}
+
+// expireLoads forgets the loads of peers that have not reported lately.
+func (m *Machine) expireLoads(now time.Duration) {
+	for node, p := range m.loads {
+		if now-p.at > loadFreshFor {
+			m.dropLoads(node)
 		}
 	}
-	return total
+}
+
+func (m *Machine) addLoads(loads map[fleet.EndpointID]Load, sign int) {
+	for id, load := range loads {
+		if e, ok := m.endpoints[id]; ok {
+			e.others.Active += sign * load.Active
+			e.others.Backlog += sign * load.Backlog
+		}
+	}
+}
+
+// load returns what all instances have under way at the endpoint.
+func (e *endpoint) load() Load {
+	return Load{Active: e.own.Active + e.others.Active, Backlog: e.own.Backlog + e.others.Backlog}
 }
 
 // begin counts a request that is sent and returns its prompt tokens that the
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -82,6 +82,7 @@
 	budgets   map[fleet.ServiceName]*budget.Shared
 	crashes   *crashes
 	peers     map[string]bool
+	loads     map[string]peerLoads
 	demand    map[fleet.ServiceName]*window.Sum
 	// firstByte is the learned time until the first byte of idle engines.
 	firstByte map[fleet.ServiceName]time.Duration
@@ -96,7 +97,7 @@
 		byService: make(map[fleet.ServiceName][]*endpoint),
 		open:      make(map[RequestID]*open), quota: quota.New(options.Quota),
 		budgets: make(map[fleet.ServiceName]*budget.Shared), crashes: newCrashes(),
-		peers: make(map[string]bool), demand: make(map[fleet.ServiceName]*window.Sum),
+		peers: make(map[string]bool), loads: make(map[string]peerLoads), demand: make(map[fleet.ServiceName]*window.Sum),
 		askedSince: make(map[fleet.ServiceName]time.Duration), firstByte: make(map[fleet.ServiceName]time.Duration),
 	}
 }
@@ -237,7 +238,7 @@
 	o.sends++
 	o.current, o.sentAt, o.expected, o.queued = e, now, w.expected, w.queued
 	o.tried[e.ID] = true
-	load := e.load(now)
+	load := e.load()
 	o.backlog = e.begin(now, o.request)
 	return Send{
 		ID: id, Endpoint: e.Endpoint, Route: o.route, Team: teamName(o.team), GiveUpAt: o.giveUpAt,
@@ -400,13 +401,7 @@
 func (m *Machine) peerReport(now time.Duration, r PeerReport) {
 	m.peers[r.Node] = true
 	m.quota.SetPeer(r.Node, quota.Peer{At: now, Used: r.Used})
-	for id, e := range m.endpoints {
-		if load, ok := r.Loads[id]; ok {
-			e.peers[r.Node] = peerLoad{Load: load, at: now}
-		} else {
-			delete(e.peers, r.Node)
-		}
-	}
+	m.setLoads(now, r.Node, r.Loads)
 	for _, c := range r.Crashes {
 		m.crashes.learn(now, c)
 	}
@@ -415,13 +410,12 @@
 func (m *Machine) peerLeft(node string) {
 	delete(m.peers, node)
 	m.quota.DropPeer(node)
-	for _, e := range m.endpoints {
-		delete(e.peers, node)
-	}
+	m.dropLoads(node)
 }
 
 // Report returns what this instance shares with its peers.
 func (m *Machine) Report(now time.Duration) PeerReport {
+	m.expireLoads(now)
 	r := PeerReport{
 		Node: m.options.Node, Used: m.quota.Own(now),
 		Loads: make(map[fleet.EndpointID]Load), Crashes: m.crashes.recent(now),
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -24,8 +24,11 @@
 )
 
 const (
-	// reportInterval is the time between two reports to peers.
+	// reportInterval is the time between two reports to peers. It grows with
+	// their number beyond frequentPeers, since each report costs every instance
+	// processor time and bytes.
 	reportInterval = 200 * time.Millisecond
+	frequentPeers  = 48
 	// quietAfter is the time without a report after which a peer gets one only
 	// every quietInterval.
 	quietAfter    = 5 * time.Second
@@ -35,8 +38,9 @@
 	peerLeftAfter = 30 * time.Second
 	// maxDatagram bounds a report, in bytes.
 	maxDatagram = 60 << 10
-	// maxPeerAddresses bounds the addresses in a report and those known.
-	maxPeerAddresses = 32
+	// maxPeerAddresses bounds the addresses in a report, a random choice of the
+	// peers, and maxPeers those known.
+	maxPeerAddresses = 6
 	maxPeers         = 2048
 	// pullAfter is how long an instance waits for the store before it asks a
 	// peer that knows a newer configuration.
@@ -159,6 +163,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			ticker.Reset(reportInterval * time.Duration(max(len(t.peers), frequentPeers)) / frequentPeers)
 			t.assign()
 			t.report(ctx)
 			t.expire(ctx)
