--- a/internal/core/gateway/choose.go
+++ b/internal/core/gateway/choose.go
@@ -8,9 +8,15 @@
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 )
 
-// wait is the expected time until the first byte of an answer. queued is the part
-// that depends on the endpoint's work.
-type wait struct{ expected, queued time.Duration }
+// wait is the expected time until the first byte of an answer.
+type wait struct {
+	expected time.Duration
+	// queued is the part that depends on the endpoint's work.
+	queued time.Duration
+	// spread is the largest random cost that spreads the choices of instances
+	// which know the same loads.
+	spread time.Duration
+}
 
 // choose returns the endpoint with the least expected time until the first
 // byte, and that time. It avoids endpoints that were tried, leave or cannot be
@@ -26,9 +32,7 @@
 		}
 		w := m.expected(now, o, e, e == home)
 		cost := w.expected + time.Duration(e.failing*float64(failureCost))
-		if !o.request.HasTokens {
-			cost += time.Duration(float64(callSpread) * spread(o.request.Pick, e))
-		}
+		cost += time.Duration(float64(w.spread) * spread(o.request.Pick, e))
 		if e.DataCentre != m.options.DataCentre {
 			cost += m.remoteCost(o)
 		}
@@ -54,8 +58,8 @@
 }
 
 // spread returns a number from 0 up to 1 that differs by request and endpoint.
-// All instances know the same loads; without it they would choose the same
-// endpoint until they hear of each other's choices.
+// Without it all instances would choose the same endpoint until they hear of
+// each other's choices.
 func spread(pick float64, e *endpoint) float64 {
 	return float64(mix(e.hash^math.Float64bits(pick))>>11) / (1 << 53)
 }
@@ -72,7 +76,9 @@
 	load := e.load()
 	slots := max(e.Slots, 1)
 	if !o.request.HasTokens {
-		return wait{expected: time.Duration(float64(e.callTime) * (1 + float64(load.Active)/float64(slots)))}
+		return wait{
+			expected: time.Duration(float64(e.callTime) * (1 + float64(load.Active)/float64(slots))), spread: callSpread,
+		}
 	}
 	engine := m.engine(o)
 	if engine != nil {
@@ -86,7 +92,11 @@
 	beside := time.Duration(min(load.Active, slots)) * decodeDelay
 	waiting := time.Duration(max(load.Active-slots, 0)) * queueDelay
 	queued := reading + beside + waiting
-	return wait{expected: m.idleFirstByte(o.service) + time.Duration(float64(queued)*e.slowness), queued: queued}
+	work := time.Duration(float64(queued) * e.slowness)
+	return wait{
+		expected: m.idleFirstByte(o.service) + work, queued: queued,
+		spread: streamSpread + time.Duration(float64(work)*workSpread),
+	}
 }
 
 // idleFirstByte returns the time until the first byte of an idle engine.
--- a/internal/core/gateway/endpoints.go
+++ b/internal/core/gateway/endpoints.go
@@ -21,10 +21,14 @@
 	// remoteDelay is the cost of another data centre: a round trip and the
 	// price of its bytes.
 	remoteDelay = 6 * time.Millisecond
-	// remoteCallCost is the same for a plain call, which mostly opens a channel,
-	// and callSpread the random cost that spreads plain calls.
+	// remoteCallCost is the same for a plain call, which mostly opens a channel.
 	remoteCallCost = 14 * time.Millisecond
-	callSpread     = 8 * time.Millisecond
+	// callSpread and streamSpread bound the random cost of an endpoint for plain
+	// calls and for streams, workSpread its part that is a share of the work
+	// before the request.
+	callSpread   = 8 * time.Millisecond
+	streamSpread = 15 * time.Millisecond
+	workSpread   = 0.35
 	// remoteTokenCost is the cost of each output token from another data centre:
 	// an event whose packet is lost on the way makes the answer late.
 	remoteTokenCost = 300 * time.Microsecond
