Compare observed and expected work so that an idle endpoint is not slow for good

Cause: the deviation of an idle engine changed its slowness and nothing brought it back, found by TestIdleEnginesTakeTheirFirstByte, which failed before.

--- a/internal/core/gateway/endpoints.go
+++ b/internal/core/gateway/endpoints.go
@@ -44,8 +44,8 @@
 	suspectMax  = 4 * time.Second
 	// loadFreshFor is how long a peer's report of its load counts.
 	loadFreshFor = 1500 * time.Millisecond
-	// leastQueued bounds the expected time of the work before a request to which
-	// a deviation is compared.
+	// leastQueued is added to both sides of the comparison of observed and
+	// expected work, so that the jitter of an idle engine is no slowness.
 	leastQueued = 100 * time.Millisecond
 	// firstByte is the time until the first byte of an idle engine, assumed until
 	// it is learned, firstByteSmoothing the weight of a new observation and
@@ -170,7 +170,7 @@
 }
 
 // started counts the first byte of an answer.
-func (e *endpoint) started(now time.Duration, o *open, local fleet.DataCentre) {
+func (e *endpoint) started(now time.Duration, o *open, local fleet.DataCentre, idle time.Duration) {
 	e.own.Backlog -= o.backlog
 	e.inRow, e.suspectUntil = 0, 0
 	took := now - o.sentAt
@@ -178,7 +178,7 @@
 		took -= remoteDelay
 	}
 	if o.request.HasTokens {
-		e.observe(took, o)
+		e.observe(took, o, idle)
 		return
 	}
 	e.callTime = time.Duration(float64(e.callTime)*(1-smoothing) + smoothing*float64(max(took, 0)))
@@ -187,15 +187,16 @@
 // overdue learns from an attempt that ended before its first byte: it took at
 // least as long as it lasted. Without it, only the requests that were served in
 // time would tell how slow an overloaded endpoint is.
-func (e *endpoint) overdue(now time.Duration, o *open) {
+func (e *endpoint) overdue(now time.Duration, o *open, idle time.Duration) {
 	if took := now - o.sentAt; o.request.HasTokens && !o.began && took > o.expected {
-		e.observe(took, o)
+		e.observe(took, o, idle)
 	}
 }
 
-// observe compares the time that a first byte took with the expected one.
-func (e *endpoint) observe(took time.Duration, o *open) {
-	ratio := e.slowness + float64(took-o.expected)/float64(max(o.queued, leastQueued))
+// observe compares the time that a first byte took with that of the work before
+// it. idle is the time until the first byte of an idle engine.
+func (e *endpoint) observe(took time.Duration, o *open, idle time.Duration) {
+	ratio := float64(took-idle+leastQueued) / float64(o.queued+leastQueued)
 	e.slowness = min(max(e.slowness*(1-smoothing)+smoothing*ratio, fastest), slowest)
 }
 
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -288,7 +288,7 @@
 	}
 	e := o.current
 	if msg.Failure == FailureSilent {
-		e.overdue(now, o)
+		e.overdue(now, o, m.idleFirstByte(o.service))
 	}
 	e.end(o.backlog, o.began)
 	o.current = nil
@@ -356,7 +356,7 @@
 	first := !o.mayHaveRun
 	o.began, o.mayHaveRun = true, true
 	m.learnFirstByte(now, o)
-	o.current.started(now, o, m.options.DataCentre)
+	o.current.started(now, o, m.options.DataCentre, m.idleFirstByte(o.service))
 	if !first || o.team == nil {
 		return nil
 	}
@@ -372,7 +372,7 @@
 	if o.current == nil {
 		return
 	}
-	o.current.overdue(now, o)
+	o.current.overdue(now, o, m.idleFirstByte(o.service))
 	o.current.end(o.backlog, o.began)
 	if msg.Succeeded {
 		o.current.succeeded()
