--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,11 @@
 demo: build
 	go run ./demo $(BIN)
 
+# soak plays random faults against edge processes on loopback.
+.PHONY: soak
+soak: build
+	$(BIN)/cornelhold-soak --program $(BIN)/cornelhold-edge --seeds 50 --length 8s
+
 # bench-router measures the router process over loopback.
 .PHONY: bench-router
 bench-router: build
--- a/internal/core/scaling/plan.go
+++ b/internal/core/scaling/plan.go
@@ -18,13 +18,13 @@
 	utilization = 0.7
 	// scarceUtilization is the same while on-demand endpoints take the place
 	// of reclaimable ones, at several times the price.
-	scarceUtilization = 0.85
+	scarceUtilization = 0.8
 	// leastNeed is the least number of endpoints of a service.
 	leastNeed = 4.0
 	// startShare is the number of endpoints needed for each own instance, as
 	// long as demand has not been seen for settleFor. Deployments have about as
 	// many endpoints as own instances.
-	startShare = 0.85
+	startShare = 1.0
 	settleFor  = 10 * time.Second
 	// reorderAfter is the time after which an order that has not taken effect
 	// is sent again, beside the time that endpoints take to start.
@@ -56,6 +56,8 @@
 	at    time.Duration
 	// accepted is set once the platform took the order.
 	accepted bool
+	// present is the largest number of endpoints that was present since.
+	present int
 	// lowerSince is when a lower number was first wanted.
 	lowerSince time.Duration
 }
@@ -85,7 +87,7 @@
 	present := count(endpoints)
 	for _, order := range p.targets(now, c, present, demand) {
 		if p.due(now, c, order, present[order.Subject]) {
-			p.orders[order.Subject] = ordered{count: order.Count, at: now}
+			p.orders[order.Subject] = ordered{count: order.Count, at: now, present: present[order.Subject]}
 			return order, true
 		}
 	}
@@ -101,8 +103,16 @@
 		return !ok || last.accepted || now >= last.at+refusedWait
 	}
 	if present < o.Count {
+		// Endpoints that were there and are leaving are ordered again at once:
+		// the answer tells whether others are to be had.
+		if present < last.present && last.accepted {
+			return true
+		}
+		last.present = present
+		p.orders[o.Subject] = last
 		return now >= last.at+p.reorderDelay(c, o, last)
 	}
+	last.present = max(last.present, present)
 	if o.Count == last.count {
 		last.lowerSince = 0
 	} else if last.lowerSince == 0 {
--- a/internal/core/scaling/plan_test.go
+++ b/internal/core/scaling/plan_test.go
@@ -108,6 +108,21 @@
 	is.True(w.total(false) <= 2)
 }
 
+// TestReclaimIsNoticedAtOnce guards against a reclaim shortly after an order that
+// is taken for endpoints which still start, so that on-demand ones are ordered
+// seconds later (rdsign-cornelhold-grown quiet-1, 1.9 to 7.4 s).
+func TestReclaimIsNoticedAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(false)
+	const load = 5.0
+	w.run(15*time.Second, load)
+	w.run(16*time.Second, load+1) // an order is under way
+	w.scarce = true
+	w.counts[Subject{"s", "a", true}] = 0
+	w.run(16200*time.Millisecond, load+1)
+	is.True(w.total(false) > 0)
+}
+
 // TestNextReclaimIsPreparedFor guards against a service that loses its second
 // data centre's reclaimable endpoints while no others are to be had and nothing
 // has been ordered in their place, as on hzk-dial-grown scale-1.
