--- a/internal/edge/feed.go
+++ b/internal/edge/feed.go
@@ -85,10 +85,10 @@
 	return othersRetryInterval
 }
 
-// readConfig lets the follower of the configuration read it at once.
-func (p *process) readConfig() {
+// wake lets a follower read its topic at once.
+func wake(follower chan<- struct{}) {
 	select {
-	case p.wakeConfig <- struct{}{}:
+	case follower <- struct{}{}:
 	default:
 	}
 }
@@ -113,9 +113,9 @@
 		returned: func(ctx context.Context) {
 			_ = p.directory.mailbox.Send(ctx, storeReturned{})
 			// A read of the configuration may wait on a channel that went silent.
-			p.readConfig()
+			wake(p.wakeConfig)
 		},
-		lost: p.list.lost,
+		lost: p.list.lost, wake: p.wakeList,
 		found: func(ctx context.Context, batch platform.Batch, resync bool) {
 			applied := make(chan struct{})
 			err := p.directory.mailbox.Send(ctx, entriesFound{
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -24,6 +24,9 @@
 	// same bound, from which an instance reads the store itself and asks its
 	// peers. It leaves time for a read that fails.
 	listStaleShare = 0.55
+	// listBehindShare is the time, as a share of that bound, for which a peer may
+	// have known more of the list until the store is read.
+	listBehindShare = 0.2
 	// defaultBound stands for bounds that the settings do not give.
 	defaultBound = 2 * time.Second
 	// retryInterval is the wait after a failed read, of the instance that reads
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -66,6 +66,8 @@
 	own    int64
 	since  time.Duration
 	behind bool
+	// read is set once the store was read because of it.
+	read bool
 }
 
 // observe compares what a peer knows with what this instance knows. It reports
@@ -112,8 +114,6 @@
 	roster *feed.Roster
 	// config and list tell since when peers have known more than this instance.
 	config, list lag
-	// woken is the version for which the follower of the configuration was woken.
-	woken catalog.Version
 	// pullDelay is the random delay of the next pull of list changes.
 	pullDelay time.Duration
 	lastPull  time.Duration
@@ -215,13 +215,15 @@
 	now := task.BootTime()
 	t.process.duties.hear(peerNews{node: t.process.deployment.Node, own: true, demand: own.Demand, used: own.Used})
 	shared := t.process.duties.shared()
+	// The age is taken before the state: what is known then is at least as new.
+	listAge := t.process.list.age()
 	state := t.process.directory.known.Load()
 	message := &cornelholdv1.InstanceReport{
 		Node: t.process.deployment.Node, Boot: t.boot, Ip: t.process.deployment.IP,
 		ConfigVersion: int64(state.Version), ListOffset: state.Offset, WallMs: time.Now().UnixMilli(),
 		Windows: lo.Map(shared.windows, encodeWindow), LeaseOffset: shared.leaseOffset, Held: shared.held,
 		Leaving: t.process.draining(), ListHealthyMs: t.process.list.healthy().Milliseconds(),
-		ListAgeMs: t.process.list.age().Milliseconds(), DataCentre: string(t.process.deployment.DataCentre),
+		ListAgeMs: listAge.Milliseconds(), DataCentre: string(t.process.deployment.DataCentre),
 		StoreLost: t.roster.Lost(now),
 	}
 	encodeReport(own, message)
@@ -290,7 +292,9 @@
 	t.roster.Hear(now, feed.Instance{
 		Node: m.GetNode(), DataCentre: fleet.DataCentre(m.GetDataCentre()), Leaving: m.GetLeaving(), StoreLost: m.GetStoreLost(),
 	})
-	t.compare(ctx, now, d.from, &m)
+	if !m.GetLeaving() {
+		t.compare(ctx, now, d.from, &m)
+	}
 }
 
 // compare asks a peer for what this instance lacks: its first snapshot, a
@@ -319,9 +323,9 @@
 	if !behind {
 		return false
 	}
-	if peer > t.woken && !t.process.list.reads.Load() {
-		t.woken = peer
-		t.process.readConfig()
+	if !t.config.read && !t.process.list.reads.Load() {
+		t.config.read = true
+		wake(t.process.wakeConfig)
 	}
 	return behindFor > pullAfter
 }
@@ -340,11 +344,17 @@
 	if behindFor == 0 {
 		t.pullDelay = time.Duration(rand.Float64() * float64(min(pullSpread*time.Duration(len(t.peers)), maxPullSpread)))
 	}
+	drain := t.process.deployment.Bounds.Drain
+	if behindFor > shareOf(drain, listBehindShare) && !t.list.read {
+		// Peers may be slow to answer, or stop.
+		t.list.read = true
+		wake(t.process.wakeList)
+	}
 	if m.GetDataCentre() != string(t.process.deployment.DataCentre) && behindFor < remoteAfter {
 		return false
 	}
 	reading := list.reads.Load() && !t.roster.Lost(now)
-	return (!reading && behindFor >= t.pullDelay) || list.age() > shareOf(t.process.deployment.Bounds.Drain, listStaleShare)
+	return (!reading && behindFor >= t.pullDelay) || list.age() > shareOf(drain, listStaleShare)
 }
 
 // joinThroughStore registers this instance and learns the addresses of others.
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -65,8 +65,8 @@
 	requests   atomic.Uint64
 	// list is what is known of the age of the instance list.
 	list listAge
-	// wakeConfig lets the follower of the configuration read it at once.
-	wakeConfig chan struct{}
+	// wakeConfig and wakeList let the followers read at once.
+	wakeConfig, wakeList chan struct{}
 	// stopAt is the time at which a draining process ends, in nanoseconds of
 	// the process clock.
 	stopAt atomic.Int64
@@ -95,7 +95,7 @@
 	p := &process{
 		deployment: d, clock: task.NewClock(), log: logger, metrics: m, registry: registry,
 		pool: upstream.NewPool(), store: platform.NewStore(d.StoreAddr),
-		began: task.NewMailbox[gateway.Started](beganMailbox), drain: make(chan struct{}), wakeConfig: make(chan struct{}, 1),
+		began: task.NewMailbox[gateway.Started](beganMailbox), drain: make(chan struct{}), wakeConfig: make(chan struct{}, 1), wakeList: make(chan struct{}, 1),
 	}
 	p.gateway = newGatewayTask(p.clock, gateway.Options{
 		Node: d.Node, DataCentre: d.DataCentre,
