--- a/internal/core/gateway/endpoints.go
+++ b/internal/core/gateway/endpoints.go
@@ -21,6 +21,14 @@
 	// remoteDelay is the cost of another data centre: a round trip and the
 	// price of its bytes.
 	remoteDelay = 6 * time.Millisecond
+	// remoteCallCost is the same for a plain call, which mostly opens a channel.
+	remoteCallCost = 14 * time.Millisecond
+	// callSpread and streamSpread bound the random cost of an endpoint for plain
+	// calls and for streams, workSpread its part that is a share of the work
+	// before the request.
+	callSpread   = 8 * time.Millisecond
+	streamSpread = 15 * time.Millisecond
+	workSpread   = 0.35
 	// remoteTokenCost is the cost of each output token from another data centre:
 	// an event whose packet is lost on the way makes the answer late.
 	remoteTokenCost = 300 * time.Microsecond
@@ -36,23 +44,34 @@
 	suspectMax  = 4 * time.Second
 	// loadFreshFor is how long a peer's report of its load counts.
 	loadFreshFor = 1500 * time.Millisecond
+	// leastQueued is added to both sides of the comparison of observed and
+	// expected work, so that the jitter of an idle engine is no slowness.
+	leastQueued = 100 * time.Millisecond
+	// firstByte is the time until the first byte of an idle engine, assumed until
+	// it is learned, firstByteSmoothing the weight of a new observation and
+	// idleQueued the work before a request up to which an engine counts as idle.
+	firstByte          = 100 * time.Millisecond
+	firstByteSmoothing = 0.03
+	idleQueued         = 60 * time.Millisecond
 	// cacheShare is the part of an engine's memory that holds cached parts.
 	cacheShare = 0.6
 	// cacheFor is how long a part is assumed to stay cached.
 	cacheFor = 60 * time.Second
 )
 
-type peerLoad struct {
-	Load
-	at time.Duration
+// peerLoads is what one peer has under way, as it last reported it.
+type peerLoads struct {
+	loads map[fleet.EndpointID]Load
+	at    time.Duration
 }
 
 // endpoint is a listed endpoint with what was learned about it.
 type endpoint struct {
 	catalog.Endpoint
-	hash  uint64
-	own   Load
-	peers map[string]peerLoad
+	hash uint64
+	own  Load
+	// others is the sum of what all peers have under way.
+	others Load
 	// failing is the smoothed share of attempts that failed.
 	failing float64
 	// slowness is the smoothed ratio of observed to expected time.
@@ -67,7 +86,7 @@
 
 func newEndpoint(e catalog.Endpoint) *endpoint {
 	return &endpoint{
-		Endpoint: e, hash: xxhash.Sum64String(string(e.ID)), peers: make(map[string]peerLoad),
+		Endpoint: e, hash: xxhash.Sum64String(string(e.ID)),
 		slowness: 1, callTime: callTime, cached: make(map[uint64]time.Duration), partTokens: make(map[uint64]int),
 	}
 }
@@ -85,22 +104,48 @@
 			}
 			e = newEndpoint(l)
 		}
-		e.Endpoint = l
+		e.Endpoint, e.others = l, Load{}
 		m.endpoints[l.ID] = e
 		m.byService[l.Service] = append(m.byService[l.Service], e)
 	}
+	for _, p := range m.loads {
+		m.addLoads(p.loads, 1)
+	}
 }
 
-// load returns what all instances have under way at the endpoint.
-func (e *endpoint) load(now time.Duration) Load {
-	total := e.own
-	for _, p := range e.peers {
-		if now-p.at <= loadFreshFor {
-			total.Active += p.Active
-			total.Backlog += p.Backlog
+// setLoads replaces what a peer has under way.
+func (m *Machine) setLoads(now time.Duration, node string, loads map[fleet.EndpointID]Load) {
+	m.dropLoads(node)
+	m.loads[node] = peerLoads{loads: loads, at: now}
+	m.addLoads(loads, 1)
+}
+
+func (m *Machine) dropLoads(node string) {
+	m.addLoads(m.loads[node].loads, -1)
+	delete(m.loads, node)
+}
+
+// expireLoads forgets the loads of peers that have not reported lately.
+func (m *Machine) expireLoads(now time.Duration) {
+	for node, p := range m.loads {
+		if now-p.at > loadFreshFor {
+			m.dropLoads(node)
+		}
+	}
+}
+
+func (m *Machine) addLoads(loads map[fleet.EndpointID]Load, sign int) {
+	for id, load := range loads {
+		if e, ok := m.endpoints[id]; ok {
+			e.others.Active += sign * load.Active
+			e.others.Backlog += sign * load.Backlog
 		}
 	}
-	return total
+}
+
+// load returns what all instances have under way at the endpoint.
+func (e *endpoint) load() Load {
+	return Load{Active: e.own.Active + e.others.Active, Backlog: e.own.Backlog + e.others.Backlog}
 }
 
 // begin counts a request that is sent and returns its prompt tokens that the
@@ -125,7 +170,7 @@
 }
 
 // started counts the first byte of an answer.
-func (e *endpoint) started(now time.Duration, o *open, local fleet.DataCentre) {
+func (e *endpoint) started(now time.Duration, o *open, local fleet.DataCentre, idle time.Duration) {
 	e.own.Backlog -= o.backlog
 	e.inRow, e.suspectUntil = 0, 0
 	took := now - o.sentAt
@@ -133,13 +178,28 @@
 		took -= remoteDelay
 	}
 	if o.request.HasTokens {
-		ratio := float64(took) / float64(max(o.expected, 30*time.Millisecond))
-		e.slowness = min(max(e.slowness*(1-smoothing)+smoothing*ratio, fastest), slowest)
+		e.observe(took, o, idle)
 		return
 	}
 	e.callTime = time.Duration(float64(e.callTime)*(1-smoothing) + smoothing*float64(max(took, 0)))
 }
 
+// overdue learns from an attempt that ended before its first byte: it took at
+// least as long as it lasted. Without it, only the requests that were served in
+// time would tell how slow an overloaded endpoint is.
+func (e *endpoint) overdue(now time.Duration, o *open, idle time.Duration) {
+	if took := now - o.sentAt; o.request.HasTokens && !o.began && took > o.expected {
+		e.observe(took, o, idle)
+	}
+}
+
+// observe compares the time that a first byte took with that of the work before
+// it. idle is the time until the first byte of an idle engine.
+func (e *endpoint) observe(took time.Duration, o *open, idle time.Duration) {
+	ratio := float64(took-idle+leastQueued) / float64(o.queued+leastQueued)
+	e.slowness = min(max(e.slowness*(1-smoothing)+smoothing*ratio, fastest), slowest)
+}
+
 // succeeded counts a whole successful answer.
 func (e *endpoint) succeeded() {
 	e.failing *= 1 - smoothing
