--- a/internal/edgefleet/edgefleet.go
+++ b/internal/edgefleet/edgefleet.go
@@ -234,7 +234,8 @@
 		return Error.Wrap(err)
 	}
 	defer func() { _ = out.Close() }() // the process has its own descriptor
-	e.cmd = exec.Command(e.program, "--settings", e.settings) //nolint:gosec // a development tool starts the program it was given
+	//nolint:gosec // a development tool starts the program that it was given
+	e.cmd = exec.Command(e.program, "--settings", e.settings)
 	e.cmd.Env = append(os.Environ(), "CORNELHOLD_SETTINGS="+e.settings)
 	e.cmd.Stdout, e.cmd.Stderr = out, out
 	if err := e.cmd.Start(); err != nil {
