--- /dev/null
+++ b/internal/cli/platform.go
@@ -0,0 +1,166 @@
+package cli
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cornelhold/cornelhold/internal/core/catalog"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/platform"
+)
+
+// platformView is what the users' store says is in force.
+type platformView struct {
+	Version  int64         `json:"version"`
+	Routes   []routeView   `json:"routes"`
+	Services []serviceView `json:"services"`
+	// Malformed counts the entries of the instance list that name no endpoint.
+	Malformed int `json:"malformed_entries"`
+}
+
+type routeView struct {
+	Name    string `json:"name"`
+	Host    string `json:"host"`
+	Prefix  string `json:"prefix"`
+	Kind    string `json:"kind"`
+	Targets string `json:"targets"`
+}
+
+type serviceView struct {
+	Name        string `json:"name"`
+	DataCentre  string `json:"data_centre"`
+	Ready       int    `json:"ready"`
+	Draining    int    `json:"draining"`
+	Reclaimable int    `json:"reclaimable"`
+}
+
+// platformCommand shows the configuration and the instance list that the users'
+// store holds.
+func platformCommand(o *options) *cobra.Command {
+	var store string
+	show := &cobra.Command{
+		Use:     "show",
+		Short:   "Show the configuration in force and the endpoints of each service",
+		Example: "  cornelctl platform show --store 10.200.1.7:8225",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if store == "" {
+				return Error.New("no store given; pass --store IP:PORT (platform.addr of the settings file)")
+			}
+			ctx, cancel := o.context(cmd)
+			defer cancel()
+			view, err := readPlatform(ctx, store)
+			if err != nil {
+				return err
+			}
+			return o.print(cmd.OutOrStdout(), view, view.rows())
+		},
+	}
+	show.Flags().StringVar(&store, "store", "", "address of the users' store, IP and port")
+	root := &cobra.Command{Use: "platform", Short: "Read the users' platform that cornelhold-edge runs on"}
+	root.AddCommand(show)
+	return root
+}
+
+func readPlatform(ctx context.Context, address string) (platformView, error) {
+	store := platform.NewStore(address)
+	defer store.Close()
+	var view platformView
+	configs, err := store.Newest(ctx, platform.TopicConfig)
+	if err != nil {
+		return view, Error.New("cannot read the configuration: %w; check --store", err)
+	}
+	record, ok := platform.ConfigRecord(configs.Records)
+	if !ok {
+		return view, Error.New("the store holds no configuration; file one first")
+	}
+	c, err := platform.DecodeCatalog(record.Value)
+	if err != nil {
+		return view, Error.Wrap(err)
+	}
+	entries, err := store.Newest(ctx, platform.TopicEndpoints)
+	if err != nil {
+		return view, Error.New("cannot read the instance list: %w; try again", err)
+	}
+	view.Version = int64(c.Version)
+	for _, r := range c.Routes {
+		view.Routes = append(view.Routes, routeView{
+			Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: r.Kind.String(), Targets: targets(r.Targets),
+		})
+	}
+	view.addEntries(entries.Records)
+	return view, nil
+}
+
+func targets(list []catalog.Target) string {
+	text := ""
+	for i, t := range list {
+		if i > 0 {
+			text += ", "
+		}
+		text += string(t.Service)
+		if len(list) > 1 {
+			text += fmt.Sprintf(" (weight %g)", t.Weight)
+		}
+	}
+	return text
+}
+
+func (v *platformView) addEntries(records []platform.Record) {
+	type place struct {
+		service fleet.ServiceName
+		dc      fleet.DataCentre
+	}
+	counts := make(map[place]*serviceView)
+	for _, r := range records {
+		entry, err := platform.DecodeEntry(r)
+		if err != nil {
+			v.Malformed++
+			continue
+		}
+		if entry.Endpoint == nil {
+			continue
+		}
+		e := entry.Endpoint
+		at := place{e.Service, e.DataCentre}
+		if counts[at] == nil {
+			counts[at] = &serviceView{Name: string(e.Service), DataCentre: string(e.DataCentre)}
+		}
+		switch {
+		case e.Draining:
+			counts[at].Draining++
+		default:
+			counts[at].Ready++
+		}
+		if e.Reclaimable {
+			counts[at].Reclaimable++
+		}
+	}
+	for _, s := range counts {
+		v.Services = append(v.Services, *s)
+	}
+	slices.SortFunc(v.Services, func(a, b serviceView) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.DataCentre, b.DataCentre))
+	})
+}
+
+func (v *platformView) rows() [][]string {
+	rows := [][]string{{"VERSION", strconv.FormatInt(v.Version, 10), "", "", ""}}
+	rows = append(rows, []string{"ROUTE", "HOST", "PREFIX", "KIND", "SERVICE"})
+	for _, r := range v.Routes {
+		rows = append(rows, []string{r.Name, r.Host, r.Prefix, r.Kind, r.Targets})
+	}
+	rows = append(rows, []string{"SERVICE", "DATA CENTRE", "READY", "DRAINING", "RECLAIMABLE"})
+	for _, s := range v.Services {
+		rows = append(rows, []string{s.Name, s.DataCentre, strconv.Itoa(s.Ready), strconv.Itoa(s.Draining), strconv.Itoa(s.Reclaimable)})
+	}
+	if v.Malformed > 0 {
+		rows = append(rows, []string{"MALFORMED ENTRIES", strconv.Itoa(v.Malformed), "", "", ""})
+	}
+	return rows
+}
