--- a/demo/demo.go
+++ b/demo/demo.go
@@ -70,6 +70,7 @@
 		{"reclaim the endpoints of two data centres while a quote is streamed", d.reclaimEndpoints},
 		{"reclaim a router while a quote is streamed, continue at another", d.reclaimRouter},
 		{"stop a router while a quote is streamed", d.stopRouter},
+		{"serve through edge processes on stand-ins of the users' platform, under random faults", d.soakEdges},
 	}
 }
 
--- /dev/null
+++ b/demo/edges.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/soak"
+)
+
+const (
+	soakSeed   = 7
+	soakLength = 4 * time.Second
+)
+
+// soakEdges runs three edge processes while some are killed, paused and stopped,
+// links are cut and replicas misbehave, and checks what callers and replicas saw.
+func (d *demo) soakEdges(ctx context.Context) error {
+	result, err := soak.Run(ctx, soak.Options{
+		Seed: soakSeed, Program: d.fleet.Program("cornelhold-edge"), Dir: d.fleet.Dir(),
+		Edges: 3, Clients: 8, Length: soakLength,
+	})
+	if err != nil {
+		return err
+	}
+	for _, f := range result.Faults {
+		say("   " + f)
+	}
+	say("   %d calls, %d served, %d run by replicas, %d broken promises", result.Calls, result.Served, result.Runs, len(result.Violations))
+	if len(result.Violations) > 0 {
+		return fmt.Errorf("broken promises: %v", result.Violations)
+	}
+	return nil
+}
