--- /dev/null
+++ b/internal/e2e/edge_life_test.go
@@ -0,0 +1,95 @@
+package e2e
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelhold/cornelhold/internal/procs"
+)
+
+// TestEdgeStops guards against a request that is cut off by a stop, a process
+// that stays ready in it, and one that ends at SIGHUP.
+func TestEdgeStops(t *testing.T) {
+	is := is.New(t)
+	f := newEdgeFleet(t, 1)
+	e := f.Edges[0]
+	is.NoErr(e.Signal(syscall.SIGHUP))
+	for _, m := range f.Model {
+		m.Pause, m.Events = 100*time.Millisecond, 8
+	}
+	conn, _ := f.open(e, call{method: http.MethodPost, target: "/stream/x"})
+	time.Sleep(250 * time.Millisecond)
+	is.NoErr(e.Signal(syscall.SIGTERM))
+	f.eventually(time.Second, "the process to be not ready", func() bool {
+		return procs.Status("http://"+e.Ready+"/readyz") == http.StatusServiceUnavailable
+	})
+	resp, _, _ := f.do(e, call{method: http.MethodGet, target: "/check/x"})
+	is.Equal(resp.StatusCode, http.StatusOK) // new channels are served until the platform has noticed
+	is.True(resp.Close)
+	_, body, err := f.answer(conn, http.MethodPost)
+	is.NoErr(err)
+	is.Equal(body, allEvents(8))
+	select {
+	case <-e.Done():
+		is.NoErr(e.Err())
+	case <-time.After(4 * time.Second):
+		t.Fatal("the process did not end within the grace period")
+	}
+}
+
+// TestEdgeCancelsAtReplica guards against work for a caller that has left
+// (rule GONE).
+func TestEdgeCancelsAtReplica(t *testing.T) {
+	f := newEdgeFleet(t, 1)
+	for _, m := range f.Model {
+		m.Pause, m.Events = 50*time.Millisecond, 100
+	}
+	conn, _ := f.open(f.Edges[0], call{method: http.MethodPost, target: "/stream/x"})
+	time.Sleep(200 * time.Millisecond)
+	_ = conn.Close()
+	f.eventually(timeoutSlack, "the replica to notice", func() bool {
+		return f.Model[0].Abandoned()+f.Model[1].Abandoned() == 1
+	})
+}
+
+// TestEdgeDropsRequestsOfCallersThatLeft guards against requests that reach a
+// replica although their callers left before the process could read them, as on
+// rdsign-cornelhold-grown scale-1 (rule GONE).
+func TestEdgeDropsRequestsOfCallersThatLeft(t *testing.T) {
+	is := is.New(t)
+	f := newEdgeFleet(t, 1)
+	e := f.Edges[0]
+	is.NoErr(e.Signal(syscall.SIGSTOP))
+	for range 20 {
+		conn, _ := f.open(e, call{method: http.MethodGet, target: "/check/x"})
+		is.NoErr(conn.Close())
+	}
+	is.NoErr(e.Signal(syscall.SIGCONT))
+	resp, _, _ := f.do(e, call{method: http.MethodGet, target: "/check/x"})
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(len(runs(f.Plain)), 1) // the others were accepted before it
+}
+
+// TestEdgeCountsTheReadingOfARequest guards against a caller's deadline that
+// begins only once the whole request was read (rules BUDGET, GONE).
+func TestEdgeCountsTheReadingOfARequest(t *testing.T) {
+	is := is.New(t)
+	f := newEdgeFleet(t, 1)
+	conn, _ := f.open(f.Edges[0], call{method: http.MethodPost, target: "/order/x", header: "Transfer-Encoding: chunked\r\nX-Ignored: "})
+	const reading = 600 * time.Millisecond
+	time.Sleep(reading)
+	_, err := io.WriteString(conn, "0\r\n\r\n")
+	is.NoErr(err)
+	resp, _, err := f.answer(conn, http.MethodPost)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	left, err := strconv.Atoi(runs(f.Plain)[0].Header.Get("Deadline-Ms"))
+	is.NoErr(err)
+	is.True(left <= 1500-int(reading.Milliseconds())) // the route's timeout is 1,500 ms
+}
--- /dev/null
+++ b/internal/e2e/edge_state_test.go
@@ -0,0 +1,108 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelhold/cornelhold/internal/standin/userplatform"
+)
+
+// TestEdgeFollowsConfiguration guards against a machine that serves an older
+// configuration, also while the store turns it away (rule CONFIG).
+func TestEdgeFollowsConfiguration(t *testing.T) {
+	is := is.New(t)
+	f := newEdgeFleet(t, 3)
+	cut := f.Edges[2]
+	f.Store.Refuse(cut.Store, true)
+	time.Sleep(reportRounds) // the cut machine hears of its peers
+	f.Configure(f.Config("model", "key-2"))
+	for _, e := range f.Edges {
+		f.eventually(configBound, "the configuration to be in force", func() bool {
+			before := len(runs(f.Model))
+			resp, _, _ := f.do(e, call{method: http.MethodGet, target: "/check/x", key: "key-2"})
+			return resp.StatusCode == http.StatusOK && len(runs(f.Model)) == before+1
+		})
+		resp, _, _ := f.do(e, call{method: http.MethodGet, target: "/check/x", key: "key-1"})
+		is.Equal(resp.StatusCode, http.StatusUnauthorized)
+	}
+}
+
+// reportRounds is the time of several reports between machines.
+const reportRounds = time.Second
+
+// TestEdgeLeavesDrainingReplicas guards against requests to a replica that
+// leaves, also at a machine that the store turns away (rule DRAIN).
+func TestEdgeLeavesDrainingReplicas(t *testing.T) {
+	is := is.New(t)
+	f := newEdgeFleet(t, 2)
+	f.Store.Refuse(f.Edges[1].Store, true)
+	time.Sleep(reportRounds)
+	f.Store.Put(userplatform.ServersTopic, "p0", f.Plain[0].Entry("plain", "a", "draining", 9))
+	time.Sleep(drainBound)
+	before := len(f.Plain[0].Runs())
+	for range 10 {
+		for _, e := range f.Edges {
+			resp, _, _ := f.do(e, call{method: http.MethodGet, target: "/check/x"})
+			is.Equal(resp.StatusCode, http.StatusOK)
+		}
+	}
+	is.Equal(len(f.Plain[0].Runs()), before)
+}
+
+// TestEdgeReportsUsage guards against usage that is missing, wrong or reported
+// with two counts, when the holder of the duty is killed.
+func TestEdgeReportsUsage(t *testing.T) {
+	is := is.New(t)
+	f := newEdgeFleet(t, 3)
+	sent := 0
+	serve := func(edges []*edgeProcess) {
+		for range 5 {
+			for _, e := range edges {
+				resp, _, _ := f.do(e, call{method: http.MethodGet, target: "/check/x"})
+				is.Equal(resp.StatusCode, http.StatusOK)
+				sent++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	serve(f.Edges)
+	f.eventually(10*time.Second, "a usage report", func() bool { return len(f.Cloud.Usage()) > 0 })
+	first := f.Cloud.Usage()[0]
+	var rest []*edgeProcess
+	for i, e := range f.Edges {
+		if fmt.Sprint("edge-", i) == first.Holder {
+			time.Sleep(reportRounds) // its counts reach the others
+			e.Kill()
+			continue
+		}
+		rest = append(rest, e)
+	}
+	is.Equal(len(rest), 2)
+	serve(rest)
+	counted := func() int {
+		windows := make(map[int64]int)
+		for _, u := range f.Cloud.Usage() {
+			n := 0
+			for _, count := range u.Counts {
+				n += count
+			}
+			if known, ok := windows[u.Window]; ok && known != n {
+				t.Fatalf("window %d was reported with %d and %d", u.Window, known, n)
+			}
+			windows[u.Window] = n
+		}
+		total := 0
+		for _, n := range windows {
+			total += n
+		}
+		return total
+	}
+	f.eventually(20*time.Second, "all requests to be reported", func() bool { return counted() == sent })
+	last := f.Cloud.Usage()[len(f.Cloud.Usage())-1]
+	is.True(last.Holder != first.Holder)
+	is.True(last.Fence > first.Fence)
+}
