--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -63,6 +63,8 @@
 	config  *platform.Record
 	records []platform.Record
 	end     int64
+	// complete is set if records holds all entries before end.
+	complete bool
 }
 
 // directoryState is published for tasks that only read it.
@@ -176,7 +178,7 @@
 		}
 	}
 	changed := !t.listed
-	if msg.resync {
+	if msg.resync && msg.source == sourceStore {
 		t.complete = 0
 	}
 	seen := make(map[fleet.EndpointID]bool, len(msg.records))
@@ -185,7 +187,7 @@
 		changed = t.applyEntry(now, r) || changed
 	}
 	if msg.resync {
-		t.complete = msg.end
+		t.complete = max(t.complete, msg.end)
 		for id, r := range t.records {
 			if !seen[id] && r.Offset < msg.end {
 				changed = t.applyEntry(now, platform.Record{Key: string(id), Offset: msg.end - 1}) || changed
@@ -242,12 +244,14 @@
 }
 
 func (t *directoryTask) snapshot(r snapshotRequest) snapshot {
-	s := snapshot{end: t.offset}
+	// An instance that read the whole list knows no entries that were removed
+	// before, so it cannot tell a peer of their removal.
+	s := snapshot{end: t.offset, complete: r.haveOffset < t.complete}
 	if t.catalog != nil && t.catalog.Version > r.haveVersion {
 		s.config = t.config
 	}
 	for _, record := range t.records {
-		if record.Offset >= r.haveOffset {
+		if s.complete || record.Offset >= r.haveOffset {
 			s.records = append(s.records, record)
 		}
 	}
--- a/internal/edge/directory_test.go
+++ b/internal/edge/directory_test.go
@@ -57,3 +57,36 @@
 	})
 	is.Equal(d.ids(), []string{"i-2", "i-late"})
 }
+
+// TestSnapshotTellsOfRemovals guards against an instance that learns the list
+// from a peer which was started after an entry had been removed, and keeps that
+// entry although it knows the list up to a later offset (hunt of hzk-dial,
+// readers-lost seed 76050009641, rule DRAIN).
+func TestSnapshotTellsOfRemovals(t *testing.T) {
+	is := is.New(t)
+	known := newTestDirectory()
+	known.applyEntries(t.Context(), entriesFound{
+		records: []platform.Record{entry("i-1", "ready", 3), entry("i-gone", "ready", 5)}, resync: true, end: 6, source: sourceStore,
+	})
+	started := newTestDirectory() // i-gone was removed at offset 7
+	started.applyEntries(t.Context(), entriesFound{
+		records: []platform.Record{entry("i-1", "ready", 3), entry("i-2", "ready", 8)}, resync: true, end: 9, source: sourceStore,
+	})
+	pull := func() {
+		s := started.snapshot(snapshotRequest{haveOffset: known.offset})
+		known.applyEntries(t.Context(), entriesFound{
+			records: s.records, end: s.end, resync: s.complete, source: sourcePeer, steady: true,
+		})
+	}
+	pull()
+	is.Equal(known.ids(), []string{"i-1", "i-2"})
+	is.Equal(known.offset, int64(9))
+	is.True(!started.snapshot(snapshotRequest{haveOffset: known.offset}).complete)
+	started.applyEntries(t.Context(), entriesFound{records: []platform.Record{{Key: "i-2", Offset: 9}}, end: 10, source: sourceStore})
+	pull()
+	is.Equal(known.ids(), []string{"i-1"})
+	// An older complete snapshot takes nothing away that is newer.
+	known.applyEntries(t.Context(), entriesFound{records: []platform.Record{entry("i-3", "ready", 12)}, end: 13, source: sourceStore})
+	known.applyEntries(t.Context(), entriesFound{records: []platform.Record{entry("i-1", "ready", 3)}, end: 9, resync: true, source: sourcePeer, steady: true})
+	is.Equal(known.ids(), []string{"i-1", "i-3"})
+}
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -44,7 +44,7 @@
 		return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
 	}
 	m := &cornelholdv1.SnapshotResponse{
-		Entries: lo.Map(found.records, encodeRecord), ListOffset: found.end,
+		Entries: lo.Map(found.records, encodeRecord), ListOffset: found.end, Complete: found.complete,
 		Windows: lo.Map(s.process.duties.allWindows(ctx), encodeWindow),
 	}
 	if found.config != nil {
@@ -101,9 +101,9 @@
 	if m.GetConfig() != nil {
 		_ = u.process.directory.mailbox.Send(ctx, configFound{record: decodeRecord(m.GetConfig(), 0), source: sourcePeer})
 	}
-	if len(m.GetEntries()) > 0 {
+	if len(m.GetEntries()) > 0 || m.GetComplete() {
 		_ = u.process.directory.mailbox.Send(ctx, entriesFound{
-			records: lo.Map(m.GetEntries(), decodeRecord), end: m.GetListOffset(),
+			records: lo.Map(m.GetEntries(), decodeRecord), end: m.GetListOffset(), resync: m.GetComplete(),
 			source: sourcePeer, steady: steady,
 		})
 	}
