Keep the platform's names out of the soak

TestNamesStayInThisFolder failed on internal/soak and internal/edgefleet. The fleet moves to the stand-ins; what a caller sends and gets is formatted there too.

--- a/internal/e2e/edgefleet_test.go
+++ b/internal/e2e/edgefleet_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
-	"github.com/cornelhold/cornelhold/internal/edgefleet"
 	"github.com/cornelhold/cornelhold/internal/procs"
+	"github.com/cornelhold/cornelhold/internal/standin/edgefleet"
 	"github.com/cornelhold/cornelhold/internal/standin/userplatform"
 )
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"strings"
 
-	"github.com/cornelhold/cornelhold/internal/edgefleet"
+	"github.com/cornelhold/cornelhold/internal/standin/edgefleet"
 	"github.com/cornelhold/cornelhold/internal/standin/userplatform"
 )
 
@@ -23,7 +23,7 @@
 	}
 	ran := make(map[string]int)
 	for _, r := range runs {
-		attempt := r.Header.Get("Attempt-Id")
+		attempt := r.Attempt()
 		ran[attempt]++
 		if c, ok := sent[attempt]; !ok {
 			report("a replica ran request %q, which no caller sent", attempt)
@@ -45,9 +45,9 @@
 	switch {
 	case r.Method != c.method || r.Target != c.target || r.Body != c.body:
 		report("request %s reached a replica changed: %s %s with %d bytes", c.attempt, r.Method, r.Target, len(r.Body))
-	case r.Header.Get("Tenant") != edgefleet.Team:
-		report("request %s reached a replica for team %q", c.attempt, r.Header.Get("Tenant"))
-	case r.Header.Get("Authorization") != "":
+	case r.Team() != edgefleet.Team:
+		report("request %s reached a replica for team %q", c.attempt, r.Team())
+	case r.HasKey():
 		report("the key of request %s reached a replica", c.attempt)
 	}
 }
@@ -70,7 +70,7 @@
 		if c.answer != want {
 			report("request %s got %q", c.attempt, c.answer)
 		}
-		if c.header.Get("Attempt-Id") != c.attempt || c.header.Get("Replica-Signature") == "" {
+		if !userplatform.SignedFor(c.header, c.attempt) {
 			report("request %s got an answer with headers %v", c.attempt, c.header)
 		}
 	case c.status == http.StatusTooManyRequests, c.status == http.StatusServiceUnavailable,
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -11,7 +11,8 @@
 	"strings"
 	"time"
 
-	"github.com/cornelhold/cornelhold/internal/edgefleet"
+	"github.com/cornelhold/cornelhold/internal/standin/edgefleet"
+	"github.com/cornelhold/cornelhold/internal/standin/userplatform"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
 
@@ -100,8 +101,9 @@
 	}
 	r.sentAt = time.Now()
 	_ = c.conn.SetDeadline(r.sentAt.Add(clientDeadline + clientSlack))
-	_, r.err = fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\nTenant: forged\r\nContent-Length: %d\r\n\r\n%s",
-		r.method, r.target, edgefleet.Host, r.attempt, clientDeadline.Milliseconds(), r.key, len(r.body), r.body)
+	r.err = userplatform.CallerRequest{
+		Method: r.method, Target: r.target, Host: edgefleet.Host, Attempt: r.attempt, Key: r.key, Body: r.body, Deadline: clientDeadline,
+	}.Write(c.conn)
 	if r.err == nil && r.left {
 		sleep(ctx, time.Duration(c.random.Int64N(int64(thinkTime))))
 		r.err = context.Canceled
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -8,7 +8,7 @@
 
 	"github.com/samber/lo"
 
-	"github.com/cornelhold/cornelhold/internal/edgefleet"
+	"github.com/cornelhold/cornelhold/internal/standin/edgefleet"
 	"github.com/cornelhold/cornelhold/internal/standin/userplatform"
 )
 
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cornelhold/cornelhold/internal/edgefleet"
+	"github.com/cornelhold/cornelhold/internal/standin/edgefleet"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
 
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cornelhold/cornelhold/internal/edgefleet"
+	"github.com/cornelhold/cornelhold/internal/standin/edgefleet"
 )
 
 // echo serves a listener that returns what it reads.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -16,8 +17,8 @@
 	"github.com/samber/lo"
 	"github.com/zeebo/errs"
 
-	"github.com/cornelhold/cornelhold/internal/edgefleet"
 	"github.com/cornelhold/cornelhold/internal/procs"
+	"github.com/cornelhold/cornelhold/internal/standin/edgefleet"
 	"github.com/cornelhold/cornelhold/internal/standin/userplatform"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
@@ -202,8 +203,7 @@
 		return 0
 	}
 	req.Host = edgefleet.Host
-	req.Header.Set("Attempt-Id", probePrefix+e.Name)
-	req.Header.Set("Authorization", "Bearer "+key)
+	userplatform.SetCaller(req.Header, probePrefix+e.Name, key)
 	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
 	if err != nil {
 		return 0
@@ -219,7 +219,7 @@
 	var runs []userplatform.Run
 	for _, replica := range append(append([]*userplatform.Replica{}, r.fleet.Model...), r.fleet.Plain...) {
 		runs = append(runs, lo.Filter(replica.Runs(), func(x userplatform.Run, _ int) bool {
-			return len(x.Header.Get("Attempt-Id")) < len(probePrefix) || x.Header.Get("Attempt-Id")[:len(probePrefix)] != probePrefix
+			return !strings.HasPrefix(x.Attempt(), probePrefix)
 		})...)
 	}
 	for _, e := range r.fleet.Edges {
