Count the time of a suspended machine in the clock of the core

Cause: the clock of the core was the monotonic one, which stops while the machine is suspended; ages of the instance list are measured by the boot time. Change: task.Clock is derived from the boot time, so that both can be compared and time limits include a suspension.

--- a/internal/task/clock.go
+++ b/internal/task/clock.go
@@ -6,16 +6,21 @@
 	"golang.org/x/sys/unix"
 )
 
-// Clock reads the monotonic time that the core works with.
+// Clock reads the time that the core works with. It is derived from the boot time,
+// so it never goes backwards and includes the time that the machine was suspended.
 type Clock struct {
-	start time.Time
+	start time.Duration
 }
 
 // NewClock returns a clock that reads zero now.
-func NewClock() Clock { return Clock{start: time.Now()} }
+func NewClock() Clock { return Clock{start: BootTime()} }
 
-// Now returns the monotonic time since the clock was created.
-func (c Clock) Now() time.Duration { return time.Since(c.start) }
+// Now returns the time since the clock was created.
+func (c Clock) Now() time.Duration { return c.At(BootTime()) }
+
+// At converts a boot time to the time that the clock read then. It is negative for
+// times before the clock was created.
+func (c Clock) At(boot time.Duration) time.Duration { return boot - c.start }
 
 // Timer is a one-shot timer that a task arms for its next deadline. It fires at
 // most once each time it is armed.
