Log when a request is written, the age of its list, and stalls of the process

"request sent" is now logged when the request was written, with the offset and age of the list and the times from arrival to choice, connection and write; "process stalled" names the times at which the process did not run. Metrics: cornelhold_send_delay_seconds, cornelhold_list_age_seconds and cornelhold_stalls_total.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -21,7 +21,7 @@
 // bases its decisions: its configuration, its endpoints, its store and its peers.
 var stateMessages = []string{
 	"start", "configuration in force", "endpoints changed", "store lost", "store regained",
-	"snapshot of a peer received", "peer lost", "drain",
+	"snapshot of a peer received", "peer lost", "process stalled", "drain",
 }
 
 // logLine is one structured log line of a cornelhold process.
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -72,11 +72,15 @@
 
 // Machine holds the open requests and the state of endpoints and peers.
 type Machine struct {
-	options       Options
-	catalog       *catalog.Catalog
-	endpoints     map[fleet.EndpointID]*endpoint
-	byService     map[fleet.ServiceName][]*endpoint
-	hasEndpoints  bool
+	options      Options
+	catalog      *catalog.Catalog
+	endpoints    map[fleet.EndpointID]*endpoint
+	byService    map[fleet.ServiceName][]*endpoint
+	hasEndpoints bool
+	// listOffset is the position of the instance list, listAt the time at which it
+	// was last known to be complete.
+	listOffset    int64
+	listAt        time.Duration
 	usageRestored bool
 	open          map[RequestID]*openRequest
 	quota         *quota.Meter
@@ -126,7 +130,10 @@
 			m.catalog = msg.Catalog
 		}
 	case SetEndpoints:
+		m.listOffset = msg.Offset
 		m.setEndpoints(now, msg.Endpoints)
+	case ListConfirmed:
+		m.listAt = max(m.listAt, msg.At)
 	case PeerReport:
 		m.peerReport(now, msg)
 	case UsageRestored:
@@ -245,6 +252,7 @@
 		ID: id, Endpoint: e.Endpoint, Route: o.route, Team: teamName(o.team), DeadlineAt: o.deadlineAt,
 		AttemptTimeout: m.attemptTimeout(now, o), Priority: requestPriority(o),
 		Attempt: o.sends, ExpectedFirstByte: est.firstByte, Load: load, Version: m.catalog.Version,
+		ListOffset: m.listOffset, ListAge: now - m.listAt,
 	}
 }
 
--- a/internal/core/gateway/messages.go
+++ b/internal/core/gateway/messages.go
@@ -91,8 +91,16 @@
 // active one are ignored.
 type SetCatalog struct{ Catalog *catalog.Catalog }
 
-// SetEndpoints replaces the endpoints of the instance list.
-type SetEndpoints struct{ Endpoints []catalog.Endpoint }
+// SetEndpoints replaces the endpoints of the instance list. Offset is the position
+// in the list's log up to which the list was read.
+type SetEndpoints struct {
+	Endpoints []catalog.Endpoint
+	Offset    int64
+}
+
+// ListConfirmed reports that the endpoints of the last SetEndpoints were the
+// complete list at the time At.
+type ListConfirmed struct{ At time.Duration }
 
 // Load is the work at an endpoint: what one instance has sent to it, or the sum
 // over several instances.
@@ -139,6 +147,7 @@
 func (RequestFinished) message() {}
 func (SetCatalog) message()      {}
 func (SetEndpoints) message()    {}
+func (ListConfirmed) message()   {}
 func (PeerReport) message()      {}
 func (UsageRestored) message()   {}
 func (PeerLeft) message()        {}
@@ -166,6 +175,10 @@
 	Load              Load
 	// Version is the active configuration at the decision.
 	Version catalog.Version
+	// ListOffset and ListAge are the position of the instance list that the
+	// decision is based on and the time since it was last complete.
+	ListOffset int64
+	ListAge    time.Duration
 }
 
 // Refuse ends a request with a refusal.
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -243,7 +243,7 @@
 	t.log.WithFields(log.Fields{
 		"source": source, "offset": t.offset, "endpoints": len(s.Endpoints), "draining": draining,
 	}).Info("endpoints changed")
-	t.gateway.Post(ctx, gateway.SetEndpoints{Endpoints: s.Endpoints})
+	t.gateway.Post(ctx, gateway.SetEndpoints{Endpoints: s.Endpoints, Offset: s.Offset})
 	t.published.Store(&s)
 	t.onChange(s)
 }
--- a/internal/edge/listreads.go
+++ b/internal/edge/listreads.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cornelhold/cornelhold/internal/core/gateway"
 	"github.com/cornelhold/cornelhold/internal/task"
 	"github.com/cornelhold/cornelhold/platform"
 )
@@ -23,6 +24,23 @@
 	failedAt atomic.Int64
 	// isReader is set while this instance reads the store for its data centre.
 	isReader atomic.Bool
+	// reportedAt is the value of readAt that the gateway was last given.
+	reportedAt atomic.Int64
+}
+
+// confirmInterval is the minimum time between two reports to the gateway that the
+// list is complete.
+const confirmInterval = 50 * time.Millisecond
+
+// confirmList reports to the gateway since when the instance list is complete. It
+// must be called after the changes up to then have been sent to the gateway.
+func (p *process) confirmList(ctx context.Context) {
+	readAt := p.list.readAt.Load()
+	if readAt-p.list.reportedAt.Load() < int64(confirmInterval) {
+		return
+	}
+	p.list.reportedAt.Store(readAt)
+	p.gateway.Post(ctx, gateway.ListConfirmed{At: p.clock.At(time.Duration(readAt))})
 }
 
 // age returns the time since the list was last complete.
@@ -134,6 +152,7 @@
 			select {
 			case <-applied:
 				p.list.recordRead()
+				p.confirmList(ctx)
 			case <-ctx.Done():
 			}
 		},
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -10,11 +10,17 @@
 // latencyBuckets are in seconds and range from plain calls to the longest streams.
 var latencyBuckets = []float64{0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8}
 
+// listAgeBuckets are in seconds and resolve the usual bounds for draining endpoints.
+var listAgeBuckets = []float64{0.25, 0.5, 0.75, 1, 1.25, 1.5, 1.75, 2, 2.5, 3, 4}
+
 // metrics holds the counters and histograms of the process.
 type metrics struct {
 	requests   *prometheus.CounterVec
 	firstByte  *prometheus.HistogramVec
 	total      *prometheus.HistogramVec
+	sendDelay  *prometheus.HistogramVec
+	listAge    prometheus.Histogram
+	stalls     prometheus.Counter
 	malformed  *prometheus.CounterVec
 	droppedLog prometheus.Counter
 	log        log.Interface
@@ -32,6 +38,15 @@
 		total: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "cornelhold_answer_seconds", Help: "Time until the end of an answer.", Buckets: latencyBuckets,
 		}, []string{"team", "kind"}),
+		sendDelay: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cornelhold_send_delay_seconds", Help: "Time from the choice of an endpoint until the request was written to it.", Buckets: latencyBuckets,
+		}, []string{"kind"}),
+		listAge: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "cornelhold_list_age_seconds", Help: "Age of the instance list when a request was written to an endpoint.", Buckets: listAgeBuckets,
+		}),
+		stalls: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cornelhold_stalls_total", Help: "Times at which the process did not run for a while.",
+		}),
 		malformed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cornelhold_malformed_total", Help: "Malformed messages that were left out.",
 		}, []string{"kind"}),
@@ -39,10 +54,16 @@
 			Name: "cornelhold_log_lines_dropped_total", Help: "Log lines dropped because the writer was busy.",
 		}),
 	}
-	registry.MustRegister(m.requests, m.firstByte, m.total, m.malformed, m.droppedLog)
+	registry.MustRegister(m.requests, m.firstByte, m.total, m.sendDelay, m.listAge, m.stalls, m.malformed, m.droppedLog)
 	return m
 }
 
+// RequestSent records that a request was written to an endpoint.
+func (m *metrics) RequestSent(t front.SendTimes) {
+	m.sendDelay.WithLabelValues(t.Kind).Observe(t.Delay.Seconds())
+	m.listAge.Observe(t.ListAge.Seconds())
+}
+
 // RequestEnded records and logs the end of a request.
 func (m *metrics) RequestEnded(o front.Outcome) {
 	m.requests.WithLabelValues(string(o.Team), string(o.Service), o.Kind, o.Result, o.Reason).Inc()
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -314,6 +314,7 @@
 	state := t.process.directory.published.Load()
 	configNeeded := t.needsConfigPull(now, state.Version, catalog.Version(m.GetConfigVersion()))
 	listNeeded := t.needsListPull(now, state.Offset, m)
+	t.process.confirmList(ctx)
 	wanted := !t.hasPulled || listNeeded || configNeeded
 	if !wanted || now-t.lastPull < minPullInterval || !t.pulling.CompareAndSwap(false, true) {
 		return
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -148,6 +148,7 @@
 		context.AfterFunc(ctx, func() { _ = listeners.front.Close() })
 		return server.Run(ctx)
 	})
+	group.Go("stalls", p.detectStalls)
 	group.Go("signals", func(ctx context.Context) error { return p.signals(ctx, cancel) })
 	return group.Wait()
 }
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -48,7 +48,9 @@
 	events        <-chan upstream.Event
 	cancel        context.CancelFunc
 	send          gateway.Send
-	started       bool
+	// chosenAt is when the gateway's choice of an endpoint arrived.
+	chosenAt time.Duration
+	started  bool
 	// head is the head of a stream until its first event is delivered.
 	head      *upstream.StreamHead
 	delivered bool
@@ -175,11 +177,7 @@
 	r.outcome.Route, r.outcome.Kind, r.outcome.Team = a.Route.Name, a.Route.Kind.String(), a.Team
 	r.outcome.Service, r.outcome.Endpoint, r.outcome.Attempts = a.Endpoint.Service, a.Endpoint.ID, a.Attempt
 	now := clock.Now()
-	r.connection.server.options.Log.WithFields(log.Fields{
-		"request": r.callerRequest.Attempt, "endpoint": string(a.Endpoint.ID), "address": a.Endpoint.Address, "attempt": a.Attempt,
-		"expected_ms": a.ExpectedFirstByte.Milliseconds(), "active": a.Load.Active, "backlog": a.Load.Backlog,
-		"left_ms": (a.DeadlineAt - now).Milliseconds(), "config_version": a.Version,
-	}).Info("request sent")
+	r.chosenAt = now
 	r.deadlineTimer.Arm(a.DeadlineAt - now)
 	if a.AttemptTimeout > 0 {
 		r.attemptTimer.Arm(a.AttemptTimeout)
@@ -203,6 +201,22 @@
 	})
 }
 
+// requestSent records that the request was written to its endpoint, with the inputs
+// of the choice and the time that each step took.
+func (r *request) requestSent(w upstream.RequestWritten) {
+	a := r.send
+	delay := w.Connect + w.Write
+	r.connection.server.options.Observer.RequestSent(SendTimes{Kind: a.Route.Kind.String(), Delay: delay, ListAge: a.ListAge + delay})
+	r.connection.server.options.Log.WithFields(log.Fields{
+		"request": r.callerRequest.Attempt, "endpoint": string(a.Endpoint.ID), "address": a.Endpoint.Address, "attempt": a.Attempt,
+		"expected_ms": a.ExpectedFirstByte.Milliseconds(), "active": a.Load.Active, "backlog": a.Load.Backlog,
+		"left_ms": (a.DeadlineAt - r.chosenAt).Milliseconds(), "config_version": a.Version,
+		"list_offset": a.ListOffset, "list_age_ms": a.ListAge.Milliseconds(),
+		"chosen_ms": (r.chosenAt - r.incoming.arrived).Milliseconds(), "connect_ms": w.Connect.Milliseconds(),
+		"write_ms": w.Write.Milliseconds(), "reused_channel": w.Reused,
+	}).Info("request sent")
+}
+
 // failAttempt cancels the attempt and reports its failure to the gateway, which
 // decides on a retry.
 func (r *request) failAttempt(ctx context.Context, f gateway.Failure, reused bool) {
@@ -223,6 +237,8 @@
 
 func (r *request) handleEvent(ctx context.Context, e upstream.Event) (done, reusable bool) {
 	switch e := e.(type) {
+	case upstream.RequestWritten:
+		r.requestSent(e)
 	case upstream.StreamHead:
 		r.head = &e
 		if !e.Decoded.Signed {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -27,11 +27,20 @@
 	Post(ctx context.Context, msg gateway.Message)
 }
 
-// Observer records the outcomes of requests.
+// Observer records the progress and the outcomes of requests.
 type Observer interface {
+	RequestSent(t SendTimes)
 	RequestEnded(o Outcome)
 }
 
+// SendTimes describes a request that was written to an endpoint.
+type SendTimes struct {
+	Kind string
+	// Delay is the time from the choice of the endpoint until the request was
+	// written, ListAge the age that the instance list had by then.
+	Delay, ListAge time.Duration
+}
+
 // Outcome is the outcome of a request.
 type Outcome struct {
 	Attempt  string
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -58,6 +58,17 @@
 // FullResponse, StreamEnd and Failed.
 type Event interface{ event() }
 
+// RequestWritten reports that the request was handed to the connection: the head
+// and the body, or only the head if a large body is still being written. It is the
+// first event of an exchange, unless no connection could be opened.
+type RequestWritten struct {
+	// Connect is the time until a connection was available, Write the time that
+	// the write took after that.
+	Connect, Write time.Duration
+	// Reused is set if the connection had served other requests before.
+	Reused bool
+}
+
 // StreamHead is the head of a streamed response. StreamData events follow.
 type StreamHead struct {
 	Status  int
@@ -93,11 +104,12 @@
 	Reused bool
 }
 
-func (StreamHead) event()   {}
-func (StreamData) event()   {}
-func (StreamEnd) event()    {}
-func (FullResponse) event() {}
-func (Failed) event()       {}
+func (RequestWritten) event() {}
+func (StreamHead) event()     {}
+func (StreamData) event()     {}
+func (StreamEnd) event()      {}
+func (FullResponse) event()   {}
+func (Failed) event()         {}
 
 type exchange struct {
 	pool    *Pool
@@ -105,12 +117,15 @@
 	events  chan Event
 	sent    bool
 	reused  bool
+	// startedAt and connectedAt are when the exchange was started and when it had
+	// a connection.
+	startedAt, connectedAt time.Time
 }
 
 // StartExchange starts an exchange and returns its events. Its task ends after
 // the last event, or when ctx is cancelled, which closes the connection.
 func StartExchange(ctx context.Context, pool *Pool, r Request) <-chan Event {
-	x := &exchange{pool: pool, request: r, events: make(chan Event, eventBuffer)}
+	x := &exchange{pool: pool, request: r, events: make(chan Event, eventBuffer), startedAt: time.Now()}
 	go x.run(ctx)
 	return x.events
 }
@@ -121,6 +136,7 @@
 		x.emit(ctx, Failed{Cause: err, DialFailed: true})
 		return
 	}
+	x.connectedAt = time.Now()
 	stop := context.AfterFunc(ctx, func() { _ = conn.conn.Close() })
 	last, reusable := x.roundTrip(ctx, conn)
 	if !stop() {
@@ -165,6 +181,9 @@
 		written = make(chan error, 1)
 		written <- err
 	}
+	x.emit(ctx, RequestWritten{
+		Connect: x.connectedAt.Sub(x.startedAt), Write: time.Since(x.connectedAt), Reused: x.reused,
+	})
 	resp, decoded, err := x.readHead(c)
 	if err != nil {
 		return x.failure(err), false
