Omit the usage counts from pulls of list changes

What callers saw: requests reach endpoints that are leaving (DRAIN). The reader then neither read the next change nor served its requests in time. TestListPullsAreSmall failed before (more than 18,750 bytes); it passes now.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -120,7 +120,6 @@
 	// pullDelay is the random delay of the next pull of list changes.
 	pullDelay time.Duration
 	lastPull  time.Duration
-	hasPulled bool
 	// pulling is set while a pull is in progress.
 	pulling atomic.Bool
 	puller  *puller
@@ -315,11 +314,11 @@
 	configNeeded := t.needsConfigPull(now, state.Version, catalog.Version(m.GetConfigVersion()))
 	listNeeded := t.needsListPull(now, state.Offset, m)
 	t.process.confirmList(ctx)
-	wanted := !t.hasPulled || listNeeded || configNeeded
+	wanted := t.puller.usagePulls.Load() == 0 || listNeeded || configNeeded
 	if !wanted || now-t.lastPull < minPullInterval || !t.pulling.CompareAndSwap(false, true) {
 		return
 	}
-	t.lastPull, t.hasPulled = now, true
+	t.lastPull = now
 	storeHealthy := time.Duration(m.GetListHealthyMs())*time.Millisecond >= minHealthyTime
 	go func() {
 		defer t.pulling.Store(false)
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -29,7 +30,7 @@
 type snapshotServer struct{ process *process }
 
 // Snapshot returns the configuration and the instance entries that the caller
-// lacks, and all usage counts.
+// lacks, and all usage counts unless the caller omits them.
 func (s snapshotServer) Snapshot(ctx context.Context, r *connect.Request[cornelholdv1.SnapshotRequest]) (*connect.Response[cornelholdv1.SnapshotResponse], error) {
 	reply := make(chan snapshot, 1)
 	err := s.process.directory.mailbox.Send(ctx, snapshotRequest{
@@ -46,7 +47,9 @@
 	}
 	m := &cornelholdv1.SnapshotResponse{
 		Entries: lo.Map(result.records, encodeRecord), ListOffset: result.endOffset, Complete: result.complete,
-		Windows: lo.Map(s.process.duties.allWindows(ctx), encodeWindow),
+	}
+	if !r.Msg.GetOmitUsage() {
+		m.Windows = lo.Map(s.process.duties.allWindows(ctx), encodeWindow)
 	}
 	if result.config != nil {
 		m.Config = encodeRecord(*result.config, 0)
@@ -65,8 +68,16 @@
 	process *process
 	client  *http.Client
 	port    string
+	// usagePulls counts the snapshots received with usage counts.
+	usagePulls atomic.Int32
 }
 
+// maxUsagePulls is the number of snapshots that an instance pulls with the usage
+// counts from before its start. One is not enough, as the peer may have started at
+// the same time. Later pulls omit the counts, which are large: newer ones are part
+// of the reports of the peers.
+const maxUsagePulls = 3
+
 func newPuller(p *process) *puller {
 	dialer := &net.Dialer{Timeout: pullTimeout, Control: platform.SetUserTimeout}
 	return &puller{
@@ -92,13 +103,14 @@
 	client := cornelholdv1connect.NewInstanceServiceClient(
 		u.client, "http://"+net.JoinHostPort(from.String(), u.port), connect.WithReadMaxBytes(maxSnapshotBytes))
 	reply, err := client.Snapshot(ctx, connect.NewRequest(&cornelholdv1.SnapshotRequest{
-		ConfigVersion: int64(state.Version), ListOffset: state.Offset,
+		ConfigVersion: int64(state.Version), ListOffset: state.Offset, OmitUsage: u.usagePulls.Load() >= maxUsagePulls,
 	}))
 	if err != nil {
 		u.process.log.WithField("peer", from.String()).WithError(err).Warn("snapshot could not be received from a peer")
 		return
 	}
 	m := reply.Msg
+	u.usagePulls.Add(1)
 	u.process.log.WithFields(log.Fields{
 		"peer": from.String(), "entries": len(m.GetEntries()), "list_offset": m.GetListOffset(), "config": m.GetConfig() != nil,
 	}).Info("snapshot of a peer received")
--- /dev/null
+++ b/internal/edge/snapshot_test.go
@@ -0,0 +1,82 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+
+	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
+	"github.com/cornelhold/cornelhold/gen/cornelhold/v1/cornelholdv1connect"
+	"github.com/cornelhold/cornelhold/internal/core/duty"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/platform"
+)
+
+// maxListPullBytes is the size of a snapshot that a reader of the store can send to 20
+// peers over a link of 10 Mbit/s within a tenth of a drain bound of 3 s.
+const maxListPullBytes = 300 * 10_000_000 / 8 / 1000 / 20
+
+// newSnapshotPeer returns a client of the snapshots of a process that knows the usage of
+// a large deployment.
+func newSnapshotPeer(t *testing.T) cornelholdv1connect.InstanceServiceClient {
+	logger := &log.Logger{Handler: discard.New()}
+	registry := prometheus.NewRegistry()
+	p := newProcess(platform.Deployment{Node: "n"}, logger, newMetrics(registry, logger), registry)
+	for window := range int64(12) {
+		for origin := range 84 {
+			counts := make(duty.Counts)
+			for team := range 16 {
+				counts[fleet.TeamName(fmt.Sprint("team-", team))] = 100
+			}
+			p.duties.usage.Merge(window, fmt.Sprint("edge-", origin), counts)
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go func() { _ = p.directory.run(ctx) }()
+	go func() {
+		for {
+			select {
+			case msg := <-p.duties.mailbox.Receive():
+				p.duties.handle(ctx, msg)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	server := httptest.NewServer(snapshotHandler(p))
+	t.Cleanup(server.Close)
+	err := p.directory.mailbox.Send(ctx, entriesRead{
+		records: []platform.Record{entry("i-1", "ready", 3)}, resync: true, endOffset: 4, source: sourceStore,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cornelholdv1connect.NewInstanceServiceClient(server.Client(), server.URL)
+}
+
+// TestListPullsAreSmall guards against a reader of the store whose link and processor are
+// busy for seconds with usage counts when its peers pull a list change from it (rule DRAIN).
+func TestListPullsAreSmall(t *testing.T) {
+	is := is.New(t)
+	peer := newSnapshotPeer(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	first, err := peer.Snapshot(ctx, connect.NewRequest(&cornelholdv1.SnapshotRequest{}))
+	is.NoErr(err)
+	is.Equal(len(first.Msg.GetWindows()), 12*84) // a restarted instance gets the counts from before
+	later, err := peer.Snapshot(ctx, connect.NewRequest(&cornelholdv1.SnapshotRequest{OmitUsage: true}))
+	is.NoErr(err)
+	is.Equal(len(later.Msg.GetEntries()), 1)
+	is.True(proto.Size(later.Msg) <= maxListPullBytes)
+}
