Count the age of the instance list from the time at which it was read

What callers saw: requests reach endpoints that are leaving (DRAIN). Cause: an instance counted the age of its list from the processing of the store's response, and of a peer's report, from the processing of the report. One that did not run for 1.5 s, or whose link was full, took messages that had waited for new, considered its list fresh and did not read the store. Change: the age counts from the start of the read. TestListIsAsOldAsTheReadThatReturnedIt and TestWaitingReportDoesNotRefreshList fail with the old times (seen by mutation).

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -48,9 +48,8 @@
 	// appliedOffset returns the offset up to which records were already applied,
 	// including those received from peers.
 	appliedOffset func() int64
-	// onRecords receives the records. resync is set if they are the newest records
-	// of all keys instead of the records that follow the previous batch.
-	onRecords func(ctx context.Context, batch platform.Batch, resync bool)
+	// onRecords receives the result of each successful read.
+	onRecords func(ctx context.Context, read topicRead)
 	// onOutage is called after each failed read, onRecovery after the first
 	// successful read that follows.
 	onOutage   func()
@@ -59,12 +58,23 @@
 	trigger <-chan struct{}
 }
 
+// topicRead is the result of a successful read of a topic.
+type topicRead struct {
+	batch platform.Batch
+	// resync is set if the records are the newest ones of all keys instead of those
+	// that follow the previous batch.
+	resync bool
+	// startedAt is the boot time at which the read was started.
+	startedAt time.Duration
+}
+
 // run follows the topic until ctx ends. It logs the start and the end of each
 // outage of the store.
 func (f *follower) run(ctx context.Context) error {
 	var nextOffset int64
 	resync, down := true, false
 	for ctx.Err() == nil {
+		startedAt := task.BootTime()
 		batch, err := f.read(ctx, nextOffset, resync)
 		switch {
 		case errors.Is(err, platform.ErrExpired):
@@ -87,7 +97,7 @@
 			f.onRecovery(ctx)
 			down = false
 		}
-		f.onRecords(ctx, batch, resync)
+		f.onRecords(ctx, topicRead{batch: batch, resync: resync, startedAt: startedAt})
 		resync = false
 		f.waitUntilDue(ctx)
 		nextOffset = max(batch.Next, f.appliedOffset())
--- a/internal/edge/listreads.go
+++ b/internal/edge/listreads.go
@@ -56,11 +56,12 @@
 	return task.BootTime() - since
 }
 
-// recordRead records that this instance read the list.
-func (l *listFreshness) recordRead() {
-	now := int64(task.BootTime())
-	l.readAt.Store(now)
-	l.healthySince.CompareAndSwap(0, now)
+// recordRead records that this instance read the list by a call that it started at
+// startedAt. The list is as old as the call: the process may not have run for a while
+// since the store responded.
+func (l *listFreshness) recordRead(startedAt time.Duration) {
+	l.readAt.Store(max(int64(startedAt), l.readAt.Load()))
+	l.healthySince.CompareAndSwap(0, int64(startedAt))
 	l.failedAt.Store(0)
 }
 
@@ -121,8 +122,8 @@
 		store: p.store, topic: platform.TopicConfig, log: p.log, wait: shareOf(p.deployment.Bounds.ConfigApply, configPollShare),
 		untilRead: p.untilConfigRead, retryDelay: p.storeRetryDelay, appliedOffset: func() int64 { return 0 },
 		onOutage: func() {}, onRecovery: func(context.Context) {}, trigger: p.configTrigger,
-		onRecords: func(ctx context.Context, batch platform.Batch, _ bool) {
-			if r, ok := platform.ConfigRecord(batch.Records); ok {
+		onRecords: func(ctx context.Context, read topicRead) {
+			if r, ok := platform.ConfigRecord(read.batch.Records); ok {
 				_ = p.directory.mailbox.Send(ctx, configRead{record: r, source: sourceStore})
 			}
 		},
@@ -139,22 +140,31 @@
 			triggerRead(p.configTrigger)
 		},
 		onOutage: p.list.recordFailure, trigger: p.listTrigger,
-		onRecords: func(ctx context.Context, batch platform.Batch, resync bool) {
-			applied := make(chan struct{})
-			err := p.directory.mailbox.Send(ctx, entriesRead{
-				records: batch.Records, resync: resync, endOffset: batch.Next, source: sourceStore, applied: applied,
+		onRecords: func(ctx context.Context, read topicRead) {
+			applied := p.applyEntries(ctx, entriesRead{
+				records: read.batch.Records, resync: read.resync, endOffset: read.batch.Next, source: sourceStore,
 			})
-			if err != nil {
-				return // the process is stopping
-			}
-			// Reports to peers must not contain the age of a list that is not yet
-			// applied.
-			select {
-			case <-applied:
-				p.list.recordRead()
+			if applied {
+				p.list.recordRead(read.startedAt)
 				p.confirmList(ctx)
-			case <-ctx.Done():
 			}
 		},
 	}
 }
+
+// applyEntries sends records to the directory and waits until they are applied, since
+// neither peers nor the gateway may receive the age of a list that is not yet
+// applied. It reports false if ctx ended first.
+func (p *process) applyEntries(ctx context.Context, entries entriesRead) bool {
+	applied := make(chan struct{})
+	entries.applied = applied
+	if err := p.directory.mailbox.Send(ctx, entries); err != nil {
+		return false
+	}
+	select {
+	case <-applied:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -14,11 +13,11 @@
 	"google.golang.org/protobuf/proto"
 
 	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
-	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/duty"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
 	"github.com/cornelhold/cornelhold/internal/core/storereader"
+	"github.com/cornelhold/cornelhold/internal/core/transit"
 	"github.com/cornelhold/cornelhold/internal/task"
 	"github.com/cornelhold/cornelhold/platform"
 )
@@ -42,51 +41,9 @@
 	// of the active peers. maxPeers bounds the number of peers.
 	maxPeerAddresses = 6
 	maxPeers         = 2048
-	// configPullDelay is how long an instance waits for the store to deliver a newer
-	// configuration before it pulls it from a peer.
-	configPullDelay = 200 * time.Millisecond
-	// minPullInterval is the minimum time between two pulls.
-	minPullInterval = 400 * time.Millisecond
-	// pullJitterPerPeer times the number of peers, at most maxPullJitter, bounds the
-	// random delay before a pull of list changes. It spreads the load on the first
-	// peers that have them.
-	pullJitterPerPeer = 10 * time.Millisecond
-	maxPullJitter     = 250 * time.Millisecond
-	// remotePullDelay is how long an instance waits for list changes from a peer in
-	// its own data centre before it pulls from other data centres.
-	remotePullDelay = 400 * time.Millisecond
-	// minHealthyTime is how long a peer must have read the instance list without
-	// failure to prove that the store itself was available.
-	minHealthyTime = 2500 * time.Millisecond
-	peersMailbox   = 256
+	peersMailbox     = 256
 )
 
-// lag measures how long this instance has been behind its peers. A report of a peer
-// that is equally far behind does not end it; only progress of this instance does.
-type lag struct {
-	ownVersion int64
-	since      time.Duration
-	behind     bool
-	// storeReadTriggered is set once the lag has triggered a read of the store.
-	storeReadTriggered bool
-}
-
-// observe compares the version or offset of a peer with that of this instance. It
-// reports whether this instance is behind the peer, and how long it has been behind
-// any peer.
-func (l *lag) observe(now time.Duration, ownVersion, peerVersion int64) (time.Duration, bool) {
-	if ownVersion != l.ownVersion {
-		*l = lag{ownVersion: ownVersion}
-	}
-	if peerVersion <= ownVersion {
-		return 0, false
-	}
-	if !l.behind {
-		l.behind, l.since = true, now
-	}
-	return now - l.since, true
-}
-
 // peer is another instance.
 type peer struct {
 	address    netip.Addr
@@ -96,6 +53,8 @@
 	lastSent   time.Duration
 	// active is set from the first report of the peer until it is lost.
 	active bool
+	// delay estimates how long the reports of the peer were on the way.
+	delay transit.DelayEstimate
 }
 
 type datagram struct {
@@ -222,7 +181,7 @@
 	summary := t.process.duties.currentSummary()
 	// The age is read before the state, so that the state is at least as new as the
 	// reported age.
-	listAge := t.process.list.age()
+	listAge, sentAt := t.process.list.age(), task.BootTime()
 	state := t.process.directory.published.Load()
 	message := &cornelholdv1.InstanceReport{
 		Node: t.process.deployment.Node, Boot: t.boot, Ip: t.process.deployment.IP,
@@ -230,7 +189,7 @@
 		Windows: lo.Map(summary.windows, encodeWindow), LeaseOffset: summary.leaseOffset, Held: summary.held,
 		Leaving: t.process.draining(), ListHealthyMs: t.process.list.healthyFor().Milliseconds(),
 		ListAgeMs: listAge.Milliseconds(), DataCentre: string(t.process.deployment.DataCentre),
-		StoreLost: t.election.StoreUnavailable(now),
+		StoreLost: t.election.StoreUnavailable(now), SentMs: sentAt.Milliseconds(),
 	}
 	encodeReport(ownReport, message)
 	for _, p := range t.peers {
@@ -280,6 +239,9 @@
 	if p == nil {
 		return
 	}
+	if p.boot != m.GetBoot() {
+		p.delay = transit.DelayEstimate{}
+	}
 	if !p.active || p.boot != m.GetBoot() {
 		t.process.log.WithFields(log.Fields{
 			"peer": m.GetNode(), "boot": m.GetBoot(), "address": d.from.String(),
@@ -301,70 +263,10 @@
 	t.election.Observe(now, storereader.Instance{
 		Node: m.GetNode(), DataCentre: fleet.DataCentre(m.GetDataCentre()), Leaving: m.GetLeaving(), StoreLost: m.GetStoreLost(),
 	})
+	reported := newReportedState(now, p, &m)
 	if !m.GetLeaving() {
-		t.pullIfBehind(ctx, now, d.from, &m)
-	}
-}
-
-// pullIfBehind starts a pull from a peer if this instance lacks its first snapshot,
-// a configuration that the store has not delivered, or changes of the instance list
-// that another instance has read.
-func (t *peersTask) pullIfBehind(ctx context.Context, now time.Duration, from netip.Addr, m *cornelholdv1.InstanceReport) {
-	state := t.process.directory.published.Load()
-	configNeeded := t.needsConfigPull(now, state.Version, catalog.Version(m.GetConfigVersion()))
-	listNeeded := t.needsListPull(now, state.Offset, m)
-	t.process.confirmList(ctx)
-	wanted := t.puller.usagePulls.Load() == 0 || listNeeded || configNeeded
-	if !wanted || now-t.lastPull < minPullInterval || !t.pulling.CompareAndSwap(false, true) {
-		return
-	}
-	t.lastPull = now
-	storeHealthy := time.Duration(m.GetListHealthyMs())*time.Millisecond >= minHealthyTime
-	go func() {
-		defer t.pulling.Store(false)
-		t.puller.pull(ctx, from, *state, storeHealthy)
-	}()
-}
-
-// needsConfigPull reports whether this instance has been behind on the configuration
-// for more than configPullDelay. It first triggers a read of the store.
-func (t *peersTask) needsConfigPull(now time.Duration, own, peer catalog.Version) bool {
-	behindFor, behind := t.configLag.observe(now, int64(own), int64(peer))
-	if !behind {
-		return false
-	}
-	if !t.configLag.storeReadTriggered && !t.process.list.isReader.Load() {
-		t.configLag.storeReadTriggered = true
-		triggerRead(t.process.configTrigger)
-	}
-	return behindFor > configPullDelay
-}
-
-// needsListPull reports whether list changes are pulled from a peer. The reader of
-// the data centre pulls only if it cannot read the store or its list is stale.
-func (t *peersTask) needsListPull(now time.Duration, own int64, m *cornelholdv1.InstanceReport) bool {
-	list := &t.process.list
-	behindFor, behind := t.listLag.observe(now, own, m.GetListOffset())
-	if !behind {
-		if !list.isReader.Load() {
-			list.recordPeerRead(now-time.Duration(m.GetListAgeMs())*time.Millisecond, time.Duration(m.GetListHealthyMs())*time.Millisecond)
-		}
-		return false
-	}
-	if behindFor == 0 {
-		t.pullDelay = time.Duration(rand.Float64() * float64(min(pullJitterPerPeer*time.Duration(len(t.peers)), maxPullJitter)))
-	}
-	drain := t.process.deployment.Bounds.Drain
-	if behindFor > shareOf(drain, listBehindShare) && !t.listLag.storeReadTriggered {
-		// Peers may respond slowly or stop, so the store is read as well.
-		t.listLag.storeReadTriggered = true
-		triggerRead(t.process.listTrigger)
-	}
-	if m.GetDataCentre() != string(t.process.deployment.DataCentre) && behindFor < remotePullDelay {
-		return false
+		t.pullIfBehind(ctx, now, d.from, reported)
 	}
-	readsStore := list.isReader.Load() && !t.election.StoreUnavailable(now)
-	return (!readsStore && behindFor >= t.pullDelay) || list.age() > shareOf(drain, listStaleShare)
 }
 
 // joinThroughStore registers the address of this instance in the store and posts
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
+	"github.com/cornelhold/cornelhold/internal/task"
 )
 
 // TestLagEndsOnlyWithProgress guards against an instance that never pulls missing
@@ -33,7 +36,7 @@
 	var l listFreshness
 	l.recordFailure()
 	is.Equal(l.healthyFor(), time.Duration(0))
-	l.recordRead()
+	l.recordRead(task.BootTime())
 	age := l.age()
 	l.recordPeerRead(time.Duration(l.readAt.Load())-time.Second, time.Hour)
 	is.True(l.age() < age+time.Second)
@@ -41,3 +44,30 @@
 	l.recordPeerRead(time.Duration(l.readAt.Load())+time.Nanosecond, 3*time.Second)
 	is.True(l.healthyFor() >= 3*time.Second)
 }
+
+// TestListIsAsOldAsTheReadThatReturnedIt guards against an instance that did not run
+// between the response of the store and its processing, and takes an old list for a
+// new one (rule DRAIN).
+func TestListIsAsOldAsTheReadThatReturnedIt(t *testing.T) {
+	is := is.New(t)
+	var l listFreshness
+	l.recordRead(task.BootTime() - 2*time.Second)
+	is.True(l.age() >= 2*time.Second)
+}
+
+// TestWaitingReportDoesNotRefreshList guards against an instance that did not run for a
+// while and takes the list for as new as the reports that waited meanwhile (rule DRAIN).
+func TestWaitingReportDoesNotRefreshList(t *testing.T) {
+	is := is.New(t)
+	var from peer
+	report := &cornelholdv1.InstanceReport{SentMs: 5000, ListAgeMs: 300}
+	const receivedAt = time.Hour
+	is.True(!newReportedState(receivedAt, &from, report).listAgeKnown)
+	report.SentMs += 200
+	reported := newReportedState(receivedAt+200*time.Millisecond, &from, report)
+	is.True(reported.listAgeKnown)
+	is.Equal(reported.listCompleteAt.Round(10*time.Millisecond), receivedAt-100*time.Millisecond)
+	report.SentMs += 200
+	reported = newReportedState(receivedAt+2*time.Second, &from, report) // it waited for 1.6 s
+	is.Equal(reported.listCompleteAt.Round(10*time.Millisecond), receivedAt+100*time.Millisecond)
+}
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -16,6 +16,7 @@
 	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
 	"github.com/cornelhold/cornelhold/gen/cornelhold/v1/cornelholdv1connect"
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
+	"github.com/cornelhold/cornelhold/internal/task"
 	"github.com/cornelhold/cornelhold/platform"
 )
 
@@ -32,6 +33,8 @@
 // Snapshot returns the configuration and the instance entries that the caller
 // lacks, and all usage counts unless the caller omits them.
 func (s snapshotServer) Snapshot(ctx context.Context, r *connect.Request[cornelholdv1.SnapshotRequest]) (*connect.Response[cornelholdv1.SnapshotResponse], error) {
+	// The age is read before the list, so that the list is at least as new.
+	listAge := s.process.list.age().Milliseconds()
 	reply := make(chan snapshot, 1)
 	err := s.process.directory.mailbox.Send(ctx, snapshotRequest{
 		peerVersion: catalog.Version(r.Msg.GetConfigVersion()), peerOffset: r.Msg.GetListOffset(), reply: reply,
@@ -46,7 +49,8 @@
 		return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
 	}
 	m := &cornelholdv1.SnapshotResponse{
-		Entries: lo.Map(result.records, encodeRecord), ListOffset: result.endOffset, Complete: result.complete,
+		ListAgeMs: &listAge,
+		Entries:   lo.Map(result.records, encodeRecord), ListOffset: result.endOffset, Complete: result.complete,
 	}
 	if !r.Msg.GetOmitUsage() {
 		m.Windows = lo.Map(s.process.duties.allWindows(ctx), encodeWindow)
@@ -95,9 +99,10 @@
 	return strconv.Itoa(p.deployment.FirstPeerPort)
 }
 
-// pull requests a snapshot from a peer and applies it. storeHealthy states that the
-// peer has read the store without an outage for some time.
-func (u *puller) pull(ctx context.Context, from netip.Addr, state directoryState, storeHealthy bool) {
+// pull requests a snapshot from a peer and applies it. healthyFor is how long the
+// peer's reads of the list have succeeded.
+func (u *puller) pull(ctx context.Context, from netip.Addr, state directoryState, healthyFor time.Duration) {
+	startedAt := task.BootTime()
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	client := cornelholdv1connect.NewInstanceServiceClient(
@@ -118,10 +123,14 @@
 		_ = u.process.directory.mailbox.Send(ctx, configRead{record: decodeRecord(m.GetConfig(), 0), source: sourcePeer})
 	}
 	if len(m.GetEntries()) > 0 || m.GetComplete() {
-		_ = u.process.directory.mailbox.Send(ctx, entriesRead{
+		applied := u.process.applyEntries(ctx, entriesRead{
 			records: lo.Map(m.GetEntries(), decodeRecord), endOffset: m.GetListOffset(), resync: m.GetComplete(),
-			source: sourcePeer, storeHealthy: storeHealthy,
+			source: sourcePeer, storeHealthy: healthyFor >= minHealthyTime,
 		})
+		if applied && m.ListAgeMs != nil {
+			u.process.list.recordPeerRead(startedAt-milliseconds(m.GetListAgeMs()), healthyFor)
+			u.process.confirmList(ctx)
+		}
 	}
 	u.process.duties.postPeerUpdate(peerUpdate{windows: lo.Map(m.GetWindows(), decodeWindow)})
 }
