Read an outdated instance list before an endpoint is chosen from it

What callers saw: requests reach endpoints that are leaving (DRAIN). Cause: an instance that did not run for a while served the requests that waited for it before it read the list changes that waited as well. Change: the gateway knows the age of its list. If it is above 0.65 of the drain bound, new requests and retries wait until the list is read; the first of them triggers the read. If the read fails or takes 0.2 of the bound although the process runs, the store counts as unreachable for 2 s and the list is used as before, so an instance that is cut off goes on serving. A read that failed only because the process did not run is repeated at once and is no outage. The wait for the first decision ends with the caller's deadline.

--- /dev/null
+++ b/internal/core/gateway/listage_test.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+const drainBound = 3 * time.Second
+
+// boundMachine returns a ready machine with two endpoints and a drain bound, whose list
+// was complete at 0.
+func boundMachine() *Machine {
+	bounded := options
+	bounded.DrainBound = drainBound
+	m := New(bounded)
+	m.Step(0, SetCatalog{Catalog: testCatalog()})
+	m.Step(0, SetEndpoints{Endpoints: testEndpoints(2, func(int) bool { return false })})
+	m.Step(0, UsageRestored{})
+	m.Step(0, ListConfirmed{})
+	return m
+}
+
+func arrive(m *Machine, now time.Duration, id RequestID, path string) []Action {
+	return m.Step(now, RequestArrived{ID: id, Request: Request{
+		Host: "h", Path: path, Key: "key", HasKey: true, Deadline: 4 * time.Second,
+	}})
+}
+
+func drainFirst(i int) bool { return i == 0 }
+
+// TestOutdatedListIsReadBeforeChoice guards against requests to an endpoint that began to
+// drain while the instance did not run (rule DRAIN).
+func TestOutdatedListIsReadBeforeChoice(t *testing.T) {
+	is := is.New(t)
+	m := boundMachine()
+	const late = drainBound * 9 / 10
+	is.Equal(arrive(m, late, 1, "/unsafe/x"), []Action{ReadList{}})
+	is.Equal(len(arrive(m, late, 2, "/unsafe/x")), 0) // the read is under way
+	is.Equal(len(arrive(m, late, 3, "/unsafe/x")), 0)
+	m.Step(late, RequestFinished{ID: 3}) // its caller left
+	is.Equal(len(m.Step(late, ListConfirmed{At: time.Second / 2})), 0)
+	const readAt = late + 10*time.Millisecond
+	m.Step(readAt, SetEndpoints{Endpoints: testEndpoints(2, drainFirst)})
+	actions := m.Step(readAt, ListConfirmed{At: late})
+	is.Equal(len(actions), 2)
+	for i, a := range actions {
+		send, ok := a.(Send)
+		is.True(ok)
+		is.Equal(send.ID, RequestID(i+1))
+		is.Equal(send.Endpoint.ID, fleet.EndpointID("e1"))
+		is.Equal(send.DeadlineAt, late+4*time.Second) // the wait counts
+	}
+	_, ok := arrive(m, readAt, 4, "/unsafe/x")[0].(Send)
+	is.True(ok)
+}
+
+// TestRetryWaitsForCurrentList guards against a retry at an endpoint that began to drain
+// while the instance did not run (rule DRAIN).
+func TestRetryWaitsForCurrentList(t *testing.T) {
+	is := is.New(t)
+	m := boundMachine()
+	_, ok := arrive(m, 0, 1, "/idempotent/x")[0].(Send)
+	is.True(ok)
+	const late = drainBound
+	is.Equal(m.Step(late, AttemptFailed{ID: 1, Failure: FailureTimeout}), []Action{ReadList{}})
+	m.Step(late, SetEndpoints{Endpoints: testEndpoints(2, func(int) bool { return true })})
+	refused, ok := m.Step(late, ListConfirmed{At: late})[0].(Refuse)
+	is.True(ok)
+	is.Equal(refused.Refusal.Run, fleet.RunUnknown)
+}
+
+// TestUnreachableStoreDoesNotStopService guards against an instance that serves nobody
+// while it is cut off from the store and its peers.
+func TestUnreachableStoreDoesNotStopService(t *testing.T) {
+	is := is.New(t)
+	m := boundMachine()
+	now := drainBound
+	is.Equal(arrive(m, now, 1, "/unsafe/x"), []Action{ReadList{}})
+	_, ok := m.Step(now, ListUnreachable{At: now})[0].(Send)
+	is.True(ok)
+	_, ok = arrive(m, now+time.Second, 2, "/unsafe/x")[0].(Send)
+	is.True(ok)
+	// The failed read says nothing about the store some time later.
+	is.Equal(arrive(m, now+outageTTL+time.Millisecond, 3, "/unsafe/x"), []Action{ReadList{}})
+}
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/core/budget"
@@ -46,6 +47,9 @@
 	// over all instances: a share of its requests plus a fixed number.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// DrainBound is the time within which requests must no longer reach a draining
+	// endpoint; 0 means no bound.
+	DrainBound time.Duration
 }
 
 type openRequest struct {
@@ -77,10 +81,9 @@
 	endpoints    map[fleet.EndpointID]*endpoint
 	byService    map[fleet.ServiceName][]*endpoint
 	hasEndpoints bool
-	// listOffset is the position of the instance list, listAt the time at which it
-	// was last known to be complete.
-	listOffset    int64
-	listAt        time.Duration
+	list         listAge
+	// held holds the requests that wait until the list is usable.
+	held          []heldRequest
 	usageRestored bool
 	open          map[RequestID]*openRequest
 	quota         *quota.Meter
@@ -98,7 +101,7 @@
 // New returns a machine without configuration and endpoints.
 func New(options Options) *Machine {
 	return &Machine{
-		options: options, endpoints: make(map[fleet.EndpointID]*endpoint),
+		options: options, list: listAge{drainBound: options.DrainBound}, endpoints: make(map[fleet.EndpointID]*endpoint),
 		byService: make(map[fleet.ServiceName][]*endpoint),
 		open:      make(map[RequestID]*openRequest), quota: quota.New(options.Quota),
 		budgets: make(map[fleet.ServiceName]*budget.Shared), crashes: newCrashLog(),
@@ -118,7 +121,7 @@
 func (m *Machine) Step(now time.Duration, msg Message) []Action {
 	switch msg := msg.(type) {
 	case RequestArrived:
-		return []Action{m.requestArrived(now, msg)}
+		return m.requestArrived(now, msg)
 	case AttemptFailed:
 		return m.attemptFailed(now, msg)
 	case ResponseStarted:
@@ -130,10 +133,14 @@
 			m.catalog = msg.Catalog
 		}
 	case SetEndpoints:
-		m.listOffset = msg.Offset
+		m.list.offset = msg.Offset
 		m.setEndpoints(now, msg.Endpoints)
 	case ListConfirmed:
-		m.listAt = max(m.listAt, msg.At)
+		m.list.confirm(msg.At)
+		return m.release(now)
+	case ListUnreachable:
+		m.list.readFailed(msg.At)
+		return m.release(now)
 	case PeerReport:
 		m.peerReport(now, msg)
 	case UsageRestored:
@@ -145,13 +152,23 @@
 	return nil
 }
 
-func (m *Machine) requestArrived(now time.Duration, msg RequestArrived) Action {
+func (m *Machine) requestArrived(now time.Duration, msg RequestArrived) []Action {
+	switch {
+	case !m.Ready():
+		refusal := fleet.Refuse(fleet.RefusedNotReady, startRetryAfter, "this instance has no configuration yet; retry")
+		return []Action{Refuse{ID: msg.ID, Refusal: refusal}}
+	case !m.list.usable(now):
+		return m.hold(heldRequest{id: msg.ID, arrival: &msg.Request, heldAt: now})
+	default:
+		return []Action{m.admit(now, msg)}
+	}
+}
+
+// admit sends a new request to an endpoint or refuses it.
+func (m *Machine) admit(now time.Duration, msg RequestArrived) Action {
 	refuse := func(kind fleet.RefusalKind, after time.Duration, remedy string) Action {
 		return Refuse{ID: msg.ID, Refusal: fleet.Refuse(kind, after, remedy)}
 	}
-	if !m.Ready() {
-		return refuse(fleet.RefusedNotReady, startRetryAfter, "this instance has no configuration yet; retry")
-	}
 	o, refusal := m.resolve(msg.Request)
 	if refusal != nil {
 		return Refuse{ID: msg.ID, Refusal: refusal}
@@ -252,7 +269,7 @@
 		ID: id, Endpoint: e.Endpoint, Route: o.route, Team: teamName(o.team), DeadlineAt: o.deadlineAt,
 		AttemptTimeout: m.attemptTimeout(now, o), Priority: requestPriority(o),
 		Attempt: o.sends, ExpectedFirstByte: est.firstByte, Load: load, Version: m.catalog.Version,
-		ListOffset: m.listOffset, ListAge: now - m.listAt,
+		ListOffset: m.list.offset, ListAge: now - m.list.completeAt,
 	}
 }
 
@@ -309,15 +326,27 @@
 	if msg.Failure != FailureDial && msg.Failure != FailureRejected {
 		o.mayHaveRun = true
 	}
-	if next, est, ok := m.chooseRetry(now, o, msg); ok {
-		o.started = false
-		return []Action{m.send(now, msg.ID, o, next, est)}
+	return m.retryOrRefuse(now, msg.ID, msg.Failure)
+}
+
+// retryOrRefuse sends an open request to another endpoint after a failed attempt, or
+// refuses it if no retry is allowed.
+func (m *Machine) retryOrRefuse(now time.Duration, id RequestID, failure Failure) []Action {
+	o := m.open[id]
+	if m.mayRetry(now, o, failure) {
+		if !m.list.usable(now) {
+			return m.hold(heldRequest{id: id, failure: failure, heldAt: now})
+		}
+		if next, est, ok := m.chooseRetry(now, o); ok {
+			o.started = false
+			return []Action{m.send(now, id, o, next, est)}
+		}
 	}
-	delete(m.open, msg.ID)
+	delete(m.open, id)
 	if !o.mayHaveRun {
 		m.refundQuota(now, o)
 	}
-	return []Action{Refuse{ID: msg.ID, Refusal: failureRefusal(o, msg.Failure)}}
+	return []Action{Refuse{ID: id, Refusal: failureRefusal(o, failure)}}
 }
 
 func (m *Machine) refundQuota(now time.Duration, o *openRequest) {
@@ -337,16 +366,18 @@
 	return &fleet.Refusal{Kind: kind, Run: fleet.RunUnknown, Remedy: "the endpoint failed; check the outcome before a repeat"}
 }
 
-// chooseRetry returns the endpoint for a retry. It reports false if deadline,
-// attempts, route, quarantine or retry budget do not allow one.
-func (m *Machine) chooseRetry(now time.Duration, o *openRequest, msg AttemptFailed) (*endpoint, estimate, bool) {
-	notRun := msg.Failure == FailureDial || msg.Failure == FailureRejected
-	switch {
-	case now >= o.deadlineAt, o.sends >= o.route.MaxAttempts, o.dialFailures >= maxDialFailures:
-		return nil, estimate{}, false
-	case !notRun && !o.route.Repeatable(), !notRun && m.crashes.quarantined(now, o.request.Fingerprint):
-		return nil, estimate{}, false
+// mayRetry reports whether deadline, attempts, route and quarantine allow a retry.
+func (m *Machine) mayRetry(now time.Duration, o *openRequest, failure Failure) bool {
+	if now >= o.deadlineAt || o.sends >= o.route.MaxAttempts || o.dialFailures >= maxDialFailures {
+		return false
 	}
+	notRun := failure == FailureDial || failure == FailureRejected
+	return notRun || o.route.Repeatable() && !m.crashes.quarantined(now, o.request.Fingerprint)
+}
+
+// chooseRetry returns the endpoint for a retry. It reports false if there is none or
+// the retry budget does not allow one.
+func (m *Machine) chooseRetry(now time.Duration, o *openRequest) (*endpoint, estimate, bool) {
 	next, est := m.chooseEndpoint(now, o)
 	if next == nil {
 		return nil, estimate{}, false
@@ -374,6 +405,7 @@
 }
 
 func (m *Machine) requestFinished(now time.Duration, msg RequestFinished) {
+	m.held = slices.DeleteFunc(m.held, func(h heldRequest) bool { return h.id == msg.ID })
 	o, ok := m.open[msg.ID]
 	if !ok {
 		return
--- a/internal/core/gateway/messages.go
+++ b/internal/core/gateway/messages.go
@@ -102,6 +102,10 @@
 // complete list at the time At.
 type ListConfirmed struct{ At time.Duration }
 
+// ListUnreachable reports that the list could not be read at the time At, although this
+// instance was running. For a while after that a list of any age is used.
+type ListUnreachable struct{ At time.Duration }
+
 // Load is the work at an endpoint: what one instance has sent to it, or the sum
 // over several instances.
 type Load struct {
@@ -148,6 +152,7 @@
 func (SetCatalog) message()      {}
 func (SetEndpoints) message()    {}
 func (ListConfirmed) message()   {}
+func (ListUnreachable) message() {}
 func (PeerReport) message()      {}
 func (UsageRestored) message()   {}
 func (PeerLeft) message()        {}
@@ -192,6 +197,11 @@
 // CountStarted counts a team's request whose first response has started.
 type CountStarted struct{ Team fleet.TeamName }
 
+// ReadList requests a read of the instance list, which is too old to choose from. The
+// result is a ListConfirmed or a ListUnreachable.
+type ReadList struct{}
+
 func (Send) action()         {}
 func (Refuse) action()       {}
+func (ReadList) action()     {}
 func (CountStarted) action() {}
--- a/internal/e2e/edge_state_test.go
+++ b/internal/e2e/edge_state_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -53,6 +55,29 @@
 	is.Equal(len(f.PlainReplicas[0].Runs()), before)
 }
 
+// TestStalledEdgeLeavesDrainingReplicas guards against requests to a draining replica from
+// a process that did not run while the replica began to drain (rule DRAIN).
+func TestStalledEdgeLeavesDrainingReplicas(t *testing.T) {
+	is := is.New(t)
+	f := newEdgeFleet(t, 1)
+	e := f.Edges[0]
+	is.NoErr(e.Signal(syscall.SIGSTOP))
+	f.Store.Put(userplatform.ServersTopic, "p0", f.PlainReplicas[0].Entry("plain", "a", "draining", 9))
+	time.Sleep(drainBound)
+	var conns []net.Conn
+	for range 20 {
+		conn, _ := f.sendCall(e, call{method: http.MethodGet, target: "/check/x"})
+		conns = append(conns, conn)
+	}
+	is.NoErr(e.Signal(syscall.SIGCONT))
+	for _, conn := range conns {
+		resp, _, err := f.readResponse(conn, http.MethodGet)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+	is.Equal(len(f.PlainReplicas[0].Runs()), 0)
+}
+
 // TestEdgeReportsUsage guards against usage windows that are missing, wrong or reported
 // with different counts when the holder of the duty is killed.
 func TestEdgeReportsUsage(t *testing.T) {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -24,6 +24,9 @@
 	// an instance reads the store itself and pulls from its peers. It leaves time
 	// for a failed read.
 	listStaleShare = 0.55
+	// listSlowShare is the duration of a read of the list, as a share of the drain
+	// bound, after which the store counts as unreachable for the choice of endpoints.
+	listSlowShare = 0.2
 	// listBehindShare is how long, as a share of the drain bound, the list may be
 	// behind that of a peer before the store is read.
 	listBehindShare = 0.2
@@ -52,8 +55,12 @@
 	onRecords func(ctx context.Context, read topicRead)
 	// onOutage is called after each failed read, onRecovery after the first
 	// successful read that follows.
-	onOutage   func()
+	onOutage   func(ctx context.Context)
 	onRecovery func(ctx context.Context)
+	// slowAfter is the duration of a read after which onSlow is called; 0 means
+	// never.
+	slowAfter time.Duration
+	onSlow    func(ctx context.Context)
 	// trigger interrupts the current wait or read; the topic is then read again.
 	trigger <-chan struct{}
 }
@@ -83,12 +90,15 @@
 			continue
 		case errors.Is(err, errInterrupted):
 			continue
+		case err != nil && ranOver(startedAt, f.wait+platform.CallTimeout):
+			f.log.WithField("topic", f.topic).WithError(err).Info("read failed because the process did not run; reading again")
+			continue
 		case err != nil:
 			if !down && ctx.Err() == nil {
 				f.log.WithField("topic", f.topic).WithError(err).Warn("store lost")
 			}
 			down = true
-			f.onOutage()
+			f.onOutage(ctx)
 			sleep(ctx, f.retryDelay())
 			continue
 		}
@@ -124,6 +134,11 @@
 // read reads the newest record of each key if resync is set, and otherwise the
 // records from nextOffset. A trigger interrupts only the latter.
 func (f *follower) read(ctx context.Context, nextOffset int64, resync bool) (platform.Batch, error) {
+	if f.slowAfter > 0 {
+		watchCtx, stop := context.WithCancel(ctx)
+		defer stop()
+		go f.watchRead(watchCtx)
+	}
 	if resync {
 		return f.store.Newest(ctx, f.topic)
 	}
@@ -143,6 +158,35 @@
 	return batch, err
 }
 
+// watchRead calls onSlow once a read has taken slowAfter. ctx ends with the read.
+func (f *follower) watchRead(ctx context.Context) {
+	timer := task.NewTimer()
+	defer timer.Stop()
+	for {
+		startedAt := task.BootTime()
+		timer.Arm(f.slowAfter)
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C():
+		}
+		if !ranOver(startedAt, f.slowAfter) {
+			f.onSlow(ctx)
+			return
+		}
+	}
+}
+
+// stallTolerance is the delay of a timer up to which the process counts as running.
+const stallTolerance = 200 * time.Millisecond
+
+// ranOver reports whether so much more time than limit has passed since startedAt, a
+// boot time, that the process cannot have run all the while. The failure of a call with
+// that time limit then says nothing about the called service.
+func ranOver(startedAt, limit time.Duration) bool {
+	return task.BootTime()-startedAt > limit+stallTolerance
+}
+
 // errInterrupted is returned by a read that a trigger interrupted.
 var errInterrupted = errors.New("the read was interrupted; read again")
 
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -28,6 +28,8 @@
 	replies map[gateway.RequestID]chan<- gateway.Action
 	// started receives the requests that endpoints have started to execute.
 	started task.Mailbox[gateway.CountStarted]
+	// readList triggers a read of the instance list.
+	readList func()
 	// limits and ready are copies for tasks that only read them.
 	limits atomic.Pointer[catalog.Limits]
 	ready  atomic.Bool
@@ -38,7 +40,7 @@
 		clock: clock, machine: gateway.New(options), started: started,
 		mailbox: task.NewMailbox[gatewayMessage](gatewayMailbox),
 		reports: task.NewMailbox[reportRequest](4),
-		replies: make(map[gateway.RequestID]chan<- gateway.Action),
+		replies: make(map[gateway.RequestID]chan<- gateway.Action), readList: func() {},
 	}
 }
 
@@ -83,6 +85,8 @@
 		t.reply(a.ID, a)
 	case gateway.CountStarted:
 		t.started.TrySend(a)
+	case gateway.ReadList:
+		t.readList()
 	}
 }
 
--- a/internal/edge/listreads.go
+++ b/internal/edge/listreads.go
@@ -28,6 +28,11 @@
 	reportedAt atomic.Int64
 }
 
+// reportListUnreachable reports to the gateway that the list cannot be read now.
+func (p *process) reportListUnreachable(ctx context.Context) {
+	p.gateway.Post(ctx, gateway.ListUnreachable{At: p.clock.Now()})
+}
+
 // confirmInterval is the minimum time between two reports to the gateway that the
 // list is complete.
 const confirmInterval = 50 * time.Millisecond
@@ -121,7 +126,7 @@
 	return &follower{
 		store: p.store, topic: platform.TopicConfig, log: p.log, wait: shareOf(p.deployment.Bounds.ConfigApply, configPollShare),
 		untilRead: p.untilConfigRead, retryDelay: p.storeRetryDelay, appliedOffset: func() int64 { return 0 },
-		onOutage: func() {}, onRecovery: func(context.Context) {}, trigger: p.configTrigger,
+		onOutage: func(context.Context) {}, onRecovery: func(context.Context) {}, trigger: p.configTrigger,
 		onRecords: func(ctx context.Context, read topicRead) {
 			if r, ok := platform.ConfigRecord(read.batch.Records); ok {
 				_ = p.directory.mailbox.Send(ctx, configRead{record: r, source: sourceStore})
@@ -139,7 +144,12 @@
 			// A read of the configuration may be waiting on a dead connection.
 			triggerRead(p.configTrigger)
 		},
-		onOutage: p.list.recordFailure, trigger: p.listTrigger,
+		onOutage: func(ctx context.Context) {
+			p.list.recordFailure()
+			p.reportListUnreachable(ctx)
+		},
+		slowAfter: shareOf(p.deployment.Bounds.Drain, listSlowShare), onSlow: p.reportListUnreachable,
+		trigger: p.listTrigger,
 		onRecords: func(ctx context.Context, read topicRead) {
 			applied := p.applyEntries(ctx, entriesRead{
 				records: read.batch.Records, resync: read.resync, endOffset: read.batch.Next, source: sourceStore,
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -101,7 +101,9 @@
 			Window: d.Bounds.QuotaWindow, Overrun: d.Bounds.QuotaOverrun, Slack: d.Bounds.QuotaSlack,
 		},
 		RetryRatio: d.Bounds.RetryRatio, RetrySlack: d.Bounds.RetrySlack, RetryWindow: d.Bounds.RetryWindow,
+		DrainBound: d.Bounds.Drain,
 	}, p.started)
+	p.gateway.readList = func() { triggerRead(p.listTrigger) }
 	p.directory = newDirectoryTask(p.clock, logger, m, p.gateway)
 	seed := rand.Uint64()
 	boot := strconv.FormatUint(seed, 36)
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -30,8 +30,8 @@
 	unsafeMaxIdle = 300 * time.Millisecond
 	// idempotentMaxIdle is the same limit for idempotent requests.
 	idempotentMaxIdle = time.Second
-	// decisionTimeout bounds the wait for the gateway's first decision.
-	decisionTimeout = 2 * time.Second
+	// maxDecisionTime bounds the wait for the gateway's first decision.
+	maxDecisionTime = 2 * time.Second
 )
 
 // resultCallerLeft is the result of a request whose caller disconnected before
@@ -104,7 +104,7 @@
 	if !o.Gateway.Submit(gateway.RequestArrived{ID: r.id, Request: r.toGatewayRequest(o.Random())}, r.replies) {
 		return r.refuse(http.StatusServiceUnavailable, time.Second, "this instance is overloaded; retry")
 	}
-	r.deadlineTimer.Arm(decisionTimeout)
+	r.deadlineTimer.Arm(r.decisionTimeout())
 	defer r.finish(ctx)
 	for {
 		select {
@@ -129,6 +129,17 @@
 	}
 }
 
+// decisionTimeout returns the time limit of the gateway's first decision: the caller's
+// time, up to maxDecisionTime.
+func (r *request) decisionTimeout() time.Duration {
+	deadline := r.callerRequest.Deadline
+	if deadline == 0 {
+		return maxDecisionTime
+	}
+	waited := r.connection.server.options.Clock.Now() - r.incoming.arrived
+	return min(deadline-deadlineMargin-waited, maxDecisionTime)
+}
+
 // finish cancels the current attempt and reports the end of the request to the
 // gateway.
 func (r *request) finish(ctx context.Context) {
