Choose the endpoint of a request again if it was not written in time

What callers saw: requests reach endpoints that are leaving (DRAIN). Cause: nothing was checked between the choice of an endpoint and the write of the request. Change: a choice holds until its list is 0.75 of the drain bound old. If the request is not written by then, the gateway chooses again. That is no attempt, no failure of the endpoint and costs no retry budget; a request that no endpoint received is resolved again, so that a route or key removed meanwhile holds. The retry budget is no longer charged twice for a retry whose connection failed.

--- a/internal/core/gateway/endpoints.go
+++ b/internal/core/gateway/endpoints.go
@@ -259,6 +259,9 @@
 
 // observeFailure updates the endpoint's state after a failed attempt.
 func (m *Machine) observeFailure(now time.Duration, o *openRequest, e *endpoint, msg AttemptFailed) {
+	if msg.Failure == FailureNotSentInTime {
+		return
+	}
 	e.failureRate += smoothing * (1 - e.failureRate)
 	switch msg.Failure {
 	case FailureDial:
@@ -272,6 +275,6 @@
 	case FailureTimeout:
 		e.consecutiveFailures++
 		e.suspectUntil = now + minSuspectTime
-	case FailureRejected, FailureErrorResponse:
+	case FailureRejected, FailureErrorResponse, FailureNotSentInTime:
 	}
 }
--- a/internal/core/gateway/listage.go
+++ b/internal/core/gateway/listage.go
@@ -6,6 +6,9 @@
 	// maxChoiceAgeShare is the greatest age of the instance list at the choice of an
 	// endpoint, as a share of the drain bound.
 	maxChoiceAgeShare = 0.65
+	// maxSendAgeShare is the greatest age of the list when a request is written. The
+	// rest of the drain bound is for its way to the endpoint.
+	maxSendAgeShare = 0.75
 	// outageTTL is how long a failed read of the list shows that the store cannot be
 	// reached. It covers the time between two attempts to read.
 	outageTTL = 2 * time.Second
@@ -52,6 +55,15 @@
 	return l.current(now) || l.storeUnreachable(now)
 }
 
+// sendBy returns the time by which a request to an endpoint chosen now must be written;
+// 0 means no limit.
+func (l *listAge) sendBy(now time.Duration) time.Duration {
+	if l.drainBound <= 0 || !l.current(now) {
+		return 0
+	}
+	return l.completeAt + l.share(maxSendAgeShare)
+}
+
 func (l *listAge) share(share float64) time.Duration {
 	return time.Duration(float64(l.drainBound) * share)
 }
--- a/internal/core/gateway/listage_test.go
+++ b/internal/core/gateway/listage_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 )
 
@@ -87,3 +88,29 @@
 	// The failed read says nothing about the store some time later.
 	is.Equal(arrive(m, now+outageTTL+time.Millisecond, 3, "/unsafe/x"), []Action{ReadList{}})
 }
+
+// TestUnwrittenRequestIsChosenAgain guards against a request that was not written in time
+// and counts as an attempt, a retry or a failure of its endpoint, or follows a route that
+// has changed.
+func TestUnwrittenRequestIsChosenAgain(t *testing.T) {
+	is := is.New(t)
+	m := boundMachine()
+	first, ok := arrive(m, time.Second, 1, "/unsafe/x")[0].(Send)
+	is.True(ok)
+	is.True(first.SendBy < drainBound)
+	m.Step(2*time.Second, ListConfirmed{At: 2 * time.Second})
+	again, ok := m.Step(2*time.Second, AttemptFailed{ID: 1, Failure: FailureNotSentInTime})[0].(Send)
+	is.True(ok)
+	is.Equal(again.Attempt, 1)
+	is.Equal(again.Endpoint.ID, first.Endpoint.ID)
+	is.True(again.SendBy > first.SendBy)
+	is.Equal(m.endpoints[first.Endpoint.ID].own.Active, 1)
+	is.Equal(m.endpoints[first.Endpoint.ID].failureRate, 0.0)
+	withoutRoutes := *testCatalog()
+	withoutRoutes.Version, withoutRoutes.Routes = 2, nil
+	m.Step(2*time.Second, SetCatalog{Catalog: catalog.Build(withoutRoutes)})
+	refused, ok := m.Step(2*time.Second, AttemptFailed{ID: 1, Failure: FailureNotSentInTime})[0].(Refuse)
+	is.True(ok)
+	is.Equal(refused.Refusal.Kind, fleet.RefusedNotFound)
+	is.Equal(m.endpoints[first.Endpoint.ID].own, Load{})
+}
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -62,6 +62,9 @@
 	priority     int
 	sends        int
 	dialFailures int
+	// budgetWithdrawn is set while the retry budget is charged for an attempt that
+	// was not sent yet, as far as known.
+	budgetWithdrawn bool
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	started    bool
@@ -267,7 +270,7 @@
 	o.backlog = e.addRequest(now, o.request)
 	return Send{
 		ID: id, Endpoint: e.Endpoint, Route: o.route, Team: teamName(o.team), DeadlineAt: o.deadlineAt,
-		AttemptTimeout: m.attemptTimeout(now, o), Priority: requestPriority(o),
+		SendBy: m.list.sendBy(now), AttemptTimeout: m.attemptTimeout(now, o), Priority: requestPriority(o),
 		Attempt: o.sends, ExpectedFirstByte: est.firstByte, Load: load, Version: m.catalog.Version,
 		ListOffset: m.list.offset, ListAge: now - m.list.completeAt,
 	}
@@ -319,11 +322,17 @@
 	e.removeRequest(o.backlog, o.started)
 	o.endpoint = nil
 	m.observeFailure(now, o, e, msg)
-	if msg.Failure == FailureDial {
+	switch msg.Failure {
+	case FailureDial:
 		o.sends--
 		o.dialFailures++
-	}
-	if msg.Failure != FailureDial && msg.Failure != FailureRejected {
+	case FailureNotSentInTime:
+		o.sends--
+		delete(o.tried, e.ID)
+	case FailureRejected:
+		o.budgetWithdrawn = false
+	case FailureConnectionLost, FailureTimeout, FailureErrorResponse:
+		o.budgetWithdrawn = false
 		o.mayHaveRun = true
 	}
 	return m.retryOrRefuse(now, msg.ID, msg.Failure)
@@ -333,11 +342,14 @@
 // refuses it if no retry is allowed.
 func (m *Machine) retryOrRefuse(now time.Duration, id RequestID, failure Failure) []Action {
 	o := m.open[id]
+	refusal := failureRefusal(o, failure)
 	if m.mayRetry(now, o, failure) {
 		if !m.list.usable(now) {
 			return m.hold(heldRequest{id: id, failure: failure, heldAt: now})
 		}
-		if next, est, ok := m.chooseRetry(now, o); ok {
+		if changed := m.resolveAgain(o); changed != nil {
+			refusal = changed
+		} else if next, est, ok := m.chooseRetry(now, o); ok {
 			o.started = false
 			return []Action{m.send(now, id, o, next, est)}
 		}
@@ -346,7 +358,21 @@
 	if !o.mayHaveRun {
 		m.refundQuota(now, o)
 	}
-	return []Action{Refuse{ID: id, Refusal: failureRefusal(o, failure)}}
+	return []Action{Refuse{ID: id, Refusal: refusal}}
+}
+
+// resolveAgain resolves a request that no endpoint has received by the configuration
+// that is active now. It returns the refusal if that does not allow the request.
+func (m *Machine) resolveAgain(o *openRequest) *fleet.Refusal {
+	if o.sends > 0 || o.mayHaveRun {
+		return nil
+	}
+	current, refusal := m.resolve(o.request)
+	if refusal != nil {
+		return refusal
+	}
+	o.route, o.team, o.service, o.priority = current.route, current.team, current.service, current.priority
+	return nil
 }
 
 func (m *Machine) refundQuota(now time.Duration, o *openRequest) {
@@ -371,7 +397,7 @@
 	if now >= o.deadlineAt || o.sends >= o.route.MaxAttempts || o.dialFailures >= maxDialFailures {
 		return false
 	}
-	notRun := failure == FailureDial || failure == FailureRejected
+	notRun := failure == FailureDial || failure == FailureRejected || failure == FailureNotSentInTime
 	return notRun || o.route.Repeatable() && !m.crashes.quarantined(now, o.request.Fingerprint)
 }
 
@@ -383,8 +409,11 @@
 		return nil, estimate{}, false
 	}
 	reserve := m.options.RetrySlack * retryReserveShare / float64(m.instances())
-	if o.sends > 0 && !m.budget(o.service).TryWithdraw(now, reserve) {
-		return nil, estimate{}, false
+	if o.sends > 0 && !o.budgetWithdrawn {
+		if !m.budget(o.service).TryWithdraw(now, reserve) {
+			return nil, estimate{}, false
+		}
+		o.budgetWithdrawn = true
 	}
 	return next, est, true
 }
--- a/internal/core/gateway/machine_test.go
+++ b/internal/core/gateway/machine_test.go
@@ -125,9 +125,9 @@
 				})})
 			default:
 				for openID, r := range open {
-					failure := Failure(random.IntN(5))
+					failure := Failure(random.IntN(6))
 					switch failure {
-					case FailureDial:
+					case FailureDial, FailureNotSentInTime:
 						r.sends--
 					case FailureRejected:
 					default:
--- a/internal/core/gateway/messages.go
+++ b/internal/core/gateway/messages.go
@@ -59,11 +59,14 @@
 	// FailureErrorResponse: the endpoint ran the request and returned an error
 	// response.
 	FailureErrorResponse
+	// FailureNotSentInTime: the request was not written by SendBy. The endpoint is
+	// not at fault.
+	FailureNotSentInTime
 )
 
 // String returns the name used in logs and metrics.
 func (f Failure) String() string {
-	return [...]string{"dial", "rejected", "broken", "silent", "answered"}[f]
+	return [...]string{"dial", "rejected", "broken", "silent", "answered", "not-sent-in-time"}[f]
 }
 
 // AttemptFailed reports a failed attempt. The resulting action is a retry or the
@@ -168,6 +171,9 @@
 	Team     fleet.TeamName
 	// DeadlineAt is the time by which the caller gets a final response.
 	DeadlineAt time.Duration
+	// SendBy is the time after which the request must not be written any more, since
+	// the endpoint may have begun to drain; 0 means no limit.
+	SendBy time.Duration
 	// AttemptTimeout bounds the wait for the first byte; 0 means no bound.
 	AttemptTimeout time.Duration
 	// Priority ranges from 0, the most urgent, to 9.
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -90,9 +90,10 @@
 }
 
 func newProcess(d platform.Deployment, logger log.Interface, m *metrics, registry *prometheus.Registry) *process {
+	clock := task.NewClock()
 	p := &process{
-		deployment: d, clock: task.NewClock(), log: logger, metrics: m, registry: registry,
-		pool: upstream.NewPool(), store: platform.NewStore(d.StoreAddr),
+		deployment: d, clock: clock, log: logger, metrics: m, registry: registry,
+		pool: upstream.NewPool(clock), store: platform.NewStore(d.StoreAddr),
 		started: task.NewMailbox[gateway.CountStarted](startedMailbox), drain: make(chan struct{}), configTrigger: make(chan struct{}, 1), listTrigger: make(chan struct{}, 1),
 	}
 	p.gateway = newGatewayTask(p.clock, gateway.Options{
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -208,7 +208,7 @@
 	r.events = upstream.StartExchange(attemptCtx, r.connection.server.options.Pool, upstream.Request{
 		Address: a.Endpoint.Address, Method: r.incoming.request.Method, Target: r.incoming.request.RequestURI,
 		Host: r.incoming.request.Host, Header: platform.ForwardHeader(r.incoming.request.Header, forward),
-		Body: r.incoming.body, AttemptID: r.callerRequest.Attempt, MaxIdle: maxIdle,
+		Body: r.incoming.body, AttemptID: r.callerRequest.Attempt, SendBy: a.SendBy, MaxIdle: maxIdle,
 	})
 }
 
@@ -270,6 +270,8 @@
 
 func toFailure(e upstream.Failed) gateway.Failure {
 	switch {
+	case e.NotSentInTime:
+		return gateway.FailureNotSentInTime
 	case e.DialFailed:
 		return gateway.FailureDial
 	case !e.Reset:
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -49,6 +49,9 @@
 	Header    http.Header
 	Body      []byte
 	AttemptID string
+	// SendBy is the time of the pool's clock after which the request must not be
+	// written; 0 means no limit.
+	SendBy time.Duration
 	// MaxIdle bounds how long a reused connection may have been idle; 0 means a
 	// new connection.
 	MaxIdle time.Duration
@@ -97,6 +100,8 @@
 	Sent bool
 	// DialFailed is set if no connection could be opened.
 	DialFailed bool
+	// NotSentInTime is set if the request was not written because SendBy had passed.
+	NotSentInTime bool
 	// Reset is set if the endpoint closed or reset the connection, or violated
 	// the protocol.
 	Reset bool
@@ -137,6 +142,11 @@
 		return
 	}
 	x.connectedAt = time.Now()
+	if x.request.SendBy > 0 && x.pool.clock.Now() > x.request.SendBy {
+		x.returnUnused(conn)
+		x.emit(ctx, Failed{Cause: Error.New("no connection in time to send the request"), NotSentInTime: true, Reused: x.reused})
+		return
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.conn.Close() })
 	last, reusable := x.roundTrip(ctx, conn)
 	if !stop() {
@@ -150,6 +160,16 @@
 	x.emit(ctx, last)
 }
 
+// returnUnused returns a connection on which nothing was sent. A new one is closed,
+// since the keep-alive time of the endpoint is not known.
+func (x *exchange) returnUnused(c *Conn) {
+	if x.reused {
+		x.pool.put(c)
+		return
+	}
+	_ = c.conn.Close()
+}
+
 func (x *exchange) emit(ctx context.Context, e Event) {
 	select {
 	case x.events <- e:
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -61,13 +61,14 @@
 
 // Pool holds the idle connections by the address of their endpoint.
 type Pool struct {
+	clock   task.Clock
 	mailbox task.Mailbox[any]
 	idle    map[string][]*Conn
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{mailbox: task.NewMailbox[any](mailboxCapacity), idle: make(map[string][]*Conn)}
+func NewPool(clock task.Clock) *Pool {
+	return &Pool{clock: clock, mailbox: task.NewMailbox[any](mailboxCapacity), idle: make(map[string][]*Conn)}
 }
 
 // Run serves the pool until ctx is cancelled, then closes the idle connections.
@@ -174,9 +175,14 @@
 	}
 }
 
-// release returns a connection to the pool for reuse.
+// release returns a connection that has served a request to the pool for reuse.
 func (p *Pool) release(c *Conn) {
 	c.idleSince = time.Now()
+	p.put(c)
+}
+
+// put returns a connection to the pool. Its idle time goes on.
+func (p *Pool) put(c *Conn) {
 	if !p.mailbox.TrySend(release{conn: c}) {
 		_ = c.conn.Close()
 	}
