Bound what is read of a response that never ends

What callers saw: none yet; the users report back ends that send bytes which are no answer without end, in a head or a body. Cause: the head of a response was read without a bound, bodies up to 16 MiB each without a common bound, and a stream without events was passed on in pieces of 1 MiB. Change: a head has at most 64 KiB, a skipped response 1 MiB; the bodies that an instance buffers share 32 MiB beyond the first 16 KiB of each; a stream in which no event ends within 256 KiB is no answer, so it is resumed or cut. The connection is closed at once and the attempt counts as failed like any broken one; the time is bounded by the deadline of the request as before. The clients of store, cloud API, peers and engines accept heads of 64 KiB, and a body over their limit is an error, no longer cut. The stand-in and the soak play both kinds. The byte limit of connections moves to internal/socket, reading of responses to upstream/response.go.

--- a/internal/core/stream/splitter.go
+++ b/internal/core/stream/splitter.go
@@ -5,12 +5,15 @@
 
 import (
 	"bytes"
+	"errors"
 	"strconv"
 )
 
-// maxEventBytes bounds the buffer of an incomplete event. A larger buffer is
-// returned as it is.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds the size of an event.
+const maxEventBytes = 256 << 10
+
+// ErrEventTooLarge is returned for bytes in which no event ends.
+var ErrEventTooLarge = errors.New("no event ends within 256 KiB; the sender does not send an event stream")
 
 // Splitter buffers the bytes of an incomplete event until its end arrives.
 type Splitter struct {
@@ -32,8 +35,9 @@
 func (s *Splitter) EventCount() int { return s.eventCount }
 
 // Push adds bytes of the stream and returns the events that are now complete.
-// Events whose id is not above the last id are dropped as duplicates.
-func (s *Splitter) Push(data []byte) []byte {
+// Events whose id is not above the last id are dropped as duplicates. If no event ends
+// within maxEventBytes, it returns ErrEventTooLarge besides the events before.
+func (s *Splitter) Push(data []byte) ([]byte, error) {
 	s.pending = append(s.pending, data...)
 	var out []byte
 	for {
@@ -54,9 +58,10 @@
 		s.pending = s.pending[end+2:]
 	}
 	if len(s.pending) > maxEventBytes {
-		out, s.pending = append(out, s.pending...), nil
+		s.pending = nil
+		return out, ErrEventTooLarge
 	}
-	return out
+	return out, nil
 }
 
 // Remainder returns and clears the bytes after the last complete event. It is
--- a/internal/core/stream/splitter_test.go
+++ b/internal/core/stream/splitter_test.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"bytes"
 	"fmt"
 	"strings"
 	"testing"
@@ -35,7 +36,11 @@
 		push := func(data string) {
 			for len(data) > 0 {
 				size := rapid.IntRange(1, len(data)).Draw(t, "bytes")
-				got.Write(s.Push([]byte(data[:size])))
+				events, err := s.Push([]byte(data[:size]))
+				if err != nil {
+					t.Fatal(err)
+				}
+				got.Write(events)
 				data = data[size:]
 			}
 		}
@@ -57,6 +62,24 @@
 func TestRemainderReturnsIncompleteEvent(t *testing.T) {
 	is := is.New(t)
 	var s Splitter
-	is.Equal(len(s.Push([]byte("id: 1\ndata: x"))), 0)
+	events, err := s.Push([]byte("id: 1\ndata: x"))
+	is.NoErr(err)
+	is.Equal(len(events), 0)
 	is.Equal(string(s.Remainder()), "id: 1\ndata: x")
 }
+
+// TestBytesWithoutEventsFail guards against an endpoint that sends bytes without end in
+// place of events, which fill the memory or are passed on as a response.
+func TestBytesWithoutEventsFail(t *testing.T) {
+	is := is.New(t)
+	var s Splitter
+	events, err := s.Push([]byte("id: 1\n\n"))
+	is.NoErr(err)
+	is.Equal(string(events), "id: 1\n\n")
+	for pushed := 0; err == nil && pushed <= 2*maxEventBytes; pushed += 1000 {
+		events, err = s.Push(bytes.Repeat([]byte("a"), 1000))
+		is.Equal(len(events), 0)
+	}
+	is.Equal(err, ErrEventTooLarge)
+	is.Equal(len(s.Remainder()), 0)
+}
--- a/internal/e2e/edge_test.go
+++ b/internal/e2e/edge_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -73,6 +74,51 @@
 	is.True(err != nil) // a truncated response must be recognizable
 }
 
+// TestEdgeSurvivesEndlessResponses guards against replicas that fill the memory of a
+// process with bytes without end, in a head or a body, and against such bytes passed on as
+// a response (rule MIXED).
+func TestEdgeSurvivesEndlessResponses(t *testing.T) {
+	is := is.New(t)
+	const (
+		callers = 30
+		// maxMemoryBytes is half of the memory of the smallest machines.
+		maxMemoryBytes = 92 << 20
+	)
+	f := newEdgeFleet(t, 1)
+	faults := []userplatform.Fault{userplatform.FaultEndlessHead, userplatform.FaultEndlessBody}
+	for _, fault := range faults {
+		setFault(f.PlainReplicas[:1], fault)
+		setFault(f.ModelReplicas[:1], fault)
+		for range 2 { // the other replica serves
+			resp, body, id := f.do(f.Edges[0], call{method: http.MethodGet, target: "/check/x"})
+			is.Equal(resp.StatusCode, http.StatusOK)
+			is.Equal(body, "answer of "+id)
+			resp, body, _ = f.do(f.Edges[0], call{method: http.MethodPost, target: "/stream/x"})
+			is.Equal(resp.StatusCode, http.StatusOK)
+			is.Equal(body, allEvents(6))
+		}
+	}
+	for _, fault := range faults {
+		setFault(f.PlainReplicas, fault)
+		setFault(f.ModelReplicas, fault)
+		var conns []net.Conn
+		for range callers {
+			for _, target := range []string{"/check/x", "/stream/x"} {
+				conn, _ := f.sendCall(f.Edges[0], call{method: http.MethodPost, target: target})
+				conns = append(conns, conn)
+			}
+		}
+		for _, conn := range conns {
+			resp, _, err := f.readResponse(conn, http.MethodPost)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusBadGateway)
+		}
+	}
+	peak, err := f.Edges[0].PeakMemory()
+	is.NoErr(err)
+	is.True(peak < maxMemoryBytes)
+}
+
 // TestEdgeRunsOnce guards against a request that runs twice although it is not
 // idempotent, and against a refusal of a request that has run (rules TWICE, REFUSED).
 func TestEdgeRunsOnce(t *testing.T) {
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -16,6 +16,7 @@
 	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
 	"github.com/cornelhold/cornelhold/gen/cornelhold/v1/cornelholdv1connect"
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
+	"github.com/cornelhold/cornelhold/internal/socket"
 	"github.com/cornelhold/cornelhold/internal/task"
 	"github.com/cornelhold/cornelhold/platform"
 )
@@ -86,7 +87,9 @@
 	dialer := &net.Dialer{Timeout: pullTimeout, Control: platform.SetUserTimeout}
 	return &puller{
 		process: p, port: p.snapshotPort(),
-		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}},
+		client: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: socket.MaxResponseHeadBytes,
+		}},
 	}
 }
 
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/request"
+	"github.com/cornelhold/cornelhold/internal/socket"
 )
 
 // Error is the class of errors of endpoint calls.
@@ -63,10 +64,12 @@
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdlePerHost,
 			IdleConnTimeout:     idleConnTimeout,
+
+			MaxResponseHeaderBytes: socket.MaxResponseHeadBytes,
 		}},
 		// Probes, cancels and exports use new connections, since a pooled one
 		// may be unresponsive.
-		noKeepAlive: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}},
+		noKeepAlive: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: socket.MaxResponseHeadBytes}},
 	}
 }
 
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -14,6 +14,7 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/lease"
 	"github.com/cornelhold/cornelhold/internal/core/order"
+	"github.com/cornelhold/cornelhold/internal/socket"
 )
 
 // StatePath is where an endpoint reports its state and accepts orders.
@@ -66,6 +67,7 @@
 func NewOrderClient() *OrderClient {
 	return &OrderClient{http: &http.Client{Transport: &http.Transport{
 		DialContext: dialWithoutLinger, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout,
+		MaxResponseHeaderBytes: socket.MaxResponseHeadBytes,
 	}}}
 }
 
--- a/internal/engine/plain.go
+++ b/internal/engine/plain.go
@@ -10,6 +10,7 @@
 	"net/url"
 
 	"github.com/cornelhold/cornelhold/internal/core/claim"
+	"github.com/cornelhold/cornelhold/internal/socket"
 )
 
 // PlainRequest is one call of a plain service.
@@ -35,11 +36,13 @@
 	return &PlainClient{
 		// net/http may replay a request whose reused connection broke, so a call
 		// that is not idempotent gets a connection of its own.
-		singleUse: newPlainHTTPClient(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}),
+		singleUse: newPlainHTTPClient(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: socket.MaxResponseHeadBytes}),
 		pooled: newPlainHTTPClient(&http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdlePerHost,
 			IdleConnTimeout:     idleConnTimeout,
+
+			MaxResponseHeaderBytes: socket.MaxResponseHeadBytes,
 		}),
 	}
 }
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -54,7 +53,7 @@
 	server *Server
 	conn   net.Conn
 	reader *bufio.Reader
-	limit  *limitedReader
+	limit  *socket.LimitedReader
 	// requests carries requests from the reading goroutine to the task.
 	requests chan incomingRequest
 	// proceed allows the reading goroutine to read the next request.
@@ -65,25 +64,8 @@
 	stopped chan struct{}
 }
 
-var errHeadTooLarge = errors.New("request head exceeds the limit")
-
-// limitedReader limits the bytes read for a request's head.
-type limitedReader struct {
-	source    io.Reader
-	remaining int64
-}
-
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remaining <= 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := l.source.Read(p)
-	l.remaining -= int64(n)
-	return n, err
-}
-
 func newConnection(s *Server, conn net.Conn) *connection {
-	limit := &limitedReader{source: conn, remaining: math.MaxInt64}
+	limit := socket.NewLimitedReader(conn)
 	return &connection{
 		server: s, conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes),
 		requests: make(chan incomingRequest), proceed: make(chan struct{}, 1),
@@ -181,9 +163,9 @@
 	limits := c.limits()
 	in := incomingRequest{arrived: c.server.options.Clock.Now()}
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	c.limit.remaining = int64(limits.MaxHeaderBytes + headMarginBytes)
+	c.limit.SetLimit(int64(limits.MaxHeaderBytes + headMarginBytes))
 	req, err := http.ReadRequest(c.reader)
-	c.limit.remaining = math.MaxInt64
+	c.limit.ClearLimit()
 	if err != nil {
 		in.errorStatus = headErrorStatus(err)
 		return in, in.errorStatus != 0
@@ -210,7 +192,7 @@
 func headErrorStatus(err error) int {
 	var network net.Error
 	switch {
-	case errors.Is(err, errHeadTooLarge):
+	case errors.Is(err, socket.ErrLimitExceeded):
 		return http.StatusRequestHeaderFieldsTooLarge
 	case errors.As(err, &network) && network.Timeout():
 		return http.StatusRequestTimeout
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -34,6 +34,9 @@
 	maxDecisionTime = 2 * time.Second
 )
 
+// maxErrorBodyBytes bounds the body of an error response that is kept during a retry.
+const maxErrorBodyBytes = 64 << 10
+
 // resultCallerLeft is the result of a request whose caller disconnected before
 // its end.
 const resultCallerLeft = "caller-left"
@@ -189,6 +192,9 @@
 	r.outcome.Service, r.outcome.Endpoint, r.outcome.Attempts = a.Endpoint.Service, a.Endpoint.ID, a.Attempt
 	now := clock.Now()
 	r.chosenAt = now
+	if r.errorResponse != nil && len(r.errorResponse.Body) > maxErrorBodyBytes {
+		r.errorResponse = nil
+	}
 	r.deadlineTimer.Arm(a.DeadlineAt - now)
 	if a.AttemptTimeout > 0 {
 		r.attemptTimer.Arm(a.AttemptTimeout)
@@ -292,14 +298,20 @@
 
 func (r *request) handleData(ctx context.Context, data []byte) (done, reusable bool) {
 	first := r.splitter.EventCount() == 0 || r.head != nil
-	events := r.splitter.Push(data)
-	if len(events) == 0 {
-		return false, false
+	events, err := r.splitter.Push(data)
+	if len(events) > 0 {
+		if first {
+			r.responseStarted(ctx)
+		}
+		if done, reusable := r.deliver(events, false); done {
+			return done, reusable
+		}
 	}
-	if first {
-		r.responseStarted(ctx)
+	if err != nil {
+		r.lastError = err.Error()
+		r.failAttempt(ctx, gateway.FailureConnectionLost, false)
 	}
-	return r.deliver(events, false)
+	return false, false
 }
 
 // deliver writes stream data to the caller, preceded by the head if it was not
@@ -366,9 +378,8 @@
 
 func (r *request) writeResponse(e upstream.FullResponse) bool {
 	r.outcome.Status = e.Status
-	out := responseHead(e.Status, platform.ResponseHeader(e.Header), len(e.Body), r.closing)
-	out.Write(e.Body)
-	return r.connection.write(out.Bytes()) == nil
+	head := responseHead(e.Status, platform.ResponseHeader(e.Header), len(e.Body), r.closing)
+	return r.connection.write(head.Bytes(), e.Body) == nil
 }
 
 // finishRefused ends a request that the gateway refused or does not retry. The
--- a/internal/front/writer.go
+++ b/internal/front/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -29,9 +30,11 @@
 	return &head
 }
 
-func (c *connection) write(data []byte) error {
+// write writes the parts of a response without copying them.
+func (c *connection) write(parts ...[]byte) error {
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := c.conn.Write(data)
+	buffers := net.Buffers(parts)
+	_, err := buffers.WriteTo(c.conn)
 	return err
 }
 
--- a/internal/peer/handoff.go
+++ b/internal/peer/handoff.go
@@ -13,6 +13,7 @@
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/handoff"
 	"github.com/cornelhold/cornelhold/internal/core/request"
+	"github.com/cornelhold/cornelhold/internal/socket"
 )
 
 const (
@@ -74,8 +75,10 @@
 func NewHandoffClient() *HandoffClient {
 	dialer := &net.Dialer{Timeout: handoffDialTimeout}
 	return &HandoffClient{http: &http.Client{
-		Timeout:   handoffTimeout,
-		Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout},
+		Timeout: handoffTimeout,
+		Transport: &http.Transport{
+			DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: socket.MaxResponseHeadBytes,
+		},
 	}}
 }
 
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/cornelhold/cornelhold/internal/socket"
 )
 
 // Error classes of platform calls.
@@ -62,6 +64,8 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: socket.MaxResponseHeadBytes,
 	}}
 }
 
@@ -78,10 +82,13 @@
 		return classifySendError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return ErrUnknownOutcome.New("%s %s: cannot read the whole response: %w", method, url, err)
 	}
+	if len(data) > maxResponseBytes {
+		return ErrUnknownOutcome.New("%s %s: response body exceeds the limit of %d bytes", method, url, maxResponseBytes)
+	}
 	if err := statusError(resp, data); err != nil {
 		if ErrExpired.Has(err) {
 			// The body contains the offsets that the stream still holds.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -126,6 +126,7 @@
 	replicaFaults := []userplatform.Fault{
 		userplatform.FaultServerError, userplatform.FaultReject, userplatform.FaultReset, userplatform.FaultTruncateStream,
 		userplatform.FaultStaleResponse, userplatform.FaultExtraResponse, userplatform.FaultUnsigned,
+		userplatform.FaultEndlessHead, userplatform.FaultEndlessBody,
 	}
 	replicaFault := replicaFaults[r.random.IntN(len(replicaFaults))]
 	refusedEdges := lo.Filter(r.fleet.Edges, func(*edgefleet.Edge, int) bool { return r.random.Float64() < 0.5 })
--- a/internal/standin/userplatform/replica.go
+++ b/internal/standin/userplatform/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -38,6 +39,10 @@
 	FaultUnsigned
 	// FaultNoResponse reads the request and never responds.
 	FaultNoResponse
+	// FaultEndlessHead sends a header line without end.
+	FaultEndlessHead
+	// FaultEndlessBody sends a body without end and without an event.
+	FaultEndlessBody
 )
 
 // Run is a request that a replica started to execute.
@@ -179,6 +184,10 @@
 		writeResponse(conn, "200 OK", "Attempt-Id: other\r\nReplica-Signature: x\r\n", "the answer to another request")
 	case FaultUnsigned:
 		return writeResponse(conn, "200 OK", head, "unsigned")
+	case FaultEndlessHead:
+		return writeForever(conn, "HTTP/1.1 200 OK\r\n"+signed+"X-Endless: ")
+	case FaultEndlessBody:
+		return writeForever(conn, "HTTP/1.1 200 OK\r\n"+signed+"Content-Type: text/event-stream\r\n\r\n")
 	}
 	if strings.Contains(req.URL.Path, "stream") {
 		return r.streamEvents(conn, req, signed, fault)
@@ -223,6 +232,19 @@
 	return err == nil
 }
 
+// writeForever writes start and then bytes until the other side closes the connection.
+func writeForever(conn net.Conn, start string) bool {
+	_, err := io.WriteString(conn, start)
+	filler := bytes.Repeat([]byte("a"), fillerBytes)
+	for err == nil {
+		_, err = conn.Write(filler)
+	}
+	return false
+}
+
+// fillerBytes is the number of bytes that an endless response writes at once.
+const fillerBytes = 32 << 10
+
 func resetConn(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -1,11 +1,9 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -24,19 +22,12 @@
 	// dialTimeout bounds the opening of a connection; the round trip to endpoints
 	// takes a few milliseconds.
 	dialTimeout = 600 * time.Millisecond
-	// maxResponseBytes bounds the body of a response that is not a stream.
-	maxResponseBytes = 16 << 20
-	// maxStaleResponses bounds the responses to other requests that are skipped
-	// before the connection is abandoned.
-	maxStaleResponses = 3
 	// maxInlineBodyBytes is the maximum size of a body that is written before the
 	// response is read. Larger bodies are written concurrently, because an
 	// endpoint may respond before it has read them.
 	maxInlineBodyBytes = 2048
 	// eventBuffer is the number of events buffered for the request task.
 	eventBuffer = 16
-	// streamBufferBytes is the size of the read buffer for stream data.
-	streamBufferBytes = 8192
 )
 
 // Request is a request to an endpoint.
@@ -128,7 +119,8 @@
 }
 
 // StartExchange starts an exchange and returns its events. Its task ends after
-// the last event, or when ctx is cancelled, which closes the connection.
+// the last event, or when ctx is cancelled, which closes the connection. The receiver
+// must cancel ctx once it no longer holds the response.
 func StartExchange(ctx context.Context, pool *Pool, r Request) <-chan Event {
 	x := &exchange{pool: pool, request: r, events: make(chan Event, eventBuffer), startedAt: time.Now()}
 	go x.run(ctx)
@@ -189,7 +181,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	return &Conn{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), address: x.request.Address}, nil
+	return newConn(conn, x.request.Address), nil
 }
 
 // roundTrip sends the request and reads the response. It returns the last event
@@ -211,9 +203,9 @@
 	defer resp.Body.Close() //nolint:errcheck // the channel is closed if the body was not read
 	var last Event
 	if isStream(resp) {
-		last, err = x.readStream(ctx, resp, decoded)
+		last, err = x.readStream(ctx, c, resp, decoded)
 	} else {
-		last, err = readFull(resp, decoded)
+		last, err = x.readFull(ctx, c, resp, decoded)
 	}
 	if err != nil {
 		return x.failure(err), false
@@ -259,70 +251,11 @@
 	return written, nil
 }
 
-// readHead reads the head of the response to this request. Interim responses and
-// late responses to earlier requests on the connection are skipped.
-func (x *exchange) readHead(c *Conn) (*http.Response, platform.EndpointResponse, error) {
-	for range maxStaleResponses {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: x.request.Method})
-		if err != nil {
-			return nil, platform.EndpointResponse{}, err
-		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
-			continue
-		}
-		decoded := platform.DecodeEndpointResponse(resp.StatusCode, resp.Header)
-		if decoded.Attempt == x.request.AttemptID {
-			return resp, decoded, nil
-		}
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-			return nil, decoded, Error.New("got a response to request %q of unknown length, want one to request %q", decoded.Attempt, x.request.AttemptID)
-		}
-		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes))
-		if err != nil {
-			return nil, decoded, err
-		}
-	}
-	return nil, platform.EndpointResponse{}, Error.New("got only responses to other requests, want one to request %q", x.request.AttemptID)
-}
-
-func isStream(resp *http.Response) bool {
-	return resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
-}
-
-func (x *exchange) readStream(ctx context.Context, resp *http.Response, decoded platform.EndpointResponse) (Event, error) {
-	x.emit(ctx, StreamHead{Status: resp.StatusCode, Header: resp.Header, Decoded: decoded})
-	buf := make([]byte, streamBufferBytes)
-	for {
-		n, err := resp.Body.Read(buf)
-		if n > 0 {
-			x.emit(ctx, StreamData{Bytes: bytes.Clone(buf[:n])})
-		}
-		switch {
-		case err == io.EOF:
-			return StreamEnd{}, nil
-		case err != nil:
-			return nil, err
-		}
-	}
-}
-
-func readFull(resp *http.Response, decoded platform.EndpointResponse) (Event, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxResponseBytes {
-		return nil, Error.New("response body exceeds the limit of %d bytes", maxResponseBytes)
-	}
-	return FullResponse{Status: resp.StatusCode, Header: resp.Header, Decoded: decoded, Body: body}, nil
-}
-
 // reusable reports whether the connection can serve another request: the response
 // was delimited, no unread bytes follow it, and the request was written
 // completely. It sets the connection's keep-alive time.
 func (x *exchange) reusable(c *Conn, resp *http.Response, written chan error) bool {
-	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if resp.Close || !delimited || c.reader.Buffered() > 0 {
+	if resp.Close || !isDelimited(resp) || c.reader.Buffered() > 0 {
 		return false
 	}
 	select {
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -79,3 +82,122 @@
 	is.True(!failed.Sent)
 	is.Equal(<-received, 0)
 }
+
+// repeat writes text to conn until the other side closes the connection.
+func repeat(conn net.Conn, text string) {
+	data := []byte(strings.Repeat(text, 1+8192/len(text)))
+	for {
+		if _, err := conn.Write(data); err != nil {
+			return
+		}
+	}
+}
+
+const (
+	okHead      = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nReplica-Signature: s\r\n"
+	chunkedHead = okHead + "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+// endlessResponses are the ways in which an endpoint sends bytes without end: what it
+// sends once, and what it then repeats.
+var endlessResponses = map[string]struct{ once, repeated string }{
+	"status line":       {"HTTP/1.1 200 ", "a"},
+	"header line":       {okHead + "X-Endless: ", "a"},
+	"header lines":      {okHead, "X-Endless: a\r\n"},
+	"interim responses": {"", "HTTP/1.1 103 Early Hints\r\nX-Hint: a\r\n\r\n"},
+	"stale responses":   {"", "HTTP/1.1 200 OK\r\nAttempt-Id: b\r\nContent-Length: 1\r\n\r\na"},
+	"stale body":        {"HTTP/1.1 200 OK\r\nAttempt-Id: b\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"},
+	"body":              {okHead + "\r\n", "a"},
+	"chunks":            {chunkedHead, "400\r\n" + strings.Repeat("a", 1024) + "\r\n"},
+	"small chunks":      {chunkedHead, "1\r\na\r\n"},
+	"chunk size":        {chunkedHead, "0"},
+	"chunk extension":   {chunkedHead + "1;", "a"},
+	"trailer":           {chunkedHead + "1\r\na\r\n0\r\n", "X-Endless: a\r\n"},
+	"no protocol":       {"", "\x00\xff"},
+}
+
+// TestEndlessResponsesFail guards against an endpoint that sends bytes without end, in a
+// head or a body, and so fills the memory of the instance.
+func TestEndlessResponsesFail(t *testing.T) {
+	for name, response := range endlessResponses {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			ended := make(chan struct{})
+			address := serve(t, func(conn net.Conn) {
+				defer close(ended)
+				_, _ = io.WriteString(conn, response.once)
+				repeat(conn, response.repeated)
+			})
+			request := Request{Address: address, Method: http.MethodGet, Target: "/", Host: "h", AttemptID: "a"}
+			failed, ok := lastEvent(t, ctx, StartExchange(ctx, startPool(t, ctx, task.NewClock()), request)).(Failed)
+			is.True(ok)
+			is.True(failed.Sent && failed.Reset)
+			select {
+			case <-ended: // the connection was closed
+			case <-ctx.Done():
+				t.Fatal("the connection stayed open")
+			}
+		})
+	}
+}
+
+// TestManyEndlessResponsesFitIntoMemory guards against an instance that exceeds its memory
+// because many responses without end are buffered at the same time.
+func TestManyEndlessResponsesFitIntoMemory(t *testing.T) {
+	const (
+		exchanges = 60
+		// maxHeapBytes is half of the memory of the smallest instances.
+		maxHeapBytes = 92 << 20
+	)
+	for _, name := range []string{"header line", "body", "chunks"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			response := endlessResponses[name]
+			address := serve(t, func(conn net.Conn) {
+				_, _ = io.WriteString(conn, response.once)
+				repeat(conn, response.repeated)
+			})
+			pool := startPool(t, ctx, task.NewClock())
+			request := Request{Address: address, Method: http.MethodGet, Target: "/", Host: "h", AttemptID: "a"}
+			var started []<-chan Event
+			for range exchanges {
+				started = append(started, StartExchange(ctx, pool, request))
+			}
+			var most uint64
+			for _, events := range started {
+				_, ok := lastEvent(t, ctx, events).(Failed)
+				is.True(ok)
+				var stats runtime.MemStats
+				runtime.ReadMemStats(&stats)
+				most = max(most, stats.HeapAlloc)
+			}
+			is.True(most < maxHeapBytes)
+		})
+	}
+}
+
+// TestLargeResponsesFree guards against large responses that are refused for ever because
+// those before them count as buffered after their requests have ended.
+func TestLargeResponsesFree(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	const size = 8 << 20
+	address := serve(t, func(conn net.Conn) {
+		_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n", okHead, size)
+		_, _ = conn.Write(make([]byte, size))
+	})
+	pool := startPool(t, ctx, task.NewClock())
+	request := Request{Address: address, Method: http.MethodGet, Target: "/", Host: "h", AttemptID: "a"}
+	for range 8 {
+		requestCtx, end := context.WithCancel(ctx)
+		response, ok := lastEvent(t, ctx, StartExchange(requestCtx, pool, request)).(FullResponse)
+		end()
+		is.True(ok)
+		is.Equal(len(response.Body), size)
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/samber/lo"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/cornelhold/cornelhold/internal/socket"
 	"github.com/cornelhold/cornelhold/internal/task"
@@ -36,7 +37,9 @@
 
 // Conn is a connection to an endpoint.
 type Conn struct {
-	conn    net.Conn
+	conn net.Conn
+	// limit bounds the bytes that reader reads from conn.
+	limit   *socket.LimitedReader
 	reader  *bufio.Reader
 	address string
 	// keepAlive is how long the connection may stay idle.
@@ -44,6 +47,11 @@
 	idleSince time.Time
 }
 
+func newConn(conn net.Conn, address string) *Conn {
+	limit := socket.NewLimitedReader(conn)
+	return &Conn{conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), address: address}
+}
+
 // alive reports whether an idle connection is open and has no unread bytes.
 func (c *Conn) alive() bool {
 	return c.reader.Buffered() == 0 && socket.Peek(c.conn) == socket.Open
@@ -61,14 +69,16 @@
 
 // Pool holds the idle connections by the address of their endpoint.
 type Pool struct {
-	clock   task.Clock
+	clock task.Clock
+	// memory is what all buffered responses share, in bytes.
+	memory  *semaphore.Weighted
 	mailbox task.Mailbox[any]
 	idle    map[string][]*Conn
 }
 
 // NewPool returns an empty pool.
 func NewPool(clock task.Clock) *Pool {
-	return &Pool{clock: clock, mailbox: task.NewMailbox[any](mailboxCapacity), idle: make(map[string][]*Conn)}
+	return &Pool{clock: clock, memory: semaphore.NewWeighted(maxBufferedBytes), mailbox: task.NewMailbox[any](mailboxCapacity), idle: make(map[string][]*Conn)}
 }
 
 // Run serves the pool until ctx is cancelled, then closes the idle connections.
