--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -1,8 +1,8 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -180,24 +180,34 @@
 	}
 }
 
-// TestLargeResponsesFree guards against large responses that are refused for ever because
-// those before them count as buffered after their requests have ended.
-func TestLargeResponsesFree(t *testing.T) {
-	is := is.New(t)
-	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
-	defer cancel()
-	const size = 8 << 20
-	address := serve(t, func(conn net.Conn) {
-		_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n", okHead, size)
-		_, _ = conn.Write(make([]byte, size))
-	})
-	pool := startPool(t, ctx, task.NewClock())
-	request := Request{Address: address, Method: http.MethodGet, Target: "/", Host: "h", AttemptID: "a"}
-	for range 8 {
-		requestCtx, end := context.WithCancel(ctx)
-		response, ok := lastEvent(t, ctx, StartExchange(requestCtx, pool, request)).(FullResponse)
-		end()
-		is.True(ok)
-		is.Equal(len(response.Body), size)
+// TestLargeResponsesAreFreed guards against large responses that are refused for ever
+// because those before them count as buffered after their requests have ended.
+func TestLargeResponsesAreFreed(t *testing.T) {
+	for name, head := range map[string]string{"known length": "Content-Length: 8388608\r\n\r\n", "unknown length": "\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			const size = 8388608
+			address := serve(t, func(conn net.Conn) {
+				// A close with unread bytes would reset the connection.
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				_, _ = io.WriteString(conn, okHead+head)
+				_, _ = conn.Write(make([]byte, size))
+				_ = conn.Close()
+			})
+			pool := startPool(t, ctx, task.NewClock())
+			request := Request{Address: address, Method: http.MethodGet, Target: "/", Host: "h", AttemptID: "a"}
+			for range 5 {
+				requestCtx, end := context.WithCancel(ctx)
+				response, ok := lastEvent(t, ctx, StartExchange(requestCtx, pool, request)).(FullResponse)
+				is.True(ok)
+				is.Equal(len(response.Body), size)
+				is.True(!pool.memory.TryAcquire(maxBufferedBytes))
+				end()
+				is.NoErr(pool.memory.Acquire(ctx, maxBufferedBytes)) // once it is freed
+				pool.memory.Release(maxBufferedBytes)
+			}
+		})
 	}
 }
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -100,7 +100,7 @@
 	if resp.ContentLength > maxResponseBytes {
 		return nil, Error.New("response body of %d bytes exceeds the limit of %d bytes", resp.ContentLength, maxResponseBytes)
 	}
-	buffer := bodyBuffer{memory: x.pool.memory}
+	buffer := bodyBuffer{memory: x.pool.memory, length: resp.ContentLength}
 	body, err := buffer.readAll(resp.Body)
 	if err != nil {
 		return nil, err
@@ -113,7 +113,9 @@
 // bodyBuffer collects the body of a response. Its capacity is reserved from the memory
 // that all buffered responses share.
 type bodyBuffer struct {
-	memory   *semaphore.Weighted
+	memory *semaphore.Weighted
+	// length is the stated length of the body, -1 if it is not known.
+	length   int64
 	reserved int64
 	data     []byte
 }
@@ -146,8 +148,12 @@
 		return Error.New("response body exceeds the limit of %d bytes", maxResponseBytes)
 	}
 	capacity := max(2*cap(b.data), uncountedBytes)
+	if b.length >= 0 {
+		// One more byte than the body has is needed to read its end.
+		capacity = int(b.length) + 1
+	}
 	reserve := int64(capacity)
-	if capacity == uncountedBytes {
+	if capacity <= uncountedBytes {
 		reserve = 0
 	}
 	if !b.memory.TryAcquire(reserve) {
