Bound a duty call by the time at which its lease was checked

Cause: a duty call had one second from the moment at which it was sent. Change: the call ends within a second of the check; one that would start later is not sent. An outdated instance list also triggers a read of the configuration.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -212,7 +212,7 @@
 
 // performDuties starts the calls that are due for the holder.
 func (t *dutiesTask) performDuties(ctx context.Context, now time.Duration, fence int64) {
-	holder := platform.LeaseHolder{Node: t.process.deployment.Node, Fence: fence}
+	holder := platform.LeaseHolder{Node: t.process.deployment.Node, Fence: fence, CheckedAt: now}
 	for _, a := range t.reporter.NextActions(now, t.clock.TrueTime(now), t.usage) {
 		t.performReport(ctx, holder, a)
 	}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -104,7 +104,10 @@
 		RetryRatio: d.Bounds.RetryRatio, RetrySlack: d.Bounds.RetrySlack, RetryWindow: d.Bounds.RetryWindow,
 		DrainBound: d.Bounds.Drain,
 	}, p.started)
-	p.gateway.readList = func() { triggerRead(p.listTrigger) }
+	p.gateway.readList = func() {
+		triggerRead(p.listTrigger)
+		triggerRead(p.configTrigger)
+	}
 	p.directory = newDirectoryTask(p.clock, logger, m, p.gateway)
 	seed := rand.Uint64()
 	boot := strconv.FormatUint(seed, 36)
