Give refusals at a stop and under overload a reason

Cause: front refused requests that may outlast a stopping process, and those for which the gateway has no room, without a reason; "request ended" had none. Change: the reasons draining and overload. TestRefusalsHaveReasons failed before.

--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -102,9 +102,11 @@
 func (r *request) run(ctx context.Context) bool {
 	o := r.connection.server.options
 	if o.Stage() == StageClosing && (r.callerRequest.Deadline == 0 || r.callerRequest.Deadline > o.TimeLeft()) {
+		r.outcome.Reason = string(fleet.RefusedDraining)
 		return r.refuse(http.StatusServiceUnavailable, time.Millisecond, "this instance shuts down; use another")
 	}
 	if !o.Gateway.Submit(gateway.RequestArrived{ID: r.id, Request: r.toGatewayRequest(o.Random())}, r.replies) {
+		r.outcome.Reason = string(fleet.RefusedOverload)
 		return r.refuse(http.StatusServiceUnavailable, time.Second, "this instance is overloaded; retry")
 	}
 	r.deadlineTimer.Arm(r.decisionTimeout())
--- /dev/null
+++ b/internal/front/request_test.go
@@ -0,0 +1,63 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/cornelhold/cornelhold/internal/core/catalog"
+	"github.com/cornelhold/cornelhold/internal/core/gateway"
+	"github.com/cornelhold/cornelhold/internal/task"
+)
+
+// unusedGateway accepts no requests.
+type unusedGateway struct{}
+
+func (unusedGateway) Submit(gateway.RequestArrived, chan<- gateway.Action) bool { return false }
+func (unusedGateway) Post(context.Context, gateway.Message)                     {}
+
+// outcomes is an observer that passes the outcomes on.
+type outcomes chan Outcome
+
+func (o outcomes) RequestSent(SendTimes)      {}
+func (o outcomes) RequestEnded(ended Outcome) { o <- ended }
+
+// TestRefusalsHaveReasons guards against refusals without a reason in the log, which
+// on-call cannot explain.
+func TestRefusalsHaveReasons(t *testing.T) {
+	for stage, reason := range map[Stage]string{StageClosing: "draining", StageServing: "overload"} {
+		is := is.New(t)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		ended := make(outcomes, 1)
+		server := NewServer(listener, Options{
+			Clock: task.NewClock(), Gateway: unusedGateway{}, Observer: ended, Log: &log.Logger{Handler: discard.New()},
+			Limits: func() catalog.Limits { return catalog.Limits{} }, Stage: func() Stage { return stage },
+			TimeLeft: func() time.Duration { return 0 }, Random: func() float64 { return 0 },
+			NextID: func() gateway.RequestID { return 1 },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		context.AfterFunc(ctx, func() { _ = listener.Close() })
+		go func() { _ = server.Run(ctx) }()
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		is.NoErr(err)
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\n\r\n")
+		is.NoErr(err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		outcome := <-ended
+		is.Equal(outcome.Reason, reason)
+		is.Equal(outcome.Attempt, "a")
+		cancel()
+		_ = conn.Close()
+	}
+}
