--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -22,6 +22,7 @@
 var stateMessages = []string{
 	"start", "configuration in force", "endpoints changed", "store lost", "store regained",
 	"snapshot of a peer received", "peer lost", "process stalled", "drain",
+	"instance list outdated; requests wait for a read",
 }
 
 // logLine is one structured log line of a cornelhold process.
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -28,8 +28,7 @@
 	replies map[gateway.RequestID]chan<- gateway.Action
 	// started receives the requests that endpoints have started to execute.
 	started task.Mailbox[gateway.CountStarted]
-	// readList triggers a read of the instance list and of the configuration, which is
-	// as outdated.
+	// readList triggers a read of the instance list.
 	readList func()
 	// limits and ready are copies for tasks that only read them.
 	limits atomic.Pointer[catalog.Limits]
--- a/internal/edge/listreads.go
+++ b/internal/edge/listreads.go
@@ -28,6 +28,14 @@
 	reportedAt atomic.Int64
 }
 
+// readOutdatedList triggers a read of the list, for which requests wait, and of the
+// configuration, which may be as outdated.
+func (p *process) readOutdatedList() {
+	p.log.WithField("list_age_ms", p.list.age().Milliseconds()).Warn("instance list outdated; requests wait for a read")
+	triggerRead(p.listTrigger)
+	triggerRead(p.configTrigger)
+}
+
 // reportListUnreachable reports to the gateway that the list cannot be read now.
 func (p *process) reportListUnreachable(ctx context.Context) {
 	p.gateway.Post(ctx, gateway.ListUnreachable{At: p.clock.Now()})
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -104,10 +104,7 @@
 		RetryRatio: d.Bounds.RetryRatio, RetrySlack: d.Bounds.RetrySlack, RetryWindow: d.Bounds.RetryWindow,
 		DrainBound: d.Bounds.Drain,
 	}, p.started)
-	p.gateway.readList = func() {
-		triggerRead(p.listTrigger)
-		triggerRead(p.configTrigger)
-	}
+	p.gateway.readList = p.readOutdatedList
 	p.directory = newDirectoryTask(p.clock, logger, m, p.gateway)
 	seed := rand.Uint64()
 	boot := strconv.FormatUint(seed, 36)
