Count the store as unreachable only after a second failed read

Cause: any failed read of the list let the gateway choose from an outdated list for 2 s. After a process did not run for a while, the store may have closed its idle connection, so that the first read fails although the store is well. Change: a read that fails within 0.2 s is repeated once before it counts.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -30,6 +30,9 @@
 	// listBehindShare is how long, as a share of the drain bound, the list may be
 	// behind that of a peer before the store is read.
 	listBehindShare = 0.2
+	// quickFailure is the duration up to which a failed read is repeated at once: the
+	// store may only have closed an idle connection.
+	quickFailure = 200 * time.Millisecond
 	// defaultBound replaces bounds that are missing in the settings.
 	defaultBound = 2 * time.Second
 	// retryInterval is the delay after a failed read by the reader of a data centre,
@@ -79,7 +82,7 @@
 // outage of the store.
 func (f *follower) run(ctx context.Context) error {
 	var nextOffset int64
-	resync, down := true, false
+	resync, down, repeated := true, false, false
 	for ctx.Err() == nil {
 		startedAt := task.BootTime()
 		batch, err := f.read(ctx, nextOffset, resync)
@@ -93,6 +96,9 @@
 		case err != nil && ranOver(startedAt, f.wait+platform.CallTimeout):
 			f.log.WithField("topic", f.topic).WithError(err).Info("read failed because the process did not run; reading again")
 			continue
+		case err != nil && !repeated && task.BootTime()-startedAt < quickFailure:
+			repeated = true
+			continue
 		case err != nil:
 			if !down && ctx.Err() == nil {
 				f.log.WithField("topic", f.topic).WithError(err).Warn("store lost")
@@ -102,6 +108,7 @@
 			sleep(ctx, f.retryDelay())
 			continue
 		}
+		repeated = false
 		if down {
 			f.log.WithField("topic", f.topic).Info("store regained")
 			f.onRecovery(ctx)
