--- /dev/null
+++ b/internal/front/response.go
@@ -0,0 +1,106 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+
+	"github.com/cornelhold/cornelhold/internal/core/gateway"
+	"github.com/cornelhold/cornelhold/internal/upstream"
+	"github.com/cornelhold/cornelhold/platform"
+)
+
+func (r *request) responseStarted(ctx context.Context) {
+	r.attemptTimer.Stop()
+	if !r.started {
+		r.outcome.Wait = r.connection.server.options.Clock.Now() - r.incoming.arrived
+		r.started = true
+	}
+	r.connection.server.options.Gateway.Post(ctx, gateway.ResponseStarted{ID: r.id})
+}
+
+func (r *request) handleData(ctx context.Context, data []byte) (done, reusable bool) {
+	first := r.splitter.EventCount() == 0 || r.head != nil
+	events, err := r.splitter.Push(data)
+	if len(events) > 0 {
+		if first {
+			r.responseStarted(ctx)
+		}
+		if done, reusable := r.deliver(events, false); done {
+			return done, reusable
+		}
+	}
+	if err != nil {
+		r.lastError = err.Error()
+		r.failAttempt(ctx, gateway.FailureConnectionLost, false)
+	}
+	return false, false
+}
+
+// deliver writes stream data to the caller, preceded by the head if it was not
+// written yet. last ends the body.
+func (r *request) deliver(data []byte, last bool) (done, reusable bool) {
+	var out bytes.Buffer
+	if !r.delivered {
+		out = *responseHead(r.head.Status, platform.ResponseHeader(r.head.Header), -1, r.closing)
+		r.outcome.Status = r.head.Status
+	}
+	r.delivered, r.head = true, nil
+	appendChunk(&out, data)
+	if last {
+		out.WriteString(lastChunk)
+	}
+	if err := r.connection.write(out.Bytes()); err != nil {
+		r.outcome.Result = resultCallerLeft
+		return true, false
+	}
+	if last {
+		r.outcome.Result = "served"
+	}
+	return last, last
+}
+
+func (r *request) handleEnd(ctx context.Context) (done, reusable bool) {
+	if !r.delivered {
+		r.responseStarted(ctx)
+	}
+	return r.deliver(r.splitter.Remainder(), true)
+}
+
+func (r *request) handleFullResponse(ctx context.Context, e upstream.FullResponse) (done, reusable bool) {
+	success := e.Status >= 200 && e.Status < 300
+	switch {
+	case e.Decoded.NotExecuted:
+		r.failAttempt(ctx, gateway.FailureRejected, false)
+		return false, false
+	case success && !e.Decoded.Signed, r.delivered:
+		r.failAttempt(ctx, gateway.FailureConnectionLost, false)
+		return false, false
+	case e.Status >= 500 || impliesNotRun(e.Status):
+		r.responseStarted(ctx)
+		r.errorResponse = &e
+		r.failAttempt(ctx, gateway.FailureErrorResponse, false)
+		return false, false
+	}
+	r.responseStarted(ctx)
+	if success {
+		r.outcome.Result = "served"
+	}
+	return true, r.writeResponse(e)
+}
+
+// impliesNotRun reports whether callers conclude from a status that the request
+// was not run.
+func impliesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+func (r *request) writeResponse(e upstream.FullResponse) bool {
+	r.outcome.Status = e.Status
+	head := responseHead(e.Status, platform.ResponseHeader(e.Header), len(e.Body), r.closing)
+	return r.connection.write(head.Bytes(), e.Body) == nil
+}
