Remove two fields of the gateway that nothing reads

AttemptFailed.Delivered and openRequest.priority were set and never read. A report without the time of sending, as an older program sends it, does not confirm the list.

--- a/internal/core/gateway/admission.go
+++ b/internal/core/gateway/admission.go
@@ -77,7 +77,7 @@
 	if !ok {
 		return nil, fleet.Refuse(fleet.RefusedNotFound, 0, "no route matches host and path; check both")
 	}
-	o := &openRequest{request: r, route: route, tried: make(map[fleet.EndpointID]bool), priority: route.Priority}
+	o := &openRequest{request: r, route: route, tried: make(map[fleet.EndpointID]bool)}
 	if m.catalog.HasTeams() {
 		team, known := m.catalog.TeamByKey(r.Key)
 		if r.HasKey && known {
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -32,7 +32,6 @@
 	service      fleet.ServiceName
 	quotaAmount  float64
 	deadlineAt   time.Duration
-	priority     int
 	sends        int
 	dialFailures int
 	// budgetWithdrawn is set while the retry budget is charged for an attempt that
--- a/internal/core/gateway/messages.go
+++ b/internal/core/gateway/messages.go
@@ -74,8 +74,6 @@
 type AttemptFailed struct {
 	ID      RequestID
 	Failure Failure
-	// Delivered is set once a part of the response was sent to the caller.
-	Delivered bool
 	// Reused is set if the connection had served other requests before.
 	Reused bool
 }
--- a/internal/core/gateway/retry.go
+++ b/internal/core/gateway/retry.go
@@ -102,7 +102,7 @@
 	if refusal != nil {
 		return refusal
 	}
-	o.route, o.team, o.service, o.priority = current.route, current.team, current.service, current.priority
+	o.route, o.team, o.service = current.route, current.team, current.service
 	return nil
 }
 
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -70,4 +70,6 @@
 	report.SentMs += 200
 	reported = newReportedState(receivedAt+2*time.Second, &from, report) // it waited for 1.6 s
 	is.Equal(reported.listCompleteAt.Round(10*time.Millisecond), receivedAt+100*time.Millisecond)
+	report.SentMs = 0 // an older program does not send it
+	is.True(!newReportedState(receivedAt+3*time.Second, &from, report).listAgeKnown)
 }
--- a/internal/edge/pulls.go
+++ b/internal/edge/pulls.go
@@ -51,7 +51,7 @@
 	return reportedState{
 		version: catalog.Version(m.GetConfigVersion()), listOffset: m.GetListOffset(),
 		dataCentre:     fleet.DataCentre(m.GetDataCentre()),
-		listCompleteAt: now - delay - milliseconds(m.GetListAgeMs()), listAgeKnown: known,
+		listCompleteAt: now - delay - milliseconds(m.GetListAgeMs()), listAgeKnown: known && m.GetSentMs() > 0,
 		healthyFor: milliseconds(m.GetListHealthyMs()),
 	}
 }
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -249,7 +249,7 @@
 	r.splitter.Discard()
 	r.outcome.Reason = f.String()
 	r.connection.server.options.Gateway.Post(ctx, gateway.AttemptFailed{
-		ID: r.id, Failure: f, Delivered: r.delivered, Reused: reused,
+		ID: r.id, Failure: f, Reused: reused,
 	})
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -200,7 +200,7 @@
 	if err != nil {
 		return x.failure(err), false
 	}
-	defer resp.Body.Close() //nolint:errcheck // the channel is closed if the body was not read
+	defer resp.Body.Close() //nolint:errcheck // the connection is closed if the body was not read
 	var last Event
 	if isStream(resp) {
 		last, err = x.readStream(ctx, c, resp, decoded)
