Check in the soak that paused processes leave a draining replica

The soak paused processes, but no check of it could see requests that such a process sends to a replica that began to drain meanwhile.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -105,6 +105,7 @@
 	}
 	r.injectFaults(ctx)
 	violations := r.checkRecovery(ctx)
+	violations = append(violations, r.checkPausedProcesses(ctx)...)
 	stopClients()
 	clients.Wait()
 	if err := calls.Send(ctx, nil); err != nil {
@@ -196,6 +197,34 @@
 	return found
 }
 
+// checkPausedProcesses checks that processes which do not run while a replica begins to
+// drain send no requests to it afterwards, also none that waited for them meanwhile.
+func (r *run) checkPausedProcesses(ctx context.Context) []string {
+	leaving := r.fleet.PlainReplicas[1]
+	paused := lo.Filter(r.fleet.Edges, func(*edgefleet.Edge, int) bool { return r.random.Float64() < 0.5 })
+	for _, e := range paused {
+		_ = e.Signal(syscall.SIGSTOP)
+	}
+	r.fleet.Announce(leaving, "draining")
+	sleep(ctx, configApplyLimit)
+	before := len(leaving.Runs())
+	for _, e := range paused {
+		_ = e.Signal(syscall.SIGCONT)
+	}
+	var found []string
+	for _, e := range r.fleet.Edges {
+		for range 2 * replicasPerService {
+			if status := r.probe(ctx, e, *r.key.Load()); status != http.StatusOK {
+				found = append(found, fmt.Sprintf("%s answers %d after processes were paused", e.Name, status))
+			}
+		}
+	}
+	if after := len(leaving.Runs()); after != before {
+		found = append(found, fmt.Sprintf("replica %s got %d requests after it had left while processes were paused", leaving.ID, after-before))
+	}
+	return found
+}
+
 // probe sends one request to a process and returns its status, 0 if there was no
 // response.
 func (r *run) probe(ctx context.Context, e *edgefleet.Edge, key string) int {
