Test the age of the list over any order of messages

A property test of the gateway: no choice by an outdated list while the store can be reached, one decision on each request. It fails if any list counts as usable.

--- a/internal/core/gateway/listage_test.go
+++ b/internal/core/gateway/listage_test.go
@@ -1,13 +1,17 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/proptest"
 )
 
 const drainBound = 3 * time.Second
@@ -114,3 +118,71 @@
 	is.Equal(refused.Refusal.Kind, fleet.RefusedNotFound)
 	is.Equal(m.endpoints[first.Endpoint.ID].own, Load{})
 }
+
+// TestEachChoiceRestsOnCurrentList guards, for any order of requests, failures, list reads
+// and pauses, against choices from an outdated list while the store can be reached, and
+// against held requests that get no decision or two.
+func TestEachChoiceRestsOnCurrentList(t *testing.T) {
+	proptest.Check(t, proptest.Bounds{Seed: 20261204, Checks: 300}, func(t *rapid.T) {
+		m := boundMachine()
+		undecided := make(map[RequestID]bool)
+		sent := make(map[RequestID]bool)
+		var now, completeAt, failedAt time.Duration
+		failed := false
+		apply := func(actions []Action) {
+			for _, a := range actions {
+				var id RequestID
+				switch a := a.(type) {
+				case Send:
+					id = a.ID
+					current := now-completeAt <= time.Duration(float64(drainBound)*maxChoiceAgeShare)
+					if !current && (!failed || now-failedAt > outageTTL) {
+						t.Fatalf("request %d sent by a list of age %s", id, now-completeAt)
+					}
+					if current && a.SendBy > completeAt+time.Duration(float64(drainBound)*maxSendAgeShare) {
+						t.Fatalf("request %d may be written at %s by a list of %s", id, a.SendBy, completeAt)
+					}
+					sent[id] = true
+				case Refuse:
+					id = a.ID
+				case ReadList:
+					continue
+				}
+				if !undecided[id] {
+					t.Fatalf("second decision on request %d: %+v", id, a)
+				}
+				delete(undecided, id)
+			}
+		}
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 1200).Draw(t, "pause")) * time.Millisecond
+			switch rapid.IntRange(0, 4).Draw(t, "message") {
+			case 0, 1:
+				id := RequestID(step + 1)
+				undecided[id] = true
+				apply(arrive(m, now, id, "/idempotent/x"))
+			case 2:
+				at := now - time.Duration(rapid.IntRange(0, 3000).Draw(t, "age"))*time.Millisecond
+				completeAt = max(completeAt, at)
+				failed = failed && at <= failedAt
+				apply(m.Step(now, ListConfirmed{At: at}))
+			case 3:
+				failedAt, failed = now, true
+				apply(m.Step(now, ListUnreachable{At: now}))
+			case 4:
+				if len(sent) == 0 {
+					continue
+				}
+				id := slices.Min(slices.Collect(maps.Keys(sent)))
+				delete(sent, id)
+				undecided[id] = true
+				apply(m.Step(now, AttemptFailed{ID: id, Failure: FailureNotSentInTime}))
+			}
+		}
+		completeAt = now
+		apply(m.Step(now, ListConfirmed{At: now}))
+		if len(undecided) > 0 || len(m.held) > 0 {
+			t.Fatalf("no decision on %d requests, %d held", len(undecided), len(m.held))
+		}
+	})
+}
