Handle signals from the start of an edge process

Cause: the handler was registered by the last task to start, after the readiness address was served, so that a signal before it ended the process. Under load a process is ready before that task runs. Change: signals are registered before "start" is logged.

--- a/internal/e2e/edge_life_test.go
+++ b/internal/e2e/edge_life_test.go
@@ -3,7 +3,9 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -43,6 +45,29 @@
 	}
 }
 
+// TestEarlyReloadDoesNotEndEdge guards against a process that SIGHUP ends because it arrives
+// before the process handles signals.
+func TestEarlyReloadDoesNotEndEdge(t *testing.T) {
+	is := is.New(t)
+	f := newEdgeFleet(t, 1)
+	e := f.Edges[0]
+	for range 20 {
+		e.Kill()
+		is.NoErr(os.Truncate(e.LogPath, 0))
+		is.NoErr(e.Start())
+		for logged := false; !logged; {
+			text, err := os.ReadFile(e.LogPath)
+			is.NoErr(err)
+			logged = strings.Contains(string(text), `"message":"start"`)
+			time.Sleep(100 * time.Microsecond)
+		}
+		is.NoErr(e.Signal(syscall.SIGHUP))
+		f.eventually(5*time.Second, "the process to be ready", func() bool {
+			return procs.Status("http://"+e.ReadyAddress+"/readyz") == http.StatusOK
+		})
+	}
+}
+
 // TestEdgeCancelsAtReplica guards against a replica that goes on with a request after
 // its caller has closed the connection (rule GONE).
 func TestEdgeCancelsAtReplica(t *testing.T) {
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -41,6 +41,8 @@
 	closingDelay = 2500 * time.Millisecond
 	// stopMargin is how long before the end of the grace period the process exits.
 	stopMargin = 700 * time.Millisecond
+	// signalBuffer is the number of signals that wait to be handled.
+	signalBuffer = 4
 	// startedMailbox bounds the started requests that wait to be counted.
 	startedMailbox = 4096
 )
@@ -72,6 +74,10 @@
 
 // Run serves until the process receives a stop signal or a task fails.
 func Run(ctx context.Context, d platform.Deployment) error {
+	// A signal that arrives before it is handled would end the process.
+	received := make(chan os.Signal, signalBuffer)
+	signal.Notify(received, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(received)
 	writer := newLogWriter(os.Stdout)
 	logContext, stopLog := context.WithCancel(context.Background())
 	logged := make(chan struct{})
@@ -84,7 +90,7 @@
 	writer.dropped = processMetrics.droppedLog
 	p := newProcess(d, logger, processMetrics, registry)
 	logger.WithFields(log.Fields{"data_centre": string(d.DataCentre), "front": d.Front}).Info("start")
-	err := p.run(ctx)
+	err := p.run(ctx, received)
 	logger.WithError(err).Info("stop")
 	return err
 }
@@ -118,7 +124,7 @@
 	return p
 }
 
-func (p *process) run(ctx context.Context) error {
+func (p *process) run(ctx context.Context, received <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	listeners, err := p.listen()
@@ -152,7 +158,7 @@
 		return server.Run(ctx)
 	})
 	group.Go("stalls", p.detectStalls)
-	group.Go("signals", func(ctx context.Context) error { return p.signals(ctx, cancel) })
+	group.Go("signals", func(ctx context.Context) error { return p.signals(ctx, received, cancel) })
 	return group.Wait()
 }
 
@@ -204,10 +210,7 @@
 
 // signals drains and stops the process on SIGTERM and SIGINT. SIGHUP only checks
 // and logs a changed settings file: its values apply from the next start.
-func (p *process) signals(ctx context.Context, cancel context.CancelFunc) error {
-	received := make(chan os.Signal, 4)
-	signal.Notify(received, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(received)
+func (p *process) signals(ctx context.Context, received <-chan os.Signal, cancel context.CancelFunc) error {
 	for {
 		select {
 		case <-ctx.Done():
