--- a/internal/core/gateway/listage_test.go
+++ b/internal/core/gateway/listage_test.go
@@ -186,3 +186,25 @@
 		}
 	})
 }
+
+// TestUnsentRetryIsChargedOnce guards against a retry that is refused because the retry
+// budget was charged for an earlier choice of it that was never sent.
+func TestUnsentRetryIsChargedOnce(t *testing.T) {
+	is := is.New(t)
+	const assumedInstances = 9
+	limited := options
+	limited.RetryRatio, limited.RetrySlack = 0, assumedInstances/retryReserveShare // one retry
+	m := New(limited)
+	m.Step(0, SetCatalog{Catalog: testCatalog()})
+	m.Step(0, SetEndpoints{Endpoints: testEndpoints(4, func(int) bool { return false })})
+	m.Step(0, UsageRestored{})
+	arrive(m, 0, 1, "/idempotent/x")
+	for _, failure := range []Failure{FailureConnectionLost, FailureDial, FailureNotSentInTime} {
+		send, ok := m.Step(0, AttemptFailed{ID: 1, Failure: failure})[0].(Send)
+		is.True(ok)
+		is.Equal(send.Attempt, 2)
+	}
+	arrive(m, 0, 2, "/idempotent/x")
+	_, refused := m.Step(0, AttemptFailed{ID: 2, Failure: FailureConnectionLost})[0].(Refuse)
+	is.True(refused) // the budget is used up
+}
--- a/internal/edge/snapshot_test.go
+++ b/internal/edge/snapshot_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
+	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,3 +83,33 @@
 	is.Equal(len(later.Msg.GetEntries()), 1)
 	is.True(proto.Size(later.Msg) <= maxListPullBytes)
 }
+
+// pullRecorder is a peer that records the requests for snapshots.
+type pullRecorder struct {
+	requests chan *cornelholdv1.SnapshotRequest
+}
+
+func (r pullRecorder) Snapshot(_ context.Context, request *connect.Request[cornelholdv1.SnapshotRequest]) (*connect.Response[cornelholdv1.SnapshotResponse], error) {
+	r.requests <- request.Msg
+	return connect.NewResponse(&cornelholdv1.SnapshotResponse{}), nil
+}
+
+// TestUsageIsPulledAtTheStartOnly guards against an instance that requests the usage counts
+// of all instances with each list change.
+func TestUsageIsPulledAtTheStartOnly(t *testing.T) {
+	is := is.New(t)
+	recorder := pullRecorder{requests: make(chan *cornelholdv1.SnapshotRequest, 1)}
+	mux := http.NewServeMux()
+	mux.Handle(cornelholdv1connect.NewInstanceServiceHandler(recorder))
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	address, err := netip.ParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	is.NoErr(err)
+	logger := &log.Logger{Handler: discard.New()}
+	registry := prometheus.NewRegistry()
+	p := newProcess(platform.Deployment{Node: "n", Control: address.String()}, logger, newMetrics(registry, logger), registry)
+	for i := range maxUsagePulls + 2 {
+		p.peers.puller.pull(t.Context(), address.Addr(), directoryState{}, 0)
+		is.Equal((<-recorder.requests).GetOmitUsage(), i >= maxUsagePulls)
+	}
+}
