--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -49,17 +49,20 @@
 }
 
 // confirm turns the recent suspected crashes of an incarnation that was found
-// down or replaced into confirmed ones.
-func (c *crashLog) confirm(now time.Duration, id fleet.EndpointID, started int64) {
+// down or replaced into confirmed ones. It returns their requests.
+func (c *crashLog) confirm(now time.Duration, id fleet.EndpointID, started int64) []fleet.Fingerprint {
+	var suspects []fleet.Fingerprint
 	c.pending = slices.DeleteFunc(c.pending, func(e crashEvidence) bool {
 		if e.Endpoint != id || e.Started != started {
 			return false
 		}
 		if now-e.at <= confirmTimeout {
 			c.addConfirmed(now, e.Crash)
+			suspects = append(suspects, e.Fingerprint)
 		}
 		return true
 	})
+	return suspects
 }
 
 // addConfirmed adds a confirmed crash unless it is recorded already.
--- a/internal/core/gateway/endpoints.go
+++ b/internal/core/gateway/endpoints.go
@@ -109,7 +109,7 @@
 		e, ok := previous[l.ID]
 		if !ok || e.Started != l.Started || e.Address != l.Address {
 			if ok {
-				m.crashes.confirm(now, e.ID, e.Started)
+				m.endpointEnded(now, e, EndRestarted)
 			}
 			e = newEndpoint(l)
 		}
@@ -117,11 +117,25 @@
 		m.endpoints[l.ID] = e
 		m.byService[l.Service] = append(m.byService[l.Service], e)
 	}
+	for _, e := range previous {
+		if _, ok := m.endpoints[e.ID]; !ok {
+			m.notes = append(m.notes, EndpointEnded{Endpoint: e.ID, Started: e.Started, Evidence: EndRemoved})
+		}
+	}
 	for _, p := range m.loads {
 		m.addLoads(p.loads, 1)
 	}
 }
 
+// endpointEnded confirms the suspected crashes of an endpoint's incarnation that is
+// down or was replaced.
+func (m *Machine) endpointEnded(now time.Duration, e *endpoint, evidence EndEvidence) {
+	suspects := m.crashes.confirm(now, e.ID, e.Started)
+	if len(suspects) > 0 || evidence != EndUnreachable {
+		m.notes = append(m.notes, EndpointEnded{Endpoint: e.ID, Started: e.Started, Evidence: evidence, Suspects: suspects})
+	}
+}
+
 // setLoads replaces the loads of a peer.
 func (m *Machine) setLoads(now time.Duration, node string, loads map[fleet.EndpointID]Load) {
 	m.dropLoads(node)
@@ -267,7 +281,7 @@
 	case FailureDial:
 		e.consecutiveFailures++
 		e.suspectUntil = now + min(minSuspectTime<<min(e.consecutiveFailures-1, 4), maxSuspectTime)
-		m.crashes.confirm(now, e.ID, e.Started)
+		m.endpointEnded(now, e, EndUnreachable)
 	case FailureConnectionLost:
 		if !msg.Reused {
 			m.crashes.addSuspected(now, Crash{Fingerprint: o.request.Fingerprint, Endpoint: e.ID, Started: e.Started})
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -67,6 +67,8 @@
 	peers         map[string]bool
 	loads         map[string]peerLoads
 	demand        map[fleet.ServiceName]*window.Sum
+	// notes are the observations of the current step.
+	notes []Action
 	// firstByte is the average time until the first byte of idle engines.
 	firstByte map[fleet.ServiceName]time.Duration
 	// demandSince is the time of the first request for a service.
@@ -92,8 +94,16 @@
 // have been received.
 func (m *Machine) Ready() bool { return m.catalog != nil && m.hasEndpoints && m.usageRestored }
 
-// Step processes one message at the local monotonic time now.
+// Step processes one message at the local monotonic time now. Observations for the
+// log follow the other actions.
 func (m *Machine) Step(now time.Duration, msg Message) []Action {
+	actions := m.process(now, msg)
+	actions = append(actions, m.notes...)
+	m.notes = nil
+	return actions
+}
+
+func (m *Machine) process(now time.Duration, msg Message) []Action {
 	switch msg := msg.(type) {
 	case RequestArrived:
 		return m.requestArrived(now, msg)
--- a/internal/core/gateway/messages.go
+++ b/internal/core/gateway/messages.go
@@ -205,7 +205,35 @@
 // result is a ListConfirmed or a ListUnreachable.
 type ReadList struct{}
 
-func (Send) action()         {}
-func (Refuse) action()       {}
-func (ReadList) action()     {}
-func (CountStarted) action() {}
+// EndEvidence is how the end of an endpoint's incarnation was noticed.
+type EndEvidence uint8
+
+// Evidence of an end.
+const (
+	// EndUnreachable: no connection could be opened.
+	EndUnreachable EndEvidence = iota
+	// EndRestarted: the list names a newer incarnation.
+	EndRestarted
+	// EndRemoved: the list no longer names the endpoint.
+	EndRemoved
+)
+
+// String returns the name used in logs and metrics.
+func (e EndEvidence) String() string {
+	return [...]string{"unreachable", "restarted", "removed"}[e]
+}
+
+// EndpointEnded reports for the log that an incarnation of an endpoint has ended, and
+// the requests that are suspected of it.
+type EndpointEnded struct {
+	Endpoint fleet.EndpointID
+	Started  int64
+	Evidence EndEvidence
+	Suspects []fleet.Fingerprint
+}
+
+func (Send) action()          {}
+func (Refuse) action()        {}
+func (ReadList) action()      {}
+func (CountStarted) action()  {}
+func (EndpointEnded) action() {}
--- a/internal/edge/directory_test.go
+++ b/internal/edge/directory_test.go
@@ -19,7 +19,7 @@
 	clock := task.NewClock()
 	logger := &log.Logger{Handler: json.New(io.Discard)}
 	m := newMetrics(prometheus.NewRegistry(), logger)
-	return newDirectoryTask(clock, logger, m, newGatewayTask(clock, gateway.Options{}, task.NewMailbox[gateway.CountStarted](1)))
+	return newDirectoryTask(clock, logger, m, newGatewayTask(clock, logger, m, gateway.Options{}, task.NewMailbox[gateway.CountStarted](1)))
 }
 
 func entry(id, state string, offset int64) platform.Record {
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 
+	"github.com/apex/log"
+
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
 	"github.com/cornelhold/cornelhold/internal/task"
@@ -22,6 +24,8 @@
 // gatewayTask owns the state machine that admits and routes requests.
 type gatewayTask struct {
 	clock   task.Clock
+	log     log.Interface
+	metrics *metrics
 	machine *gateway.Machine
 	mailbox task.Mailbox[gatewayMessage]
 	reports task.Mailbox[reportRequest]
@@ -35,9 +39,9 @@
 	ready  atomic.Bool
 }
 
-func newGatewayTask(clock task.Clock, options gateway.Options, started task.Mailbox[gateway.CountStarted]) *gatewayTask {
+func newGatewayTask(clock task.Clock, logger log.Interface, m *metrics, options gateway.Options, started task.Mailbox[gateway.CountStarted]) *gatewayTask {
 	return &gatewayTask{
-		clock: clock, machine: gateway.New(options), started: started,
+		clock: clock, log: logger, metrics: m, machine: gateway.New(options), started: started,
 		mailbox: task.NewMailbox[gatewayMessage](gatewayMailbox),
 		reports: task.NewMailbox[reportRequest](4),
 		replies: make(map[gateway.RequestID]chan<- gateway.Action), readList: func() {},
@@ -87,9 +91,18 @@
 		t.started.TrySend(a)
 	case gateway.ReadList:
 		t.readList()
+	case gateway.EndpointEnded:
+		t.logEnd(a)
 	}
 }
 
+func (t *gatewayTask) logEnd(a gateway.EndpointEnded) {
+	t.metrics.endpointEnds.WithLabelValues(a.Evidence.String()).Inc()
+	t.log.WithFields(log.Fields{
+		"endpoint": string(a.Endpoint), "started": a.Started, "evidence": a.Evidence.String(), "suspects": len(a.Suspects),
+	}).Warn("endpoint ended")
+}
+
 func (t *gatewayTask) reply(id gateway.RequestID, a gateway.Action) {
 	select {
 	case t.replies[id] <- a:
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -23,7 +23,9 @@
 	stalls     prometheus.Counter
 	malformed  *prometheus.CounterVec
 	droppedLog prometheus.Counter
-	log        log.Interface
+	// endpointEnds counts the incarnations of endpoints that ended.
+	endpointEnds *prometheus.CounterVec
+	log          log.Interface
 }
 
 func newMetrics(registry *prometheus.Registry, logger log.Interface) *metrics {
@@ -53,8 +55,11 @@
 		droppedLog: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cornelhold_log_lines_dropped_total", Help: "Log lines dropped because the writer was busy.",
 		}),
+		endpointEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cornelhold_endpoint_ends_total", Help: "Incarnations of endpoints that ended, by evidence.",
+		}, []string{"evidence"}),
 	}
-	registry.MustRegister(m.requests, m.firstByte, m.total, m.sendDelay, m.listAge, m.stalls, m.malformed, m.droppedLog)
+	registry.MustRegister(m.requests, m.firstByte, m.total, m.sendDelay, m.listAge, m.stalls, m.malformed, m.droppedLog, m.endpointEnds)
 	return m
 }
 
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -102,7 +102,7 @@
 		pool: upstream.NewPool(clock), store: platform.NewStore(d.StoreAddr),
 		started: task.NewMailbox[gateway.CountStarted](startedMailbox), drain: make(chan struct{}), configTrigger: make(chan struct{}, 1), listTrigger: make(chan struct{}, 1),
 	}
-	p.gateway = newGatewayTask(p.clock, gateway.Options{
+	p.gateway = newGatewayTask(p.clock, logger, m, gateway.Options{
 		Node: d.Node, DataCentre: d.DataCentre,
 		Quota: quota.Bounds{
 			Window: d.Bounds.QuotaWindow, Overrun: d.Bounds.QuotaOverrun, Slack: d.Bounds.QuotaSlack,
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -241,6 +241,7 @@
 	r.connection.server.options.Log.WithFields(log.Fields{
 		"request": r.callerRequest.Attempt, "endpoint": string(r.send.Endpoint.ID), "attempt": r.send.Attempt,
 		"failure": f.String(), "cause": r.lastError, "events": r.splitter.EventCount(), "reused_channel": reused,
+		"endpoint_started": r.send.Endpoint.Started,
 	}).Warn("attempt failed")
 	r.lastError = ""
 	r.cancel()
