--- /dev/null
+++ b/internal/core/quarantine/table_test.go
@@ -0,0 +1,98 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+var testLimits = Limits{
+	Threshold: 3, MinSpan: time.Second, TTL: time.Hour, ClearMemory: 5 * time.Second, MaxEvents: 16, MaxSuspects: 8,
+}
+
+func event(i int) Event { return Event{Endpoint: "e", Incarnation: fmt.Sprint(i)} }
+
+func requests(fingerprints ...fleet.Fingerprint) []Trait {
+	var traits []Trait
+	for _, f := range fingerprints {
+		traits = append(traits, RequestTrait(f))
+	}
+	return traits
+}
+
+func seconds(n int) time.Duration { return time.Duration(n) * time.Second }
+
+// TestUnluckyRequestIsNoCause guards against the refusal of a sound request that was
+// running three times when another request crashed its endpoint.
+func TestUnluckyRequestIsNoCause(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(testLimits)
+	for i := range 3 {
+		table.Add(seconds(i), seconds(i), event(i), requests(1, 2))
+	}
+	is.Equal(len(table.Causes()), 0) // either may be the cause
+	table.Add(seconds(3), seconds(3), event(3), requests(1, 3))
+	causes := table.Causes()
+	is.Equal(len(causes), 1)
+	is.Equal(causes[0], Cause{Trait: RequestTrait(1), Crashes: 4, LastAt: seconds(3)})
+}
+
+// TestTwoCausesAreFound guards against a cause that hides behind another one.
+func TestTwoCausesAreFound(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(testLimits)
+	for i := range 4 {
+		table.Add(seconds(i), seconds(i), event(i), requests(1, 9))
+		table.Add(seconds(i), seconds(i), event(10+i), requests(2))
+	}
+	table.Add(seconds(4), seconds(4), event(4), requests(1))
+	causes := table.Causes()
+	is.Equal(len(causes), 2)
+	is.Equal(causes[0].Trait, RequestTrait(1))
+	is.Equal(causes[1].Trait, RequestTrait(2))
+}
+
+// TestCrashesAtOneMomentAreNoEvidence guards against the refusal of a request that ran on
+// several endpoints which failed together, such as by a loss of power.
+func TestCrashesAtOneMomentAreNoEvidence(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(testLimits)
+	for i := range 5 {
+		table.Add(0, time.Duration(i)*time.Millisecond, event(i), requests(1))
+	}
+	is.Equal(len(table.Causes()), 0)
+}
+
+// TestClearedRequestIsNoCause guards against evidence that arrives after the request was
+// executed without a crash.
+func TestClearedRequestIsNoCause(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(testLimits)
+	table.Add(seconds(1), seconds(1), event(1), requests(1))
+	table.Add(seconds(2), seconds(2), event(2), requests(1))
+	is.True(table.Clear(seconds(3), seconds(3), RequestTrait(1)))
+	table.Add(seconds(4), seconds(2), event(2), requests(1))
+	table.Add(seconds(4), seconds(3), event(3), requests(1))
+	table.Add(seconds(5), seconds(4), event(4), requests(1))
+	is.Equal(table.Count(RequestTrait(1)), 1)
+}
+
+// TestWaveOfCrashesLeavesRoom guards against a wave of crashes that fills the table, so
+// that later ones are not recorded.
+func TestWaveOfCrashesLeavesRoom(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(testLimits)
+	for i := range 100 {
+		table.Add(0, 0, event(i), requests(fleet.Fingerprint(1000+i)))
+	}
+	for i := range 3 {
+		table.Add(seconds(i), seconds(i), event(200+i), requests(1))
+	}
+	is.Equal(len(table.Causes()), 1)
+	is.True(len(table.events) <= testLimits.MaxEvents)
+	is.True(len(table.counts) <= testLimits.MaxEvents*testLimits.MaxSuspects)
+}
--- /dev/null
+++ b/internal/core/quarantine/trait.go
@@ -0,0 +1,46 @@
+// Package quarantine decides which requests are refused because they crash the
+// endpoints that run them. A Table holds the crashes and the requests that were
+// running, and finds the cause. A Fold does the same over the records of a log.
+package quarantine
+
+import (
+	"cmp"
+	"strconv"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+// TraitKind is a kind of Trait.
+type TraitKind uint8
+
+// Kinds of trait.
+const (
+	// WholeRequest is everything that a request consists of. Its ID is the request's
+	// fingerprint.
+	WholeRequest TraitKind = iota
+)
+
+// Trait is a property of a request that may be the cause of crashes.
+type Trait struct {
+	Kind TraitKind
+	ID   uint64
+}
+
+// RequestTrait returns the trait that only requests with the fingerprint have.
+func RequestTrait(f fleet.Fingerprint) Trait { return Trait{Kind: WholeRequest, ID: uint64(f)} }
+
+// String returns the form used in logs, such as "request:5c1e07a2".
+func (t Trait) String() string {
+	return [...]string{"request"}[t.Kind] + ":" + strconv.FormatUint(t.ID, 16)
+}
+
+func compareTraits(a, b Trait) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.ID, b.ID))
+}
+
+// Event identifies one crash. An incarnation is one process of an endpoint, so it
+// crashes at most once.
+type Event struct {
+	Endpoint    fleet.EndpointID
+	Incarnation string
+}
