--- a/internal/core/gateway/admission.go
+++ b/internal/core/gateway/admission.go
@@ -46,8 +46,8 @@
 	if o.deadlineAt <= now {
 		return refuse(fleet.RefusedOverload, retryAfter, "the caller's time was over before the request was read; retry")
 	}
-	if m.crashes.quarantined(now, msg.Request.Fingerprint) {
-		return refuse(fleet.RefusedQuarantined, o.deadlineAt-now, "endpoints crashed repeatedly while they ran this request; change it")
+	if refusal, detail := m.quarantined(now, o); refusal != nil {
+		return Refuse{ID: msg.ID, Refusal: refusal, Detail: detail}
 	}
 	e, est := m.chooseEndpoint(now, o)
 	if e == nil {
@@ -87,6 +87,7 @@
 		}
 	}
 	o.service = split(route.Targets, r.Random)
+	o.traits = requestTraits(r, o.team)
 	if o.team != nil {
 		o.quotaAmount = 1
 		if o.team.CountTokens {
--- /dev/null
+++ b/internal/core/gateway/crash_test.go
@@ -0,0 +1,203 @@
+package gateway
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelhold/cornelhold/internal/core/catalog"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+)
+
+// maxCrashSends is what the users allow: three sends crash an endpoint each, and three
+// retries may follow.
+const maxCrashSends = 6
+
+const crashingFingerprint fleet.Fingerprint = 99
+
+func crashingRequest() Request {
+	return Request{Host: "h", Path: "/idempotent/x", Key: "key", HasKey: true, Deadline: 2 * time.Second, Fingerprint: crashingFingerprint}
+}
+
+// crashTest plays an instance before endpoints that a request crashes.
+type crashTest struct {
+	machine *Machine
+	list    []catalog.Endpoint
+	now     time.Duration
+	nextID  RequestID
+	starts  int
+	sends   int
+}
+
+func newCrashTest(endpoints int) *crashTest {
+	return &crashTest{machine: readyMachine(endpoints), list: testEndpoints(endpoints, func(int) bool { return false })}
+}
+
+// step passes a message to the machine and returns the first Send or Refuse.
+func (c *crashTest) step(msg Message) Action {
+	var first Action
+	for _, a := range c.machine.Step(c.now, msg) {
+		switch a := a.(type) {
+		case Send:
+			c.sends++
+			if first == nil {
+				first = a
+			}
+		case Refuse:
+			if first == nil {
+				first = a
+			}
+		}
+	}
+	return first
+}
+
+// restart replaces an endpoint in the list, under the same id or a new one.
+func (c *crashTest) restart(id fleet.EndpointID, newID bool) {
+	c.starts++
+	for i := range c.list {
+		if c.list[i].ID != id {
+			continue
+		}
+		c.list[i].Started = int64(1000 + c.starts)
+		if newID {
+			c.list[i].ID = fleet.EndpointID(fmt.Sprint("n", c.starts))
+		}
+	}
+	c.step(SetEndpoints{Endpoints: c.list})
+}
+
+// TestLostConnectionsAreEvidence guards against a request that crashes one endpoint after
+// the other because losses on reused connections, ends under a new id or ends that the
+// list shows late are no evidence (rule BUDGET).
+func TestLostConnectionsAreEvidence(t *testing.T) {
+	for _, reused := range []bool{false, true} {
+		for _, newID := range []bool{false, true} {
+			for _, seen := range []time.Duration{time.Second, 2500 * time.Millisecond} {
+				t.Run(fmt.Sprintf("reused=%v newID=%v seen=%v", reused, newID, seen), func(t *testing.T) {
+					is := is.New(t)
+					c := newCrashTest(10)
+					for id := RequestID(1); id <= 12; id++ {
+						c.now = time.Duration(id) * 2900 * time.Millisecond
+						c.step(SetEndpoints{Endpoints: c.list})
+						s, ok := c.step(RequestArrived{ID: id, Request: crashingRequest()}).(Send)
+						if !ok {
+							continue
+						}
+						c.now += 50 * time.Millisecond
+						retry := c.step(AttemptFailed{ID: id, Failure: FailureConnectionLost, Reused: reused})
+						if r, ok := retry.(Send); ok {
+							c.step(AttemptFailed{ID: id, Failure: FailureConnectionLost, Reused: reused})
+							defer c.restart(r.Endpoint.ID, newID)
+						}
+						c.now += 10 * time.Millisecond
+						c.step(RequestFinished{ID: id})
+						c.now += seen
+						c.restart(s.Endpoint.ID, newID)
+					}
+					is.True(c.sends <= maxCrashSends)
+				})
+			}
+		}
+	}
+}
+
+// TestHangingAttemptsAreEvidence guards against a request that crashes endpoints which
+// then stay silent: the attempt times out, or its caller leaves.
+func TestHangingAttemptsAreEvidence(t *testing.T) {
+	for _, callerLeaves := range []bool{false, true} {
+		is := is.New(t)
+		c := newCrashTest(10)
+		for id := RequestID(1); id <= 12; id++ {
+			c.now += 3 * time.Second
+			s, ok := c.step(RequestArrived{ID: id, Request: crashingRequest()}).(Send)
+			if !ok {
+				continue
+			}
+			c.now += time.Second
+			if !callerLeaves {
+				c.step(AttemptFailed{ID: id, Failure: FailureTimeout})
+			}
+			c.step(RequestFinished{ID: id})
+			c.now += 4 * time.Second
+			c.restart(s.Endpoint.ID, true)
+		}
+		is.True(c.sends <= maxCrashSends)
+	}
+}
+
+// TestPeersShareCrashes guards against instances that each let a request crash endpoints
+// before they refuse it.
+func TestPeersShareCrashes(t *testing.T) {
+	is := is.New(t)
+	first, second := newCrashTest(6), newCrashTest(6)
+	crash := func(c *crashTest, id RequestID) {
+		s, ok := c.step(RequestArrived{ID: id, Request: crashingRequest()}).(Send)
+		is.True(ok)
+		c.step(RequestFinished{ID: id})
+		c.now += time.Second
+		c.restart(s.Endpoint.ID, true)
+	}
+	exchange := func(to, from *crashTest) {
+		to.now = max(to.now, from.now)
+		report := from.machine.Report(from.now)
+		report.Node = fmt.Sprintf("%p", from)
+		to.step(report)
+	}
+	crash(first, 1)
+	crash(first, 2)
+	exchange(second, first)
+	second.list, second.starts = slices.Clone(first.list), first.starts
+	second.step(SetEndpoints{Endpoints: second.list})
+	crash(second, 3)
+	refused, ok := second.step(RequestArrived{ID: 4, Request: crashingRequest()}).(Refuse)
+	is.True(ok)
+	is.Equal(refused.Refusal.Kind, fleet.RefusedQuarantined)
+	is.Equal(refused.Refusal.Run, fleet.RunNotRun)
+}
+
+// TestLostResponsesAreNoCrash guards against the quarantine of requests whose responses
+// are lost although the endpoint stays up or leaves as planned.
+func TestLostResponsesAreNoCrash(t *testing.T) {
+	after := map[string]func(c *crashTest, lost Send){
+		"stays up": func(*crashTest, Send) {},
+		"drains and leaves": func(c *crashTest, lost Send) {
+			for i := range c.list {
+				c.list[i].Draining = c.list[i].ID == lost.Endpoint.ID
+			}
+			c.step(SetEndpoints{Endpoints: c.list})
+			c.now += time.Second
+			c.restart(lost.Endpoint.ID, true)
+			for i := range c.list {
+				c.list[i].Draining = false
+			}
+			c.step(SetEndpoints{Endpoints: c.list})
+		},
+	}
+	for name, then := range after {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCrashTest(1)
+			for id := RequestID(1); id <= 20; id += 2 {
+				c.now += 3 * time.Second
+				other := crashingRequest()
+				other.Fingerprint = 1
+				_, ok := c.step(RequestArrived{ID: id + 1, Request: other}).(Send)
+				is.True(ok)
+				c.now += time.Millisecond
+				lost, ok := c.step(RequestArrived{ID: id, Request: crashingRequest()}).(Send)
+				is.True(ok)
+				c.now += 50 * time.Millisecond
+				c.step(AttemptFailed{ID: id, Failure: FailureConnectionLost})
+				then(c, lost)
+				c.step(RequestFinished{ID: id})
+				c.now += 100 * time.Millisecond
+				c.step(ResponseStarted{ID: id + 1})
+				c.step(RequestFinished{ID: id + 1, Succeeded: true})
+			}
+		})
+	}
+}
--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -1,97 +1,183 @@
 package gateway
 
 import (
-	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/quarantine"
 )
 
 const (
-	// quarantineCrashes is the number of crashes after which a request is no
-	// longer sent to endpoints.
-	quarantineCrashes = 3
-	// confirmTimeout is the time after a lost connection within which the
-	// endpoint must be found down for the loss to count as a crash.
-	confirmTimeout = 2 * time.Second
-	// crashTTL is how long a confirmed crash counts.
-	crashTTL = 120 * time.Second
-	// crashReportTime is how long a crash is reported to peers.
-	crashReportTime = 10 * time.Second
-	// maxCrashes bounds the suspected and the confirmed crashes each.
-	maxCrashes = 2048
-	// maxReportedCrashes bounds the crashes in one report.
-	maxReportedCrashes = 32
+	// suspectAnswerTime is the time from the first byte of an answer within which a crash
+	// still counts against the request. Endpoints crash as they begin to run it.
+	suspectAnswerTime = time.Second
+	// reportTime is how long crashes and clearances are reported to peers, so that none
+	// is lost with a single datagram.
+	reportTime = 10 * time.Second
+	// maxReportedCrashes, maxReportedSuspects and maxReportedClears bound one report.
+	maxReportedCrashes  = 32
+	maxReportedSuspects = 256
+	maxReportedClears   = 64
 )
 
+// crashLimits bounds the evidence. The span of the crashes covers the time until peers
+// have reported clearances.
+var crashLimits = quarantine.Limits{
+	Threshold: 3, MinSpan: 400 * time.Millisecond, TTL: time.Hour, ClearMemory: 10 * time.Second, MaxEvents: 512, MaxSuspects: 256,
+}
+
+// crashEvidence is what an instance knows of crashes: the attempts that were lost, the
+// suspects of crashes, and the quarantined traits.
 type crashEvidence struct {
-	Crash
-	at time.Duration
+	losses   lossLog
+	table    *quarantine.Table
+	register *quarantine.Register
+	// own holds the crashes with suspects among this instance's requests, clears the
+	// suspects that it found harmless, for the reports.
+	own    []ownCrash
+	clears map[quarantine.Trait]clearReport
 }
 
-// crashLog identifies requests that crash the endpoints that run them. A lost
-// connection counts as a crash only if the endpoint is then found down or
-// restarted, since single responses are lost for other reasons too.
-type crashLog struct {
-	pending   []crashEvidence
-	confirmed []crashEvidence
+func newCrashEvidence() *crashEvidence {
+	return &crashEvidence{
+		losses: make(lossLog), table: quarantine.NewTable(crashLimits), register: quarantine.NewRegister(),
+		clears: make(map[quarantine.Trait]clearReport),
+	}
 }
 
-func newCrashLog() *crashLog { return &crashLog{} }
+func crashEvent(id fleet.EndpointID, started int64) quarantine.Event {
+	return quarantine.Event{Endpoint: id, Incarnation: strconv.FormatInt(started, 10)}
+}
 
-// addSuspected records a lost connection to an endpoint that was running a
-// request.
-func (c *crashLog) addSuspected(now time.Duration, crash Crash) {
-	c.pending = slices.DeleteFunc(c.pending, func(e crashEvidence) bool { return now-e.at > confirmTimeout })
-	if len(c.pending) < maxCrashes {
-		c.pending = append(c.pending, crashEvidence{Crash: crash, at: now})
+// attemptLost records an attempt that ended without an answer.
+func (m *Machine) attemptLost(now time.Duration, o *openRequest, e *endpoint) {
+	traits := o.suspectTraits(now)
+	if len(traits) == 0 || !m.mayCrash(e) {
+		return
+	}
+	i := incarnation{id: e.ID, started: e.Started}
+	r := m.crashes.losses.add(now, i, traits)
+	switch {
+	case r == nil:
+	case r.ended:
+		m.addOwnSuspects(now, i, r)
+	case r.refused:
+		m.confirmRefused(now, e, r)
 	}
 }
 
-// confirm turns the recent suspected crashes of an incarnation that was found
-// down or replaced into confirmed ones. It returns their requests.
-func (c *crashLog) confirm(now time.Duration, id fleet.EndpointID, started int64) []fleet.Fingerprint {
-	var suspects []fleet.Fingerprint
-	c.pending = slices.DeleteFunc(c.pending, func(e crashEvidence) bool {
-		if e.Endpoint != id || e.Started != started {
-			return false
+// suspectTraits returns what may be the cause if the endpoint crashed with the current
+// attempt.
+func (o *openRequest) suspectTraits(now time.Duration) []quarantine.Trait {
+	if o.started && now-o.startedAt > suspectAnswerTime {
+		return nil
+	}
+	return o.traits
+}
+
+// mayCrash reports whether the loss of an attempt may be a crash: not if the endpoint is
+// about to leave or was replaced.
+func (m *Machine) mayCrash(e *endpoint) bool { return !e.Draining && m.endpoints[e.ID] == e }
+
+// connectionRefused records that the endpoint refused a connection. It is no evidence
+// without a lost attempt.
+func (m *Machine) connectionRefused(now time.Duration, id fleet.EndpointID, started int64) {
+	e, ok := m.endpoints[id]
+	r := m.crashes.losses[incarnation{id: id, started: started}]
+	if !ok || e.Started != started || r == nil || r.ended {
+		return
+	}
+	r.refused = true
+	m.confirmRefused(now, e, r)
+}
+
+// confirmRefused records the crash of an endpoint that refuses connections, once no
+// attempt from before the loss goes on: an endpoint that only limits its connections
+// keeps the others.
+func (m *Machine) confirmRefused(now time.Duration, e *endpoint, r *losses) {
+	for _, o := range m.open {
+		if o.endpoint == e && o.sentAt < r.first() {
+			return
 		}
-		if now-e.at <= confirmTimeout {
-			c.addConfirmed(now, e.Crash)
-			suspects = append(suspects, e.Fingerprint)
+	}
+	m.recordCrash(now, incarnation{id: e.ID, started: e.Started}, r, EndRefused)
+}
+
+// incarnationEnded records the end of an endpoint's incarnation that the list shows.
+// Attempts that still wait for it are lost.
+func (m *Machine) incarnationEnded(now time.Duration, e *endpoint, evidence EndEvidence) {
+	i := incarnation{id: e.ID, started: e.Started}
+	if e.Draining {
+		delete(m.crashes.losses, i)
+		return
+	}
+	if evidence != EndRemoved {
+		for _, o := range m.open {
+			if o.endpoint == e && !o.started {
+				m.crashes.losses.add(now, i, o.traits)
+			}
 		}
-		return true
-	})
-	return suspects
+	}
+	if r := m.crashes.losses[i]; r != nil && !r.ended {
+		m.recordCrash(now, i, r, evidence)
+		return
+	}
+	m.notes = append(m.notes, EndpointEnded{Endpoint: e.ID, Started: e.Started, Evidence: evidence})
 }
 
-// addConfirmed adds a confirmed crash unless it is recorded already.
-func (c *crashLog) addConfirmed(now time.Duration, crash Crash) {
-	c.confirmed = slices.DeleteFunc(c.confirmed, func(e crashEvidence) bool { return now-e.at > crashTTL })
-	exists := slices.ContainsFunc(c.confirmed, func(e crashEvidence) bool { return e.Crash == crash })
-	if !exists && len(c.confirmed) < maxCrashes {
-		c.confirmed = append(c.confirmed, crashEvidence{Crash: crash, at: now})
+// recordCrash turns the lost attempts of an incarnation that has ended into evidence.
+func (m *Machine) recordCrash(now time.Duration, i incarnation, r *losses, evidence EndEvidence) {
+	r.ended = true
+	if e, ok := m.endpoints[i.id]; ok && e.Started == i.started {
+		e.suspectUntil = now + maxSuspectTime
 	}
+	suspects := m.addOwnSuspects(now, i, r)
+	m.notes = append(m.notes, EndpointEnded{Endpoint: i.id, Started: i.started, Evidence: evidence, Suspects: suspects})
 }
 
-// quarantined reports whether the request crashed quarantineCrashes endpoints.
-func (c *crashLog) quarantined(now time.Duration, f fleet.Fingerprint) bool {
-	count := 0
-	for _, e := range c.confirmed {
-		if e.Fingerprint == f && now-e.at <= crashTTL {
-			count++
+// addOwnSuspects adds the lost attempts of a crashed incarnation to the evidence and
+// returns their traits.
+func (m *Machine) addOwnSuspects(now time.Duration, i incarnation, r *losses) []quarantine.Trait {
+	traits, at := r.takeSuspects(now)
+	if len(traits) > 0 {
+		m.crashes.addOwn(i, at, traits)
+		m.addSuspects(now, at, crashEvent(i.id, i.started), traits)
+	}
+	return traits
+}
+
+// addSuspects adds evidence of this instance or a peer and quarantines the causes.
+func (m *Machine) addSuspects(now, at time.Duration, event quarantine.Event, traits []quarantine.Trait) {
+	for _, t := range traits {
+		m.crashes.register.Crashed(at, t)
+	}
+	if !m.crashes.table.Add(now, at, event, traits) {
+		return
+	}
+	for _, cause := range m.crashes.table.Causes() {
+		if m.crashes.register.Quarantine(cause) {
+			m.notes = append(m.notes, TraitQuarantined{Trait: cause.Trait, Crashes: cause.Crashes})
 		}
 	}
-	return count >= quarantineCrashes
 }
 
-// recent returns the confirmed crashes to report to peers, the newest first.
-func (c *crashLog) recent(now time.Duration) []Crash {
-	var list []Crash
-	for i := len(c.confirmed) - 1; i >= 0 && len(list) < maxReportedCrashes; i-- {
-		if now-c.confirmed[i].at <= crashReportTime {
-			list = append(list, c.confirmed[i].Crash)
+// executed clears the traits of a request that an endpoint has executed and survived.
+func (m *Machine) executed(now time.Duration, traits []quarantine.Trait) {
+	for _, t := range traits {
+		if m.clearTrait(now, now, t) {
+			m.crashes.clears[t] = clearReport{at: now, since: now}
 		}
 	}
-	return list
+}
+
+// clearTrait removes the evidence against a trait of which a request was executed at the
+// time at. It reports whether there was any.
+func (m *Machine) clearTrait(now, at time.Duration, t quarantine.Trait) bool {
+	suspected := m.crashes.table.Clear(now, at, t)
+	lifted := m.crashes.register.Lift(at, t)
+	if lifted {
+		m.notes = append(m.notes, TraitLifted{Trait: t})
+	}
+	return suspected || lifted
 }
--- /dev/null
+++ b/internal/core/gateway/crashreport.go
@@ -0,0 +1,122 @@
+package gateway
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/quarantine"
+)
+
+// Crash reports the suspects of the end of an endpoint's incarnation.
+type Crash struct {
+	Endpoint fleet.EndpointID
+	Started  int64
+	At       time.Duration
+	Suspects []quarantine.Trait
+}
+
+// Clearance reports that a request with the trait was executed without a crash.
+type Clearance struct {
+	Trait quarantine.Trait
+	At    time.Duration
+}
+
+// CrashReport is what an instance reports to its peers about crashes. Times are those of
+// the clock of the machine that processes it.
+type CrashReport struct {
+	Crashes     []Crash
+	Quarantined []quarantine.Entry
+	Clears      []Clearance
+}
+
+// ownCrash is a crash with suspects among this instance's own requests.
+type ownCrash struct {
+	incarnation incarnation
+	at          time.Duration
+	traits      map[quarantine.Trait]bool
+}
+
+// clearReport is a clearance that is reported since a time.
+type clearReport struct{ at, since time.Duration }
+
+// addOwn records suspects among this instance's own requests.
+func (c *crashEvidence) addOwn(i incarnation, at time.Duration, traits []quarantine.Trait) {
+	k := slices.IndexFunc(c.own, func(o ownCrash) bool { return o.incarnation == i })
+	if k < 0 {
+		k = len(c.own)
+		c.own = append(c.own, ownCrash{incarnation: i, at: at, traits: make(map[quarantine.Trait]bool)})
+	}
+	for _, t := range traits {
+		c.own[k].traits[t] = true
+	}
+}
+
+// report returns the recent crashes and clearances, the newest first, and all quarantined
+// traits, so that an instance that has just started or was cut off learns them too.
+func (c *crashEvidence) report(now time.Duration) CrashReport {
+	c.losses.expire(now)
+	c.own = slices.DeleteFunc(c.own, func(o ownCrash) bool { return now-o.at > reportTime })
+	maps.DeleteFunc(c.clears, func(_ quarantine.Trait, l clearReport) bool { return now-l.since > reportTime })
+	var r CrashReport
+	suspects := 0
+	for i := len(c.own) - 1; i >= 0 && len(r.Crashes) < maxReportedCrashes && suspects < maxReportedSuspects; i-- {
+		o := c.own[i]
+		crash := Crash{Endpoint: o.incarnation.id, Started: o.incarnation.started, At: o.at}
+		for _, t := range c.table.Suspects(crashEvent(o.incarnation.id, o.incarnation.started)) {
+			if o.traits[t] {
+				crash.Suspects = append(crash.Suspects, t)
+			}
+		}
+		if len(crash.Suspects) > 0 {
+			r.Crashes = append(r.Crashes, crash)
+			suspects += len(crash.Suspects)
+		}
+	}
+	r.Clears = c.newestClears()
+	return r
+}
+
+// newestClears returns the latest clearances to report.
+func (c *crashEvidence) newestClears() []Clearance {
+	clears := lo.MapToSlice(c.clears, func(t quarantine.Trait, l clearReport) Clearance { return Clearance{Trait: t, At: l.at} })
+	slices.SortFunc(clears, func(a, b Clearance) int {
+		return cmp.Or(cmp.Compare(b.At, a.At), quarantine.CompareTraits(a.Trait, b.Trait))
+	})
+	return clears[:min(len(clears), maxReportedClears)]
+}
+
+// crashReported applies the report of a peer.
+func (m *Machine) crashReported(now time.Duration, r CrashReport) {
+	for _, c := range r.Clears {
+		m.clearTrait(now, c.At, c.Trait)
+	}
+	for _, c := range r.Crashes {
+		i := incarnation{id: c.Endpoint, started: c.Started}
+		if l := m.crashes.losses[i]; l != nil && !l.ended {
+			m.recordCrash(now, i, l, EndReported)
+		}
+		m.contradict(now, c.Suspects, c.At)
+		m.addSuspects(now, c.At, crashEvent(c.Endpoint, c.Started), c.Suspects)
+	}
+	for _, e := range r.Quarantined {
+		m.contradict(now, []quarantine.Trait{e.Trait}, e.CrashedAt)
+		if m.crashes.register.Adopt(e) {
+			m.notes = append(m.notes, TraitQuarantined{Trait: e.Trait, Crashes: e.Crashes, Reported: true})
+		}
+	}
+}
+
+// contradict reports a clearance again if a peer has not learned of it.
+func (m *Machine) contradict(now time.Duration, suspects []quarantine.Trait, suspectedAt time.Duration) {
+	for _, t := range suspects {
+		at := max(m.crashes.register.LiftedAt(t), m.crashes.table.ClearedAt(t))
+		if at >= suspectedAt {
+			m.crashes.clears[t] = clearReport{at: at, since: now}
+		}
+	}
+}
--- a/internal/core/gateway/endpoints.go
+++ b/internal/core/gateway/endpoints.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
@@ -102,37 +103,41 @@
 
 func (m *Machine) setEndpoints(now time.Duration, list []catalog.Endpoint) {
 	m.hasEndpoints = true
+	m.noticeEnds(now, list)
 	previous := m.endpoints
 	m.endpoints = make(map[fleet.EndpointID]*endpoint, len(list))
 	m.byService = make(map[fleet.ServiceName][]*endpoint)
 	for _, l := range list {
 		e, ok := previous[l.ID]
 		if !ok || e.Started != l.Started || e.Address != l.Address {
-			if ok {
-				m.endpointEnded(now, e, EndRestarted)
-			}
 			e = newEndpoint(l)
 		}
 		e.Endpoint, e.others = l, Load{}
 		m.endpoints[l.ID] = e
 		m.byService[l.Service] = append(m.byService[l.Service], e)
 	}
-	for _, e := range previous {
-		if _, ok := m.endpoints[e.ID]; !ok {
-			m.notes = append(m.notes, EndpointEnded{Endpoint: e.ID, Started: e.Started, Evidence: EndRemoved})
-		}
-	}
 	for _, p := range m.loads {
 		m.addLoads(p.loads, 1)
 	}
 }
 
-// endpointEnded confirms the suspected crashes of an endpoint's incarnation that is
-// down or was replaced.
-func (m *Machine) endpointEnded(now time.Duration, e *endpoint, evidence EndEvidence) {
-	suspects := m.crashes.confirm(now, e.ID, e.Started)
-	if len(suspects) > 0 || evidence != EndUnreachable {
-		m.notes = append(m.notes, EndpointEnded{Endpoint: e.ID, Started: e.Started, Evidence: evidence, Suspects: suspects})
+// noticeEnds records the ends of endpoints that a new list shows.
+func (m *Machine) noticeEnds(now time.Duration, list []catalog.Endpoint) {
+	listed := lo.KeyBy(list, func(l catalog.Endpoint) fleet.EndpointID { return l.ID })
+	addresses := lo.SliceToMap(list, func(l catalog.Endpoint) (string, bool) { return l.Address, true })
+	for _, e := range m.endpoints {
+		l, ok := listed[e.ID]
+		switch {
+		case ok && l.Started != e.Started:
+			m.incarnationEnded(now, e, EndRestarted)
+		case ok && l.Draining:
+			// It has reported since that it will leave, so it did not crash.
+			delete(m.crashes.losses, incarnation{id: e.ID, started: e.Started})
+		case !ok && addresses[e.Address]:
+			m.incarnationEnded(now, e, EndReplaced)
+		case !ok:
+			m.incarnationEnded(now, e, EndRemoved)
+		}
 	}
 }
 
@@ -281,14 +286,17 @@
 	case FailureDial:
 		e.consecutiveFailures++
 		e.suspectUntil = now + min(minSuspectTime<<min(e.consecutiveFailures-1, 4), maxSuspectTime)
-		m.endpointEnded(now, e, EndUnreachable)
-	case FailureConnectionLost:
-		if !msg.Reused {
-			m.crashes.addSuspected(now, Crash{Fingerprint: o.request.Fingerprint, Endpoint: e.ID, Started: e.Started})
+		if msg.Refused {
+			m.connectionRefused(now, e.ID, e.Started)
 		}
+	case FailureConnectionLost:
+		m.attemptLost(now, o, e)
 	case FailureTimeout:
 		e.consecutiveFailures++
 		e.suspectUntil = now + minSuspectTime
-	case FailureRejected, FailureErrorResponse, FailureNotSentInTime:
+		m.attemptLost(now, o, e)
+	case FailureErrorResponse:
+		m.executed(now, o.traits)
+	case FailureRejected, FailureNotSentInTime:
 	}
 }
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -7,6 +7,7 @@
 	"github.com/cornelhold/cornelhold/internal/core/budget"
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/quarantine"
 	"github.com/cornelhold/cornelhold/internal/core/quota"
 	"github.com/cornelhold/cornelhold/internal/core/window"
 )
@@ -40,9 +41,13 @@
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	started    bool
-	tried      map[fleet.EndpointID]bool
-	endpoint   *endpoint
-	sentAt     time.Duration
+	// startedAt is the time of the first byte of the current attempt's response.
+	startedAt time.Duration
+	// traits may be the cause if an endpoint crashes with the request.
+	traits   []quarantine.Trait
+	tried    map[fleet.EndpointID]bool
+	endpoint *endpoint
+	sentAt   time.Duration
 	// expectedFirstByte is the estimated time until the first byte of the current
 	// attempt, queuedWork the part of it that depends on the endpoint's load.
 	expectedFirstByte, queuedWork time.Duration
@@ -63,7 +68,7 @@
 	open          map[RequestID]*openRequest
 	quota         *quota.Meter
 	budgets       map[fleet.ServiceName]*budget.Shared
-	crashes       *crashLog
+	crashes       *crashEvidence
 	peers         map[string]bool
 	loads         map[string]peerLoads
 	demand        map[fleet.ServiceName]*window.Sum
@@ -81,7 +86,7 @@
 		options: options, list: listAge{drainBound: options.DrainBound}, endpoints: make(map[fleet.EndpointID]*endpoint),
 		byService: make(map[fleet.ServiceName][]*endpoint),
 		open:      make(map[RequestID]*openRequest), quota: quota.New(options.Quota),
-		budgets: make(map[fleet.ServiceName]*budget.Shared), crashes: newCrashLog(),
+		budgets: make(map[fleet.ServiceName]*budget.Shared), crashes: newCrashEvidence(),
 		peers: make(map[string]bool), loads: make(map[string]peerLoads), demand: make(map[fleet.ServiceName]*window.Sum),
 		demandSince: make(map[fleet.ServiceName]time.Duration), firstByte: make(map[fleet.ServiceName]time.Duration),
 	}
@@ -146,7 +151,7 @@
 	return Send{
 		ID: id, Endpoint: e.Endpoint, Route: o.route, Team: teamName(o.team), DeadlineAt: o.deadlineAt,
 		SendBy: m.list.sendBy(now), AttemptTimeout: m.attemptTimeout(now, o), Priority: requestPriority(o),
-		Attempt: o.sends, ExpectedFirstByte: est.firstByte, Load: load, Version: m.catalog.Version,
+		Attempt: o.sends, ExpectedFirstByte: est.firstByte, Load: load, Version: m.catalog.Version, Traits: o.traits,
 		ListOffset: m.list.offset, ListAge: now - m.list.completeAt,
 	}
 }
@@ -157,7 +162,7 @@
 		return nil
 	}
 	first := !o.mayHaveRun
-	o.started, o.mayHaveRun = true, true
+	o.started, o.startedAt, o.mayHaveRun = true, now, true
 	m.observeIdleFirstByte(now, o)
 	o.endpoint.responseStarted(now, o, m.options.DataCentre, m.idleFirstByte(o.service))
 	if !first || o.team == nil {
@@ -176,6 +181,13 @@
 	if o.endpoint == nil {
 		return
 	}
+	switch {
+	case msg.Succeeded:
+		m.executed(now, o.traits)
+	case !o.started:
+		// The caller left, or its time was over.
+		m.attemptLost(now, o, o.endpoint)
+	}
 	o.endpoint.observeTimeout(now, o, m.idleFirstByte(o.service))
 	o.endpoint.removeRequest(o.backlog, o.started)
 	if msg.Succeeded {
--- a/internal/core/gateway/machine_test.go
+++ b/internal/core/gateway/machine_test.go
@@ -155,41 +155,6 @@
 	})
 }
 
-// TestCrashingRequestIsQuarantined guards against a request that crashes one
-// endpoint after another (rule BUDGET), also if peers report the crashes.
-func TestCrashingRequestIsQuarantined(t *testing.T) {
-	is := is.New(t)
-	m := readyMachine(6)
-	send := func(id RequestID) Action {
-		return m.Step(time.Duration(id)*time.Second, RequestArrived{ID: id, Request: Request{
-			Host: "h", Path: "/resumable/x", Key: "key", HasKey: true, Fingerprint: 99,
-		}})[0]
-	}
-	for id := RequestID(1); id <= 2; id++ {
-		a, ok := send(id).(Send)
-		is.True(ok)
-		now := time.Duration(id)*time.Second + 10*time.Millisecond
-		m.observeFailure(now, m.open[id], m.endpoints[a.Endpoint.ID], AttemptFailed{ID: id, Failure: FailureConnectionLost})
-		m.crashes.confirm(now, a.Endpoint.ID, a.Endpoint.Started)
-		m.Step(now, RequestFinished{ID: id})
-	}
-	m.Step(3*time.Second, PeerReport{Node: "n2", Crashes: []Crash{{Fingerprint: 99, Endpoint: "other", Started: 4}}})
-	refused, ok := send(4).(Refuse)
-	is.True(ok)
-	is.Equal(refused.Refusal.Kind, fleet.RefusedQuarantined)
-}
-
-// TestLostResponsesAreNoCrash guards against the quarantine of requests whose
-// responses are lost although the endpoint stays up.
-func TestLostResponsesAreNoCrash(t *testing.T) {
-	is := is.New(t)
-	m := readyMachine(3)
-	for i := range 10 {
-		m.crashes.addSuspected(time.Duration(i)*time.Second, Crash{Fingerprint: 5, Endpoint: fleet.EndpointID(fmt.Sprint("e", i%3)), Started: 1})
-	}
-	is.True(!m.crashes.quarantined(11*time.Second, 5))
-}
-
 // TestOlderCatalogIsIgnored guards against a return to an older configuration
 // version (rule CONFIG), whatever its source.
 func TestOlderCatalogIsIgnored(t *testing.T) {
--- a/internal/core/gateway/messages.go
+++ b/internal/core/gateway/messages.go
@@ -8,6 +8,7 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/quarantine"
 	"github.com/cornelhold/cornelhold/internal/core/quota"
 )
 
@@ -76,6 +77,9 @@
 	Failure Failure
 	// Reused is set if the connection had served other requests before.
 	Reused bool
+	// Refused is set if the endpoint refused the connection, so that nothing listens
+	// at its address.
+	Refused bool
 }
 
 // ResponseStarted reports the first byte of the endpoint's response.
@@ -116,19 +120,12 @@
 	Backlog int
 }
 
-// Crash records that a request was running on an endpoint when it crashed.
-type Crash struct {
-	Fingerprint fleet.Fingerprint
-	Endpoint    fleet.EndpointID
-	Started     int64
-}
-
 // PeerReport is the periodic report of another instance.
 type PeerReport struct {
 	Node    string
 	Used    map[fleet.TeamName]quota.Usage
 	Loads   map[fleet.EndpointID]Load
-	Crashes []Crash
+	Crashes CrashReport
 	// Demand is the engine time that callers request, by service, as a multiple
 	// of one endpoint's time. Requests refused for overload count too.
 	Demand map[fleet.ServiceName]float64
@@ -184,6 +181,8 @@
 	Load              Load
 	// Version is the active configuration at the decision.
 	Version catalog.Version
+	// Traits are those of the request by which crashes are attributed to it.
+	Traits []quarantine.Trait
 	// ListOffset and ListAge are the position of the instance list that the
 	// decision is based on and the time since it was last complete.
 	ListOffset int64
@@ -210,17 +209,21 @@
 
 // Evidence of an end.
 const (
-	// EndUnreachable: no connection could be opened.
-	EndUnreachable EndEvidence = iota
+	// EndRefused: attempts were lost and a connection was refused.
+	EndRefused EndEvidence = iota
 	// EndRestarted: the list names a newer incarnation.
 	EndRestarted
+	// EndReplaced: the list names another endpoint at the address.
+	EndReplaced
 	// EndRemoved: the list no longer names the endpoint.
 	EndRemoved
+	// EndReported: a peer reported it.
+	EndReported
 )
 
 // String returns the name used in logs and metrics.
 func (e EndEvidence) String() string {
-	return [...]string{"unreachable", "restarted", "removed"}[e]
+	return [...]string{"refused", "restarted", "replaced", "removed", "reported"}[e]
 }
 
 // EndpointEnded reports for the log that an incarnation of an endpoint has ended, and
@@ -229,11 +232,24 @@
 	Endpoint fleet.EndpointID
 	Started  int64
 	Evidence EndEvidence
-	Suspects []fleet.Fingerprint
+	Suspects []quarantine.Trait
 }
 
-func (Send) action()          {}
-func (Refuse) action()        {}
-func (ReadList) action()      {}
-func (CountStarted) action()  {}
-func (EndpointEnded) action() {}
+// TraitQuarantined reports for the log that requests with a trait are refused from now
+// on. Reported is set if a peer concluded it.
+type TraitQuarantined struct {
+	Trait    quarantine.Trait
+	Crashes  int
+	Reported bool
+}
+
+// TraitLifted reports for the log that requests with a trait are served again.
+type TraitLifted struct{ Trait quarantine.Trait }
+
+func (Send) action()             {}
+func (Refuse) action()           {}
+func (ReadList) action()         {}
+func (CountStarted) action()     {}
+func (EndpointEnded) action()    {}
+func (TraitQuarantined) action() {}
+func (TraitLifted) action()      {}
--- /dev/null
+++ b/internal/core/gateway/quarantine.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cornelhold/cornelhold/internal/core/catalog"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/quarantine"
+)
+
+// requestTraits returns what may be the cause if an endpoint crashes with a request. The
+// same request of a team is the same whichever of its keys it has.
+func requestTraits(r Request, team *catalog.Team) []quarantine.Trait {
+	fingerprint := r.Fingerprint
+	if team != nil {
+		fingerprint ^= fleet.Fingerprint(xxhash.Sum64String(string(team.Name)))
+	}
+	return []quarantine.Trait{quarantine.RequestTrait(fingerprint)}
+}
+
+// quarantined returns the refusal of a request that crashes endpoints and the evidence
+// for the log, or nil. It must be called before each time that a request is sent.
+func (m *Machine) quarantined(now time.Duration, o *openRequest) (*fleet.Refusal, string) {
+	e := m.crashes.register.Match(o.traits)
+	if e == nil || m.ownsTrial(e.Trait) && m.crashes.register.StartTrial(now, e) {
+		return nil, ""
+	}
+	refusal := fleet.Refuse(fleet.RefusedQuarantined, max(e.Until-now, retryAfter), "endpoints crashed repeatedly while they ran this request; change it")
+	detail := fmt.Sprintf("trait %s, crashes %d, the last %d ms ago, trials %d", e.Trait, e.Crashes, (now - e.CrashedAt).Milliseconds(), e.Trials)
+	return refusal, detail
+}
+
+// ownsTrial reports whether this instance is the one that tries requests with the trait
+// again. All instances with the same peers choose the same one.
+func (m *Machine) ownsTrial(t quarantine.Trait) bool {
+	own := trialRank(m.options.Node, t)
+	for node := range m.peers {
+		if trialRank(node, t) > own {
+			return false
+		}
+	}
+	return true
+}
+
+func trialRank(node string, t quarantine.Trait) uint64 {
+	return mixHash(xxhash.Sum64String(node) ^ t.ID)
+}
--- a/internal/core/gateway/report.go
+++ b/internal/core/gateway/report.go
@@ -22,9 +22,7 @@
 	m.peers[r.Node] = true
 	m.quota.SetPeer(r.Node, quota.Peer{At: now, Used: r.Used})
 	m.setLoads(now, r.Node, r.Loads)
-	for _, c := range r.Crashes {
-		m.crashes.addConfirmed(now, c)
-	}
+	m.crashReported(now, r.Crashes)
 }
 
 func (m *Machine) peerLeft(node string) {
@@ -38,7 +36,7 @@
 	m.expireLoads(now)
 	r := PeerReport{
 		Node: m.options.Node, Used: m.quota.OwnUsage(now),
-		Loads: make(map[fleet.EndpointID]Load), Crashes: m.crashes.recent(now),
+		Loads: make(map[fleet.EndpointID]Load), Crashes: m.crashes.report(now),
 		Demand: make(map[fleet.ServiceName]float64),
 	}
 	for service, sum := range m.demand {
--- a/internal/core/gateway/retry.go
+++ b/internal/core/gateway/retry.go
@@ -102,7 +102,7 @@
 	if refusal != nil {
 		return refusal
 	}
-	o.route, o.team, o.service = current.route, current.team, current.service
+	o.route, o.team, o.service, o.traits = current.route, current.team, current.service, current.traits
 	return nil
 }
 
@@ -117,13 +117,17 @@
 	return &fleet.Refusal{Kind: kind, Run: fleet.RunUnknown, Remedy: "the endpoint failed; check the outcome before a repeat"}
 }
 
-// mayRetry reports whether deadline, attempts, route and quarantine allow a retry.
+// mayRetry reports whether deadline, attempts and route allow a retry.
 func (m *Machine) mayRetry(now time.Duration, o *openRequest, failure Failure) bool {
 	if now >= o.deadlineAt || o.sends >= o.route.MaxAttempts || o.dialFailures >= maxDialFailures {
 		return false
 	}
 	notRun := failure == FailureDial || failure == FailureRejected || failure == FailureNotSentInTime
-	return notRun || o.route.Repeatable() && !m.crashes.quarantined(now, o.request.Fingerprint)
+	if notRun {
+		return true
+	}
+	quarantined, _ := m.quarantined(now, o)
+	return o.route.Repeatable() && quarantined == nil
 }
 
 // chooseRetry returns the endpoint for a retry. It reports false if there is none or
--- a/internal/core/quarantine/cause.go
+++ b/internal/core/quarantine/cause.go
@@ -60,7 +60,7 @@
 		}
 	}
 	slices.SortFunc(traits, func(a, b Trait) int {
-		return cmp.Or(cmp.Compare(i.counts[b], i.counts[a]), compareTraits(a, b))
+		return cmp.Or(cmp.Compare(i.counts[b], i.counts[a]), CompareTraits(a, b))
 	})
 	return traits
 }
--- a/internal/core/quarantine/clear.go
+++ b/internal/core/quarantine/clear.go
@@ -1,6 +1,12 @@
 package quarantine
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+// Never is the time of what did not happen. It lies before all other times.
+const Never = time.Duration(math.MinInt64)
 
 // clearMemory remembers when traits were last cleared. It holds two generations and
 // drops the older one when the newer one is full or lasted long enough, so that its size
@@ -22,14 +28,19 @@
 	if now-m.startedAt >= m.lifetime || len(m.current) >= maxClears {
 		m.earlier, m.current, m.startedAt = m.current, make(map[Trait]time.Duration), now
 	}
-	m.current[trait] = max(at, m.current[trait])
+	if known, ok := m.current[trait]; !ok || at > known {
+		m.current[trait] = at
+	}
 }
 
-// since reports whether the trait was cleared at the time at or later.
-func (m *clearMemory) since(trait Trait, at time.Duration) bool {
-	if cleared, ok := m.current[trait]; ok && cleared >= at {
-		return true
+// last returns when the trait was last cleared, or Never.
+func (m *clearMemory) last(trait Trait) time.Duration {
+	last := Never
+	if at, ok := m.earlier[trait]; ok {
+		last = at
+	}
+	if at, ok := m.current[trait]; ok {
+		last = max(last, at)
 	}
-	cleared, ok := m.earlier[trait]
-	return ok && cleared >= at
+	return last
 }
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -66,7 +66,7 @@
 	if ok {
 		at = c.at
 	}
-	if t.cleared.since(trait, at) {
+	if t.cleared.last(trait) >= at {
 		return false
 	}
 	if !ok {
@@ -99,9 +99,9 @@
 	return changed
 }
 
-// ClearedSince reports whether the trait was cleared at the time at or later, as far as
-// is remembered.
-func (t *Table) ClearedSince(trait Trait, at time.Duration) bool { return t.cleared.since(trait, at) }
+// ClearedAt returns when the trait was last cleared, as far as is remembered; Never
+// otherwise.
+func (t *Table) ClearedAt(trait Trait) time.Duration { return t.cleared.last(trait) }
 
 func (t *Table) remove(c *crash, trait Trait) {
 	delete(c.suspects, trait)
@@ -147,6 +147,6 @@
 	for trait := range c.suspects {
 		suspects = append(suspects, trait)
 	}
-	slices.SortFunc(suspects, compareTraits)
+	slices.SortFunc(suspects, CompareTraits)
 	return suspects
 }
--- a/internal/core/quarantine/trait.go
+++ b/internal/core/quarantine/trait.go
@@ -1,11 +1,15 @@
 // Package quarantine decides which requests are refused because they crash the
 // endpoints that run them. A Table holds the crashes and the requests that were
-// running, and finds the cause. A Fold does the same over the records of a log.
+// running, and finds the cause; a Register holds what is refused and for how long. A
+// Fold does the same over the records of a log.
 package quarantine
 
 import (
 	"cmp"
 	"strconv"
+	"strings"
+
+	"github.com/samber/lo"
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 )
@@ -20,6 +24,9 @@
 	WholeRequest TraitKind = iota
 )
 
+// LastTraitKind is the highest kind that this version of the program knows.
+const LastTraitKind = WholeRequest
+
 // Trait is a property of a request that may be the cause of crashes.
 type Trait struct {
 	Kind TraitKind
@@ -34,7 +41,13 @@
 	return [...]string{"request"}[t.Kind] + ":" + strconv.FormatUint(t.ID, 16)
 }
 
-func compareTraits(a, b Trait) int {
+// JoinTraits returns the traits in the form used in logs.
+func JoinTraits(traits []Trait) string {
+	return strings.Join(lo.Map(traits, func(t Trait, _ int) string { return t.String() }), " ")
+}
+
+// CompareTraits orders traits.
+func CompareTraits(a, b Trait) int {
 	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.ID, b.ID))
 }
 
--- a/internal/edge/codec.go
+++ b/internal/edge/codec.go
@@ -30,11 +30,6 @@
 	for service, work := range r.Demand {
 		message.Demand = append(message.Demand, &cornelholdv1.ServiceDemand{Service: string(service), Endpoints: work})
 	}
-	for _, c := range r.Crashes {
-		message.Crashes = append(message.Crashes, &cornelholdv1.RequestCrash{
-			Fingerprint: uint64(c.Fingerprint), Endpoint: string(c.Endpoint), StartedMs: c.Started,
-		})
-	}
 }
 
 func decodeReport(p *cornelholdv1.InstanceReport) gateway.PeerReport {
@@ -51,12 +46,6 @@
 	for _, d := range p.GetDemand() {
 		r.Demand[fleet.ServiceName(d.GetService())] = max(d.GetEndpoints(), 0)
 	}
-	for _, c := range p.GetCrashes() {
-		r.Crashes = append(r.Crashes, gateway.Crash{
-			Fingerprint: fleet.Fingerprint(c.GetFingerprint()), Endpoint: fleet.EndpointID(c.GetEndpoint()),
-			Started: c.GetStartedMs(),
-		})
-	}
 	return r
 }
 
--- /dev/null
+++ b/internal/edge/crashcodec.go
@@ -0,0 +1,69 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/gateway"
+	"github.com/cornelhold/cornelhold/internal/core/quarantine"
+)
+
+// encodeCrashes adds a crash report to a message. Clocks differ between machines, so that
+// times are sent as ages at the local time now.
+func encodeCrashes(r gateway.CrashReport, now time.Duration, message *cornelholdv1.InstanceReport) {
+	message.Crashes = lo.Map(r.Crashes, func(c gateway.Crash, _ int) *cornelholdv1.EndpointCrash {
+		return &cornelholdv1.EndpointCrash{
+			Endpoint: string(c.Endpoint), StartedMs: c.Started, AgeMs: (now - c.At).Milliseconds(),
+			Suspects: lo.Map(c.Suspects, encodeTrait),
+		}
+	})
+	message.Quarantined = lo.Map(r.Quarantined, func(e quarantine.Entry, _ int) *cornelholdv1.QuarantinedTrait {
+		return &cornelholdv1.QuarantinedTrait{
+			Trait: encodeTrait(e.Trait, 0), Crashes: uint32(e.Crashes), Trials: uint32(e.Trials),
+			CrashedAgeMs: (now - e.CrashedAt).Milliseconds(), LeftMs: (e.Until - now).Milliseconds(),
+		}
+	})
+	message.Cleared = lo.Map(r.Clears, func(c gateway.Clearance, _ int) *cornelholdv1.ClearedTrait {
+		return &cornelholdv1.ClearedTrait{Trait: encodeTrait(c.Trait, 0), AgeMs: (now - c.At).Milliseconds()}
+	})
+}
+
+// decodeCrashes returns the crash report of a message that was sent at the local time
+// sentAt. Traits of an unknown kind, from a newer version of the program, are left out.
+func decodeCrashes(m *cornelholdv1.InstanceReport, sentAt time.Duration) gateway.CrashReport {
+	var r gateway.CrashReport
+	for _, c := range m.GetCrashes() {
+		r.Crashes = append(r.Crashes, gateway.Crash{
+			Endpoint: fleet.EndpointID(c.GetEndpoint()), Started: c.GetStartedMs(), At: sentAt - milliseconds(c.GetAgeMs()),
+			Suspects: lo.FilterMap(c.GetSuspects(), func(t *cornelholdv1.RequestTrait, _ int) (quarantine.Trait, bool) { return decodeTrait(t) }),
+		})
+	}
+	for _, q := range m.GetQuarantined() {
+		if t, ok := decodeTrait(q.GetTrait()); ok {
+			r.Quarantined = append(r.Quarantined, quarantine.Entry{
+				Trait: t, Crashes: int(q.GetCrashes()), Trials: int(q.GetTrials()),
+				CrashedAt: sentAt - milliseconds(q.GetCrashedAgeMs()), Until: sentAt + milliseconds(q.GetLeftMs()),
+			})
+		}
+	}
+	for _, c := range m.GetCleared() {
+		if t, ok := decodeTrait(c.GetTrait()); ok {
+			r.Clears = append(r.Clears, gateway.Clearance{Trait: t, At: sentAt - milliseconds(c.GetAgeMs())})
+		}
+	}
+	return r
+}
+
+func encodeTrait(t quarantine.Trait, _ int) *cornelholdv1.RequestTrait {
+	return &cornelholdv1.RequestTrait{Kind: uint32(t.Kind), Id: t.ID}
+}
+
+func decodeTrait(t *cornelholdv1.RequestTrait) (quarantine.Trait, bool) {
+	if t == nil || t.GetKind() > uint32(quarantine.LastTraitKind) {
+		return quarantine.Trait{}, false
+	}
+	return quarantine.Trait{Kind: quarantine.TraitKind(t.GetKind()), ID: t.GetId()}, true
+}
--- /dev/null
+++ b/internal/edge/crashlog.go
@@ -0,0 +1,27 @@
+package edge
+
+import (
+	"github.com/apex/log"
+
+	"github.com/cornelhold/cornelhold/internal/core/gateway"
+	"github.com/cornelhold/cornelhold/internal/core/quarantine"
+)
+
+// maxLoggedSuspects bounds the suspects in one log line.
+const maxLoggedSuspects = 24
+
+// observe logs and counts what the gateway concluded about crashes.
+func (t *gatewayTask) observe(action gateway.Action) {
+	switch a := action.(type) {
+	case gateway.EndpointEnded:
+		t.metrics.endpointEnds.WithLabelValues(a.Evidence.String()).Inc()
+		t.log.WithFields(log.Fields{
+			"endpoint": string(a.Endpoint), "started": a.Started, "evidence": a.Evidence.String(),
+			"suspects": len(a.Suspects), "traits": quarantine.JoinTraits(a.Suspects[:min(len(a.Suspects), maxLoggedSuspects)]),
+		}).Warn("endpoint ended")
+	case gateway.TraitQuarantined:
+		t.log.WithFields(log.Fields{"trait": a.Trait.String(), "crashes": a.Crashes, "reported": a.Reported}).Warn("requests quarantined")
+	case gateway.TraitLifted:
+		t.log.WithField("trait", a.Trait.String()).Info("quarantine lifted")
+	}
+}
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -11,8 +11,10 @@
 	"github.com/cornelhold/cornelhold/internal/task"
 )
 
-// gatewayMailbox bounds the messages that wait for the gateway task.
-const gatewayMailbox = 4096
+const (
+	// gatewayMailbox bounds the messages that wait for the gateway task.
+	gatewayMailbox = 4096
+)
 
 type gatewayMessage struct {
 	message gateway.Message
@@ -54,7 +56,9 @@
 		case <-ctx.Done():
 			return nil
 		case r := <-t.reports.Receive():
-			r.reply <- t.machine.Report(t.clock.Now())
+			report := t.machine.Report(t.clock.Now())
+			t.metrics.quarantined.Set(float64(len(report.Crashes.Quarantined)))
+			r.reply <- report
 		case msg := <-t.mailbox.Receive():
 			t.handle(msg)
 		}
@@ -91,18 +95,11 @@
 		t.started.TrySend(a)
 	case gateway.ReadList:
 		t.readList()
-	case gateway.EndpointEnded:
-		t.logEnd(a)
+	default:
+		t.observe(a)
 	}
 }
 
-func (t *gatewayTask) logEnd(a gateway.EndpointEnded) {
-	t.metrics.endpointEnds.WithLabelValues(a.Evidence.String()).Inc()
-	t.log.WithFields(log.Fields{
-		"endpoint": string(a.Endpoint), "started": a.Started, "evidence": a.Evidence.String(), "suspects": len(a.Suspects),
-	}).Warn("endpoint ended")
-}
-
 func (t *gatewayTask) reply(id gateway.RequestID, a gateway.Action) {
 	select {
 	case t.replies[id] <- a:
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -25,6 +25,7 @@
 	droppedLog prometheus.Counter
 	// endpointEnds counts the incarnations of endpoints that ended.
 	endpointEnds *prometheus.CounterVec
+	quarantined  prometheus.Gauge
 	log          log.Interface
 }
 
@@ -58,8 +59,11 @@
 		endpointEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cornelhold_endpoint_ends_total", Help: "Incarnations of endpoints that ended, by evidence.",
 		}, []string{"evidence"}),
+		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "cornelhold_quarantined_traits", Help: "Traits whose requests are refused because they crash endpoints.",
+		}),
 	}
-	registry.MustRegister(m.requests, m.firstByte, m.total, m.sendDelay, m.listAge, m.stalls, m.malformed, m.droppedLog, m.endpointEnds)
+	registry.MustRegister(m.requests, m.firstByte, m.total, m.sendDelay, m.listAge, m.stalls, m.malformed, m.droppedLog, m.endpointEnds, m.quarantined)
 	return m
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -192,6 +192,7 @@
 		StoreLost: t.election.StoreUnavailable(now), SentMs: sentAt.Milliseconds(),
 	}
 	encodeReport(ownReport, message)
+	encodeCrashes(ownReport.Crashes, t.process.clock.Now(), message)
 	for _, p := range t.peers {
 		if now-p.lastReport < unresponsiveAfter && p.active && len(message.Peers) < maxPeerAddresses {
 			message.Peers = append(message.Peers, p.address.String())
@@ -253,7 +254,9 @@
 			t.add(a)
 		}
 	}
+	reported := newReportedState(now, p, &m)
 	report := decodeReport(&m)
+	report.Crashes = decodeCrashes(&m, t.process.clock.At(reported.sentAt))
 	t.process.gateway.Post(ctx, report)
 	t.process.duties.postPeerUpdate(peerUpdate{
 		node: m.GetNode(), demand: report.Demand, used: report.Used, wallClock: time.Duration(m.GetWallMs()) * time.Millisecond,
@@ -263,7 +266,6 @@
 	t.election.Observe(now, storereader.Instance{
 		Node: m.GetNode(), DataCentre: fleet.DataCentre(m.GetDataCentre()), Leaving: m.GetLeaving(), StoreLost: m.GetStoreLost(),
 	})
-	reported := newReportedState(now, p, &m)
 	if !m.GetLeaving() {
 		t.pullIfBehind(ctx, now, d.from, reported)
 	}
--- a/internal/edge/pulls.go
+++ b/internal/edge/pulls.go
@@ -32,6 +32,8 @@
 
 // reportedState is how much of the store a peer has read, as its report states.
 type reportedState struct {
+	// sentAt is the local boot time at which the report was sent, as estimated.
+	sentAt     time.Duration
 	version    catalog.Version
 	listOffset int64
 	dataCentre fleet.DataCentre
@@ -49,6 +51,7 @@
 func newReportedState(now time.Duration, from *peer, m *cornelholdv1.InstanceReport) reportedState {
 	delay, known := from.delay.Observe(milliseconds(m.GetSentMs()), now)
 	return reportedState{
+		sentAt:  now - delay,
 		version: catalog.Version(m.GetConfigVersion()), listOffset: m.GetListOffset(),
 		dataCentre:     fleet.DataCentre(m.GetDataCentre()),
 		listCompleteAt: now - delay - milliseconds(m.GetListAgeMs()), listAgeKnown: known && m.GetSentMs() > 0,
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -13,6 +13,7 @@
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
+	"github.com/cornelhold/cornelhold/internal/core/quarantine"
 	"github.com/cornelhold/cornelhold/internal/core/stream"
 	"github.com/cornelhold/cornelhold/internal/task"
 	"github.com/cornelhold/cornelhold/internal/upstream"
@@ -120,7 +121,7 @@
 		case <-r.deadlineTimer.C():
 			return r.timeout()
 		case <-r.attemptTimer.C():
-			r.failAttempt(ctx, gateway.FailureTimeout, false)
+			r.failAttempt(ctx, gateway.AttemptFailed{Failure: gateway.FailureTimeout})
 		case a := <-r.replies:
 			if done, reusable := r.handleAction(ctx, a); done {
 				return reusable
@@ -237,21 +238,20 @@
 
 // failAttempt cancels the attempt and reports its failure to the gateway, which
 // decides on a retry.
-func (r *request) failAttempt(ctx context.Context, f gateway.Failure, reused bool) {
+func (r *request) failAttempt(ctx context.Context, failed gateway.AttemptFailed) {
 	r.connection.server.options.Log.WithFields(log.Fields{
 		"request": r.callerRequest.Attempt, "endpoint": string(r.send.Endpoint.ID), "attempt": r.send.Attempt,
-		"failure": f.String(), "cause": r.lastError, "events": r.splitter.EventCount(), "reused_channel": reused,
-		"endpoint_started": r.send.Endpoint.Started,
+		"failure": failed.Failure.String(), "cause": r.lastError, "events": r.splitter.EventCount(), "reused_channel": failed.Reused,
+		"endpoint_started": r.send.Endpoint.Started, "traits": quarantine.JoinTraits(r.send.Traits),
 	}).Warn("attempt failed")
 	r.lastError = ""
 	r.cancel()
 	r.events = nil
 	r.attemptTimer.Stop()
 	r.splitter.Discard()
-	r.outcome.Reason = f.String()
-	r.connection.server.options.Gateway.Post(ctx, gateway.AttemptFailed{
-		ID: r.id, Failure: f, Reused: reused,
-	})
+	r.outcome.Reason = failed.Failure.String()
+	failed.ID = r.id
+	r.connection.server.options.Gateway.Post(ctx, failed)
 }
 
 func (r *request) handleEvent(ctx context.Context, e upstream.Event) (done, reusable bool) {
@@ -261,7 +261,7 @@
 	case upstream.StreamHead:
 		r.head = &e
 		if !e.Decoded.Signed {
-			r.failAttempt(ctx, gateway.FailureConnectionLost, false)
+			r.failAttempt(ctx, gateway.AttemptFailed{Failure: gateway.FailureConnectionLost})
 		}
 	case upstream.StreamData:
 		return r.handleData(ctx, e.Bytes)
@@ -271,7 +271,7 @@
 		return r.handleFullResponse(ctx, e)
 	case upstream.Failed:
 		r.lastError = e.Cause.Error()
-		r.failAttempt(ctx, toFailure(e), e.Reused)
+		r.failAttempt(ctx, gateway.AttemptFailed{Failure: toFailure(e), Reused: e.Reused, Refused: e.Refused})
 	}
 	return false, false
 }
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -32,7 +32,7 @@
 	}
 	if err != nil {
 		r.lastError = err.Error()
-		r.failAttempt(ctx, gateway.FailureConnectionLost, false)
+		r.failAttempt(ctx, gateway.AttemptFailed{Failure: gateway.FailureConnectionLost})
 	}
 	return false, false
 }
@@ -71,15 +71,15 @@
 	success := e.Status >= 200 && e.Status < 300
 	switch {
 	case e.Decoded.NotExecuted:
-		r.failAttempt(ctx, gateway.FailureRejected, false)
+		r.failAttempt(ctx, gateway.AttemptFailed{Failure: gateway.FailureRejected})
 		return false, false
 	case success && !e.Decoded.Signed, r.delivered:
-		r.failAttempt(ctx, gateway.FailureConnectionLost, false)
+		r.failAttempt(ctx, gateway.AttemptFailed{Failure: gateway.FailureConnectionLost})
 		return false, false
 	case e.Status >= 500 || impliesNotRun(e.Status):
 		r.responseStarted(ctx)
 		r.errorResponse = &e
-		r.failAttempt(ctx, gateway.FailureErrorResponse, false)
+		r.failAttempt(ctx, gateway.AttemptFailed{Failure: gateway.FailureErrorResponse})
 		return false, false
 	}
 	r.responseStarted(ctx)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -89,8 +89,9 @@
 	Cause error
 	// Sent is set if a byte of the request may have reached the endpoint.
 	Sent bool
-	// DialFailed is set if no connection could be opened.
-	DialFailed bool
+	// DialFailed is set if no connection could be opened, Refused if that is because
+	// nothing listens at the address.
+	DialFailed, Refused bool
 	// NotSentInTime is set if the request was not written because SendBy had passed.
 	NotSentInTime bool
 	// Reset is set if the endpoint closed or reset the connection, or violated
@@ -130,7 +131,7 @@
 func (x *exchange) run(ctx context.Context) {
 	conn, err := x.connect(ctx)
 	if err != nil {
-		x.emit(ctx, Failed{Cause: err, DialFailed: true})
+		x.emit(ctx, Failed{Cause: err, DialFailed: true, Refused: isRefused(err)})
 		return
 	}
 	x.connectedAt = time.Now()
@@ -176,10 +177,9 @@
 			return c, nil
 		}
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, Control: platform.SetUserTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", x.request.Address)
+	conn, err := dial(ctx, x.request.Address)
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, err
 	}
 	return newConn(conn, x.request.Address), nil
 }
