--- a/internal/core/gateway/crash_test.go
+++ b/internal/core/gateway/crash_test.go
@@ -30,6 +30,8 @@
 	nextID  RequestID
 	starts  int
 	sends   int
+	// checks holds the endpoints that the machine asked to check.
+	checks []CheckEndpoint
 }
 
 func newCrashTest(endpoints int) *crashTest {
@@ -50,6 +52,8 @@
 			if first == nil {
 				first = a
 			}
+		case CheckEndpoint:
+			c.checks = append(c.checks, a)
 		}
 	}
 	return first
@@ -105,6 +109,29 @@
 	}
 }
 
+// TestRefusedConnectionConfirmsCrash guards against crashes that are noticed only once the
+// list shows them: the endpoint is asked at once.
+func TestRefusedConnectionConfirmsCrash(t *testing.T) {
+	is := is.New(t)
+	c := newCrashTest(10)
+	for id := RequestID(1); id <= 12; id++ {
+		c.now += 300 * time.Millisecond
+		if _, ok := c.step(RequestArrived{ID: id, Request: crashingRequest()}).(Send); !ok {
+			continue
+		}
+		for lost := true; lost; {
+			c.now += 30 * time.Millisecond
+			_, lost = c.step(AttemptFailed{ID: id, Failure: FailureConnectionLost}).(Send)
+		}
+		for _, check := range c.checks {
+			c.now += 5 * time.Millisecond
+			c.step(EndpointChecked{Endpoint: check.Endpoint, Started: check.Started, Refused: true})
+		}
+		c.checks = nil
+	}
+	is.True(c.sends <= maxCrashSends)
+}
+
 // TestHangingAttemptsAreEvidence guards against a request that crashes endpoints which
 // then stay silent: the attempt times out, or its caller leaves.
 func TestHangingAttemptsAreEvidence(t *testing.T) {
@@ -160,10 +187,14 @@
 }
 
 // TestLostResponsesAreNoCrash guards against the quarantine of requests whose responses
-// are lost although the endpoint stays up or leaves as planned.
+// are lost although the endpoint stays up, leaves as planned, or only limits its
+// connections.
 func TestLostResponsesAreNoCrash(t *testing.T) {
 	after := map[string]func(c *crashTest, lost Send){
 		"stays up": func(*crashTest, Send) {},
+		"accepts connections": func(c *crashTest, lost Send) {
+			c.step(EndpointChecked{Endpoint: lost.Endpoint.ID, Started: lost.Endpoint.Started})
+		},
 		"drains and leaves": func(c *crashTest, lost Send) {
 			for i := range c.list {
 				c.list[i].Draining = c.list[i].ID == lost.Endpoint.ID
@@ -176,6 +207,9 @@
 			}
 			c.step(SetEndpoints{Endpoints: c.list})
 		},
+		"limits connections": func(c *crashTest, lost Send) {
+			c.step(EndpointChecked{Endpoint: lost.Endpoint.ID, Started: lost.Endpoint.Started, Refused: true})
+		},
 	}
 	for name, then := range after {
 		t.Run(name, func(t *testing.T) {
--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -50,8 +50,9 @@
 	return quarantine.Event{Endpoint: id, Incarnation: strconv.FormatInt(started, 10)}
 }
 
-// attemptLost records an attempt that ended without an answer.
-func (m *Machine) attemptLost(now time.Duration, o *openRequest, e *endpoint) {
+// attemptLost records an attempt that ended without an answer. The endpoint is
+// asked for a connection unless it is known to have ended.
+func (m *Machine) attemptLost(now time.Duration, o *openRequest, e *endpoint, ask bool) {
 	traits := o.suspectTraits(now)
 	if len(traits) == 0 || !m.mayCrash(e) {
 		return
@@ -64,6 +65,8 @@
 		m.addOwnSuspects(now, i, r)
 	case r.refused:
 		m.confirmRefused(now, e, r)
+	case ask && r.needsCheck(now):
+		m.notes = append(m.notes, CheckEndpoint{Endpoint: e.ID, Started: e.Started, Address: e.Address})
 	}
 }
 
--- a/internal/core/gateway/endpoints.go
+++ b/internal/core/gateway/endpoints.go
@@ -290,11 +290,11 @@
 			m.connectionRefused(now, e.ID, e.Started)
 		}
 	case FailureConnectionLost:
-		m.attemptLost(now, o, e)
+		m.attemptLost(now, o, e, true)
 	case FailureTimeout:
 		e.consecutiveFailures++
 		e.suspectUntil = now + minSuspectTime
-		m.attemptLost(now, o, e)
+		m.attemptLost(now, o, e, true)
 	case FailureErrorResponse:
 		m.executed(now, o.traits)
 	case FailureRejected, FailureNotSentInTime:
--- a/internal/core/gateway/listage_test.go
+++ b/internal/core/gateway/listage_test.go
@@ -71,7 +71,9 @@
 	_, ok := arrive(m, 0, 1, "/idempotent/x")[0].(Send)
 	is.True(ok)
 	const late = drainBound
-	is.Equal(m.Step(late, AttemptFailed{ID: 1, Failure: FailureTimeout}), []Action{ReadList{}})
+	is.Equal(m.Step(late, AttemptFailed{ID: 1, Failure: FailureTimeout}), []Action{
+		ReadList{}, CheckEndpoint{Endpoint: "e0", Started: 1, Address: "127.0.0.1:1"},
+	})
 	m.Step(late, SetEndpoints{Endpoints: testEndpoints(2, func(int) bool { return true })})
 	refused, ok := m.Step(late, ListConfirmed{At: late})[0].(Refuse)
 	is.True(ok)
--- a/internal/core/gateway/losses.go
+++ b/internal/core/gateway/losses.go
@@ -11,6 +11,8 @@
 	// lossTTL is how long an attempt that ended without an answer is kept. An endpoint
 	// that crashes leaves the instance list after several missed heartbeats.
 	lossTTL = 8 * time.Second
+	// checkInterval is the minimum time between two checks of one incarnation.
+	checkInterval = 250 * time.Millisecond
 	// maxIncarnations bounds the incarnations with lost attempts, maxLosses the lost
 	// attempts of each.
 	maxIncarnations = 1024
@@ -33,6 +35,8 @@
 type losses struct {
 	attempts  []loss
 	updatedAt time.Duration
+	checkedAt time.Duration
+	checked   bool
 	// refused is set once the endpoint refused a connection after a loss, ended once
 	// the losses were recorded as a crash.
 	refused, ended bool
@@ -70,6 +74,15 @@
 	}
 }
 
+// needsCheck reports whether the endpoint should be asked for a connection now.
+func (r *losses) needsCheck(now time.Duration) bool {
+	if r.refused || r.ended || r.checked && now-r.checkedAt < checkInterval {
+		return false
+	}
+	r.checked, r.checkedAt = true, now
+	return true
+}
+
 // first returns the time of the first loss.
 func (r *losses) first() time.Duration { return r.attempts[0].at }
 
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -114,6 +114,10 @@
 		return m.requestArrived(now, msg)
 	case AttemptFailed:
 		return m.attemptFailed(now, msg)
+	case EndpointChecked:
+		if msg.Refused {
+			m.connectionRefused(now, msg.Endpoint, msg.Started)
+		}
 	case ResponseStarted:
 		return m.responseStarted(now, msg)
 	case RequestFinished:
@@ -186,7 +190,7 @@
 		m.executed(now, o.traits)
 	case !o.started:
 		// The caller left, or its time was over.
-		m.attemptLost(now, o, o.endpoint)
+		m.attemptLost(now, o, o.endpoint, false)
 	}
 	o.endpoint.observeTimeout(now, o, m.idleFirstByte(o.service))
 	o.endpoint.removeRequest(o.backlog, o.started)
--- a/internal/core/gateway/messages.go
+++ b/internal/core/gateway/messages.go
@@ -82,6 +82,14 @@
 	Refused bool
 }
 
+// EndpointChecked is the result of a CheckEndpoint.
+type EndpointChecked struct {
+	Endpoint fleet.EndpointID
+	Started  int64
+	// Refused is set if nothing listens at the address of the endpoint.
+	Refused bool
+}
+
 // ResponseStarted reports the first byte of the endpoint's response.
 type ResponseStarted struct{ ID RequestID }
 
@@ -145,6 +153,7 @@
 
 func (RequestArrived) message()  {}
 func (AttemptFailed) message()   {}
+func (EndpointChecked) message() {}
 func (ResponseStarted) message() {}
 func (RequestFinished) message() {}
 func (SetCatalog) message()      {}
@@ -246,6 +255,14 @@
 // TraitLifted reports for the log that requests with a trait are served again.
 type TraitLifted struct{ Trait quarantine.Trait }
 
+// CheckEndpoint asks whether a connection to an endpoint can be opened. The result is
+// an EndpointChecked, or nothing if it remains unknown.
+type CheckEndpoint struct {
+	Endpoint fleet.EndpointID
+	Started  int64
+	Address  string
+}
+
 func (Send) action()             {}
 func (Refuse) action()           {}
 func (ReadList) action()         {}
@@ -253,3 +270,4 @@
 func (EndpointEnded) action()    {}
 func (TraitQuarantined) action() {}
 func (TraitLifted) action()      {}
+func (CheckEndpoint) action()    {}
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -3,17 +3,21 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
 	"github.com/cornelhold/cornelhold/internal/task"
+	"github.com/cornelhold/cornelhold/internal/upstream"
 )
 
 const (
 	// gatewayMailbox bounds the messages that wait for the gateway task.
 	gatewayMailbox = 4096
+	// checkTimeout bounds the check of an endpoint and the delivery of its result.
+	checkTimeout = 2 * time.Second
 )
 
 type gatewayMessage struct {
@@ -95,11 +99,23 @@
 		t.started.TrySend(a)
 	case gateway.ReadList:
 		t.readList()
+	case gateway.CheckEndpoint:
+		t.checkEndpoint(a)
 	default:
 		t.observe(a)
 	}
 }
 
+// checkEndpoint opens a connection to an endpoint and posts the result.
+func (t *gatewayTask) checkEndpoint(a gateway.CheckEndpoint) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+		defer cancel()
+		refused := upstream.RefusesConnections(ctx, a.Address)
+		t.Post(ctx, gateway.EndpointChecked{Endpoint: a.Endpoint, Started: a.Started, Refused: refused})
+	}()
+}
+
 func (t *gatewayTask) reply(id gateway.RequestID, a gateway.Action) {
 	select {
 	case t.replies[id] <- a:
