--- a/internal/core/gateway/crash_test.go
+++ b/internal/core/gateway/crash_test.go
@@ -157,7 +157,7 @@
 }
 
 // TestPeersShareCrashes guards against instances that each let a request crash endpoints
-// before they refuse it.
+// before they refuse it, and against one that has just started and does not learn it.
 func TestPeersShareCrashes(t *testing.T) {
 	is := is.New(t)
 	first, second := newCrashTest(6), newCrashTest(6)
@@ -184,6 +184,13 @@
 	is.True(ok)
 	is.Equal(refused.Refusal.Kind, fleet.RefusedQuarantined)
 	is.Equal(refused.Refusal.Run, fleet.RunNotRun)
+
+	// The crashes are no longer reported a minute later; that the request is refused is.
+	second.now += time.Minute
+	late := newCrashTest(6)
+	exchange(late, second)
+	_, ok = late.step(RequestArrived{ID: 5, Request: crashingRequest()}).(Refuse)
+	is.True(ok)
 }
 
 // TestLostResponsesAreNoCrash guards against the quarantine of requests whose responses
--- a/internal/core/gateway/crashreport.go
+++ b/internal/core/gateway/crashreport.go
@@ -62,7 +62,7 @@
 	c.losses.expire(now)
 	c.own = slices.DeleteFunc(c.own, func(o ownCrash) bool { return now-o.at > reportTime })
 	maps.DeleteFunc(c.clears, func(_ quarantine.Trait, l clearReport) bool { return now-l.since > reportTime })
-	var r CrashReport
+	r := CrashReport{Quarantined: c.register.Entries(now)}
 	suspects := 0
 	for i := len(c.own) - 1; i >= 0 && len(r.Crashes) < maxReportedCrashes && suspects < maxReportedSuspects; i-- {
 		o := c.own[i]
