--- a/internal/core/gateway/crash_test.go
+++ b/internal/core/gateway/crash_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/quarantine"
 )
 
 // maxCrashSends is what the users allow: three sends crash an endpoint each, and three
@@ -242,3 +243,34 @@
 		})
 	}
 }
+
+// TestQuarantineHoldsForRetries guards against a request that is sent again after its
+// quarantine: a retry whose connection failed, or a request that waited for the list.
+func TestQuarantineHoldsForRetries(t *testing.T) {
+	quarantined := PeerReport{Node: "n2", Crashes: CrashReport{Quarantined: []quarantine.Entry{{
+		Trait: requestTraits(crashingRequest(), &catalog.Team{Name: "team"})[0], Crashes: 3, CrashedAt: time.Second, Until: time.Hour,
+	}}}}
+	for _, failure := range []Failure{FailureDial, FailureRejected, FailureNotSentInTime, FailureConnectionLost} {
+		t.Run(failure.String(), func(t *testing.T) {
+			is := is.New(t)
+			c := newCrashTest(3)
+			_, ok := c.step(RequestArrived{ID: 1, Request: crashingRequest()}).(Send)
+			is.True(ok)
+			c.now = time.Second
+			c.step(quarantined)
+			refused, ok := c.step(AttemptFailed{ID: 1, Failure: failure}).(Refuse)
+			is.True(ok)
+			is.Equal(refused.Refusal.Run == fleet.RunNotRun, failure != FailureConnectionLost)
+		})
+	}
+	t.Run("held", func(t *testing.T) {
+		is := is.New(t)
+		c := newCrashTest(3)
+		c.machine.list.drainBound = time.Second
+		c.step(RequestArrived{ID: 1, Request: crashingRequest()})
+		is.Equal(c.sends, 0)
+		c.step(quarantined)
+		_, ok := c.step(ListConfirmed{At: c.now}).(Refuse)
+		is.True(ok)
+	})
+}
--- a/internal/core/gateway/retry.go
+++ b/internal/core/gateway/retry.go
@@ -74,7 +74,11 @@
 func (m *Machine) retryOrRefuse(now time.Duration, id RequestID, failure Failure) []Action {
 	o := m.open[id]
 	refusal := failureRefusal(o, failure)
-	if m.mayRetry(now, o, failure) {
+	if quarantined, _ := m.quarantined(now, o); quarantined != nil {
+		if !o.mayHaveRun {
+			refusal = quarantined
+		}
+	} else if m.mayRetry(now, o, failure) {
 		if !m.list.usable(now) {
 			return m.hold(heldRequest{id: id, failure: failure, heldAt: now})
 		}
@@ -123,11 +127,7 @@
 		return false
 	}
 	notRun := failure == FailureDial || failure == FailureRejected || failure == FailureNotSentInTime
-	if notRun {
-		return true
-	}
-	quarantined, _ := m.quarantined(now, o)
-	return o.route.Repeatable() && quarantined == nil
+	return notRun || o.route.Repeatable()
 }
 
 // chooseRetry returns the endpoint for a retry. It reports false if there is none or
