--- a/internal/standin/edgefleet/edgefleet.go
+++ b/internal/standin/edgefleet/edgefleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -133,6 +134,31 @@
 	return r, err
 }
 
+// Restart starts a replica that has crashed again, at its address and under another id,
+// and returns it. The list names both until RemoveEntry is called for the earlier one.
+func (f *Fleet) Restart(ctx context.Context, crashed *userplatform.Replica, id string) (*userplatform.Replica, error) {
+	l, err := net.Listen("tcp", crashed.Address)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	r := userplatform.StartReplica(ctx, id, l)
+	r.EventCount, r.EventInterval, r.ProcessingTime = crashed.EventCount, crashed.EventInterval, crashed.ProcessingTime
+	f.replicaAddresses[r] = f.replicaAddresses[crashed]
+	delete(f.replicaAddresses, crashed)
+	for _, replicas := range [][]*userplatform.Replica{f.ModelReplicas, f.PlainReplicas} {
+		if i := slices.Index(replicas, crashed); i >= 0 {
+			replicas[i] = r
+		}
+	}
+	f.Announce(r, "ready")
+	return r, nil
+}
+
+// RemoveEntry removes the entry of a replica that has ended.
+func (f *Fleet) RemoveEntry(r *userplatform.Replica) {
+	f.Store.Put(userplatform.ServersTopic, r.ID, nil)
+}
+
 // Announce writes a replica's entry with a new state into the replica list.
 func (f *Fleet) Announce(r *userplatform.Replica, state string) {
 	f.entrySequence++
--- a/internal/standin/userplatform/replica.go
+++ b/internal/standin/userplatform/replica.go
@@ -54,6 +54,9 @@
 
 type replicaState struct {
 	fault            Fault
+	crash            CrashRule
+	crashed          bool
+	conns            map[net.Conn]bool
 	runs             []Run
 	abandonedStreams int
 }
@@ -69,14 +72,17 @@
 	EventInterval time.Duration
 	// ProcessingTime is the delay before a fixed-length response.
 	ProcessingTime time.Duration
+	listener       net.Listener
 	commands       chan func(*replicaState)
+	// ended is closed once the replica's task has returned.
+	ended chan struct{}
 }
 
 // StartReplica serves a replica on a listener until ctx ends.
 func StartReplica(ctx context.Context, id string, listener net.Listener) *Replica {
 	r := &Replica{
 		ID: id, Address: listener.Addr().String(), EventCount: 6, EventInterval: 5 * time.Millisecond, ProcessingTime: time.Millisecond,
-		commands: make(chan func(*replicaState), commandBufferSize),
+		listener: listener, commands: make(chan func(*replicaState), commandBufferSize), ended: make(chan struct{}),
 	}
 	go r.run(ctx)
 	context.AfterFunc(ctx, func() { _ = listener.Close() })
@@ -86,14 +92,17 @@
 			if err != nil {
 				return
 			}
-			go r.serve(conn)
+			if r.track(conn) {
+				go r.serve(conn)
+			}
 		}
 	}()
 	return r
 }
 
 func (r *Replica) run(ctx context.Context) {
-	state := &replicaState{}
+	defer close(r.ended)
+	state := &replicaState{conns: make(map[net.Conn]bool)}
 	for {
 		select {
 		case command := <-r.commands:
@@ -104,10 +113,19 @@
 	}
 }
 
+// do runs a function in the replica's task and waits until it has returned. It has no
+// effect once the task has ended.
 func (r *Replica) do(command func(*replicaState)) {
 	done := make(chan struct{})
-	r.commands <- func(s *replicaState) { command(s); close(done) }
-	<-done
+	select {
+	case r.commands <- func(s *replicaState) { command(s); close(done) }:
+	case <-r.ended:
+		return
+	}
+	select {
+	case <-done:
+	case <-r.ended:
+	}
 }
 
 // SetFault selects the fault of the requests that follow.
@@ -140,7 +158,7 @@
 }
 
 func (r *Replica) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
+	defer r.untrack(conn)
 	reader := bufio.NewReader(conn)
 	for {
 		req, err := http.ReadRequest(reader)
@@ -168,6 +186,10 @@
 			s.runs = append(s.runs, Run{req.Method, req.RequestURI, req.Host, req.Header, body})
 		}
 	})
+	if r.crashesOn(req) {
+		r.Crash()
+		return false
+	}
 	signed := head + "Replica-Signature: " + r.ID + "\r\n"
 	switch fault {
 	case FaultReject:
