--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -15,6 +15,12 @@
 	// reportTime is how long crashes and clearances are reported to peers, so that none
 	// is lost with a single datagram.
 	reportTime = 10 * time.Second
+	// minSettleTime is the time from a crash until up to settlePeers instances have
+	// reported their suspects, of which one report may be lost.
+	minSettleTime = 500 * time.Millisecond
+	settlePeers   = 48
+	// decisionInterval is the minimum time between two searches for causes.
+	decisionInterval = 50 * time.Millisecond
 	// maxReportedCrashes, maxReportedSuspects and maxReportedClears bound one report.
 	maxReportedCrashes  = 32
 	maxReportedSuspects = 256
@@ -24,7 +30,7 @@
 // crashLimits bounds the evidence. The span of the crashes covers the time until peers
 // have reported clearances.
 var crashLimits = quarantine.Limits{
-	Threshold: 3, MinSpan: 400 * time.Millisecond, TTL: time.Hour, ClearMemory: 10 * time.Second, MaxEvents: 512, MaxSuspects: 256,
+	Threshold: 3, MinSpan: 400 * time.Millisecond, BusyThreshold: 5, Background: time.Minute, TTL: time.Hour, ClearMemory: 10 * time.Second, MaxEvents: 512, MaxSuspects: 256,
 }
 
 // crashEvidence is what an instance knows of crashes: the attempts that were lost, the
@@ -37,6 +43,10 @@
 	// suspects that it found harmless, for the reports.
 	own    []ownCrash
 	clears map[quarantine.Trait]clearReport
+	// undecided is set while there are crashes whose cause has not been looked for;
+	// decideAt is when it is next.
+	undecided bool
+	decideAt  time.Duration
 }
 
 func newCrashEvidence() *crashEvidence {
@@ -126,6 +136,7 @@
 		m.recordCrash(now, i, r, evidence)
 		return
 	}
+	m.crashes.table.AddBlameless(now)
 	m.notes = append(m.notes, EndpointEnded{Endpoint: e.ID, Started: e.Started, Evidence: evidence})
 }
 
@@ -143,26 +154,44 @@
 // returns their traits.
 func (m *Machine) addOwnSuspects(now time.Duration, i incarnation, r *losses) []quarantine.Trait {
 	traits, at := r.takeSuspects(now)
-	if len(traits) > 0 {
-		m.crashes.addOwn(i, at, traits)
-		m.addSuspects(now, at, crashEvent(i.id, i.started), traits)
+	if len(traits) == 0 {
+		m.crashes.table.AddBlameless(now)
+		return nil
 	}
+	m.crashes.addOwn(i, at, traits)
+	m.addSuspects(now, at, crashEvent(i.id, i.started), traits)
 	return traits
 }
 
-// addSuspects adds evidence of this instance or a peer and quarantines the causes.
+// addSuspects adds evidence of this instance or a peer.
 func (m *Machine) addSuspects(now, at time.Duration, event quarantine.Event, traits []quarantine.Trait) {
 	for _, t := range traits {
 		m.crashes.register.Crashed(at, t)
 	}
-	if !m.crashes.table.Add(now, at, event, traits) {
+	if m.crashes.table.Add(now, at, event, traits) && !m.crashes.undecided {
+		m.crashes.undecided, m.crashes.decideAt = true, now+m.settleTime()
+	}
+}
+
+// quarantineCauses quarantines the causes of the crashes of which all instances have
+// reported their suspects.
+func (m *Machine) quarantineCauses(now time.Duration) {
+	if !m.crashes.undecided || now < m.crashes.decideAt {
 		return
 	}
-	for _, cause := range m.crashes.table.Causes() {
+	settled := now - m.settleTime()
+	for _, cause := range m.crashes.table.Causes(settled) {
 		if m.crashes.register.Quarantine(cause) {
 			m.notes = append(m.notes, TraitQuarantined{Trait: cause.Trait, Crashes: cause.Crashes})
 		}
 	}
+	m.crashes.undecided, m.crashes.decideAt = m.crashes.table.Newest() > settled, now+decisionInterval
+}
+
+// settleTime returns how long it takes until the suspects of a crash are known everywhere.
+// Instances with many peers report less often.
+func (m *Machine) settleTime() time.Duration {
+	return minSettleTime * time.Duration(max(m.instances(), settlePeers)) / settlePeers
 }
 
 // executed clears the traits of a request that an endpoint has executed and survived.
--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -24,6 +24,7 @@
 // quarantined returns the refusal of a request that crashes endpoints and the evidence
 // for the log, or nil. It must be called before each time that a request is sent.
 func (m *Machine) quarantined(now time.Duration, o *openRequest) (*fleet.Refusal, string) {
+	m.quarantineCauses(now)
 	e := m.crashes.register.Match(o.traits)
 	if e == nil || m.ownsTrial(e.Trait) && m.crashes.register.StartTrial(now, e) {
 		return nil, ""
--- a/internal/core/gateway/report.go
+++ b/internal/core/gateway/report.go
@@ -34,6 +34,7 @@
 // Report returns the periodic report to the peers. It drops expired loads.
 func (m *Machine) Report(now time.Duration) PeerReport {
 	m.expireLoads(now)
+	m.quarantineCauses(now)
 	r := PeerReport{
 		Node: m.options.Node, Used: m.quota.OwnUsage(now),
 		Loads: make(map[fleet.EndpointID]Load), Crashes: m.crashes.report(now),
--- a/internal/core/quarantine/cause.go
+++ b/internal/core/quarantine/cause.go
@@ -15,11 +15,13 @@
 	LastAt  time.Duration
 }
 
-// Causes returns the causes of the crashes. A trait is a cause if it was a suspect of at
-// least Threshold crashes over MinSpan, and none of these has another suspect of as many.
-// Crashes that a cause explains are no evidence against other traits.
-func (t *Table) Causes() []Cause {
-	i := inference{table: t, counts: maps.Clone(t.counts), explained: make(map[Event]bool)}
+// Causes returns the causes of the crashes that this instance had heard of by the time
+// before, so that the reports of all instances should have arrived. A trait is a cause if it was a suspect of at
+// least Threshold crashes over MinSpan, or BusyThreshold if there are others, and none of
+// these has another suspect that may have been in as many. Crashes that a cause explains
+// are no evidence against other traits.
+func (t *Table) Causes(before time.Duration) []Cause {
+	i := newInference(t, before)
 	var causes []Cause
 	for {
 		cause, ok := i.next()
@@ -33,10 +35,28 @@
 // inference is the state of one search for causes.
 type inference struct {
 	table *Table
-	// explained holds the crashes of the causes found so far. counts is the number of
-	// other crashes by suspect.
-	explained map[Event]bool
-	counts    map[Trait]int
+	// open holds the crashes that no cause found so far explains, counts their number by
+	// suspect.
+	open   map[Event]bool
+	counts map[Trait]int
+}
+
+func newInference(t *Table, before time.Duration) *inference {
+	i := &inference{table: t, open: make(map[Event]bool), counts: maps.Clone(t.counts)}
+	for event, c := range t.events {
+		if c.heardAt <= before {
+			i.open[event] = true
+		} else {
+			i.uncount(c)
+		}
+	}
+	return i
+}
+
+func (i *inference) uncount(c *crash) {
+	for trait := range c.suspects {
+		i.counts[trait]--
+	}
 }
 
 // next finds the trait with the most crashes that is a cause, and marks its crashes as
@@ -44,7 +64,7 @@
 func (i *inference) next() (Cause, bool) {
 	for _, trait := range i.candidates() {
 		events := i.events(trait)
-		if i.lasts(events) && !i.hasEqual(trait, events) {
+		if i.lasts(events) && len(events) >= i.threshold(events) && !i.hasRival(trait, events) {
 			return i.explain(trait, events), true
 		}
 	}
@@ -69,7 +89,7 @@
 func (i *inference) events(trait Trait) []Event {
 	var events []Event
 	for _, event := range i.table.order {
-		if !i.explained[event] && i.table.events[event].suspects[trait] {
+		if i.open[event] && i.table.events[event].suspects[trait] {
 			events = append(events, event)
 		}
 	}
@@ -83,6 +103,34 @@
 	return last-first >= i.table.limits.MinSpan
 }
 
+// threshold returns how many crashes are needed. A request that is running whenever an
+// endpoint crashes for another reason may be unlucky several times.
+func (i *inference) threshold(events []Event) int {
+	limits := i.table.limits
+	if limits.BusyThreshold == 0 || i.others(events) < len(events) {
+		return limits.Threshold
+	}
+	return limits.BusyThreshold
+}
+
+// others returns the number of unexplained crashes beside the given ones.
+func (i *inference) others(events []Event) int {
+	_, last := i.table.span(events)
+	recent := func(at time.Duration) bool { return at > last-i.table.limits.Background }
+	count := 0
+	for _, at := range i.table.blameless {
+		if recent(at) {
+			count++
+		}
+	}
+	for event, c := range i.table.events {
+		if recent(c.at) && i.open[event] && !slices.Contains(events, event) {
+			count++
+		}
+	}
+	return count
+}
+
 func (t *Table) span(events []Event) (first, last time.Duration) {
 	first, last = t.events[events[0]].at, t.events[events[0]].at
 	for _, event := range events {
@@ -91,11 +139,16 @@
 	return first, last
 }
 
-// hasEqual reports whether one of the crashes has another suspect of as many crashes.
-func (i *inference) hasEqual(trait Trait, events []Event) bool {
+// maxLostReports is the number of crashes whose report by the instance that ran a request
+// may be missing, because that instance ended.
+const maxLostReports = 1
+
+// hasRival reports whether one of the crashes has another suspect that may have been in
+// as many.
+func (i *inference) hasRival(trait Trait, events []Event) bool {
 	for _, event := range events {
 		for other := range i.table.events[event].suspects {
-			if other != trait && i.counts[other] >= len(events) {
+			if other != trait && i.counts[other]+maxLostReports >= len(events) {
 				return true
 			}
 		}
@@ -105,10 +158,8 @@
 
 func (i *inference) explain(trait Trait, events []Event) Cause {
 	for _, event := range events {
-		i.explained[event] = true
-		for other := range i.table.events[event].suspects {
-			i.counts[other]--
-		}
+		delete(i.open, event)
+		i.uncount(i.table.events[event])
 	}
 	_, last := i.table.span(events)
 	return Cause{Trait: trait, Crashes: len(events), LastAt: last}
--- a/internal/core/quarantine/fold.go
+++ b/internal/core/quarantine/fold.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math"
 	"time"
 
 	"github.com/samber/lo"
@@ -19,6 +20,9 @@
 	maxFoldEvents = 4096
 	// maxFoldSuspects bounds the suspects of one crash.
 	maxFoldSuspects = 1024
+	// forever lies after all log times: a router waits by its own clock until the records
+	// of the others have arrived.
+	forever = time.Duration(math.MaxInt64)
 )
 
 // Evidence is one record of the crash stream. Several routers may report the same
@@ -81,7 +85,7 @@
 
 // Quarantined returns the quarantined fingerprints.
 func (f *Fold) Quarantined() []fleet.Fingerprint {
-	return lo.Map(f.table.Causes(), func(c Cause, _ int) fleet.Fingerprint { return fleet.Fingerprint(c.Trait.ID) })
+	return lo.Map(f.table.Causes(forever), func(c Cause, _ int) fleet.Fingerprint { return fleet.Fingerprint(c.Trait.ID) })
 }
 
 // IsQuarantined reports whether the fingerprint is a cause of crashes.
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -11,6 +11,11 @@
 	// MinSpan the least time from the first to the last of them.
 	Threshold int
 	MinSpan   time.Duration
+	// BusyThreshold replaces Threshold while endpoints crash for other reasons too: if
+	// within Background before the last crash of a trait at least as many crashes did not
+	// have it. 0 means that other crashes do not matter.
+	BusyThreshold int
+	Background    time.Duration
 	// TTL is how long a crash counts.
 	TTL time.Duration
 	// ClearMemory is how long a clearance is remembered at least, since reports of
@@ -23,7 +28,9 @@
 // crash holds the suspects of one event. A suspect is a trait of a request that was
 // running on the endpoint and that has not been cleared since.
 type crash struct {
-	at       time.Duration
+	at time.Duration
+	// heardAt is when this instance first heard of it.
+	heardAt  time.Duration
 	suspects map[Trait]bool
 }
 
@@ -37,6 +44,8 @@
 	order   []Event
 	counts  map[Trait]int
 	cleared clearMemory
+	// blameless holds the times of the crashes without a suspect, the oldest first.
+	blameless []time.Duration
 }
 
 // NewTable returns a table without crashes.
@@ -53,7 +62,7 @@
 	}
 	changed := false
 	for _, trait := range suspects {
-		if t.addSuspect(at, event, trait) {
+		if t.addSuspect(now, at, event, trait) {
 			changed = true
 		}
 	}
@@ -61,7 +70,7 @@
 	return changed
 }
 
-func (t *Table) addSuspect(at time.Duration, event Event, trait Trait) bool {
+func (t *Table) addSuspect(now, at time.Duration, event Event, trait Trait) bool {
 	c, ok := t.events[event]
 	if ok {
 		at = c.at
@@ -70,7 +79,7 @@
 		return false
 	}
 	if !ok {
-		c = &crash{at: at, suspects: make(map[Trait]bool)}
+		c = &crash{at: at, heardAt: now, suspects: make(map[Trait]bool)}
 		t.events[event] = c
 		t.order = append(t.order, event)
 	}
@@ -82,6 +91,14 @@
 	return true
 }
 
+// AddBlameless records a crash without a suspect.
+func (t *Table) AddBlameless(at time.Duration) {
+	t.blameless = append(t.blameless, at)
+	if len(t.blameless) > t.limits.MaxEvents {
+		t.blameless = t.blameless[1:]
+	}
+}
+
 // Clear removes the trait from all crashes up to the time at, because a request with it
 // was executed then. It reports whether the trait was a suspect.
 func (t *Table) Clear(now, at time.Duration, trait Trait) bool {
@@ -134,6 +151,15 @@
 	t.order = t.order[1:]
 }
 
+// Newest returns when the last crash was heard of, or Never.
+func (t *Table) Newest() time.Duration {
+	newest := Never
+	for _, c := range t.events {
+		newest = max(newest, c.heardAt)
+	}
+	return newest
+}
+
 // Count returns the number of crashes with the suspect.
 func (t *Table) Count(trait Trait) int { return t.counts[trait] }
 
