--- a/internal/core/gateway/crash_property_test.go
+++ b/internal/core/gateway/crash_property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,3 +64,59 @@
 		playRequests(t, w, sound, next)
 	})
 }
+
+// TestOnlyCrashingPartIsRefused guards against requests with one part in their prompts that
+// crash one endpoint after the other, no two alike, and against the refusal of sound ones
+// that share their other parts.
+func TestOnlyCrashingPartIsRefused(t *testing.T) {
+	const (
+		crashingPart     = 1 << 40
+		allowedByPart    = 5
+		heads, sessions  = 3, 60
+		firstSession     = 1000
+		firstOwnPart     = 1 << 20
+		crashingSessions = 4
+	)
+	proptest.Check(t, proptest.Bounds{Seed: 20261205, Checks: worldHistories}, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		w := newCrashWorld(random, 2+random.IntN(8), 8+random.IntN(8), allowedByPart)
+		w.dark = []float64{0, 0.3}[random.IntN(2)]
+		w.crashes = func(r Request) bool {
+			return slices.ContainsFunc(r.Parts, func(p fleet.PromptPart) bool { return p.ID == crashingPart })
+		}
+		own := uint64(firstOwnPart)
+		prompt := func(sessions int, inserted ...fleet.PromptPart) Request {
+			own++
+			parts := []fleet.PromptPart{{ID: uint64(1 + random.IntN(heads)), Tokens: 800}}
+			parts = append(parts, inserted...)
+			parts = append(parts, fleet.PromptPart{ID: uint64(firstSession + random.IntN(sessions)), Tokens: 200}, fleet.PromptPart{ID: own, Tokens: 100})
+			return Request{
+				Path: []string{"/resumable/x", "/stream/x"}[random.IntN(2)], Fingerprint: fleet.Fingerprint(own),
+				Parts: parts, HasTokens: true, PromptTokens: 1100, MaxOutputTokens: 50,
+			}
+		}
+		sound := func() Request { return prompt(sessions) }
+		next := func() Request { return prompt(crashingSessions, fleet.PromptPart{ID: crashingPart, Tokens: 300}) }
+		playRequests(t, w, sound, next)
+	})
+}
+
+// TestCommonPartsSurviveTroubles guards against the refusal of a part that much of the
+// traffic shares, on histories without any request that crashes endpoints.
+func TestCommonPartsSurviveTroubles(t *testing.T) {
+	proptest.Check(t, proptest.Bounds{Seed: 20261205, Checks: worldHistories}, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		w := newCrashWorld(random, 2+random.IntN(8), 8+random.IntN(8), 1)
+		w.dark = 0.3
+		w.crashes = func(Request) bool { return false }
+		own := uint64(1000)
+		sound := func() Request {
+			own++
+			return Request{
+				Path: "/resumable/x", Fingerprint: fleet.Fingerprint(own), HasTokens: true, PromptTokens: 900, MaxOutputTokens: 50,
+				Parts: []fleet.PromptPart{{ID: uint64(random.IntN(2)), Tokens: 800}, {ID: 2, Tokens: 50}, {ID: own, Tokens: 50}},
+			}
+		}
+		playRequests(t, w, sound, nil)
+	})
+}
--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -21,6 +21,8 @@
 	settlePeers   = 48
 	// decisionInterval is the minimum time between two searches for causes.
 	decisionInterval = 50 * time.Millisecond
+	// maxSuspectTraits bounds the suspects of one request.
+	maxSuspectTraits = 64
 	// maxReportedCrashes, maxReportedSuspects and maxReportedClears bound one report.
 	maxReportedCrashes  = 32
 	maxReportedSuspects = 256
@@ -81,14 +83,22 @@
 }
 
 // suspectTraits returns what may be the cause if the endpoint crashed with the current
-// attempt.
+// attempt. An answer that has begun, also an earlier one, clears the parts of the prompt
+// at once.
 func (o *openRequest) suspectTraits(now time.Duration) []quarantine.Trait {
-	if o.started && now-o.startedAt > suspectAnswerTime {
+	switch {
+	case o.started && now-o.startedAt > suspectAnswerTime:
 		return nil
+	case o.everStarted:
+		return o.traits[:1]
+	default:
+		return o.traits[:min(len(o.traits), maxSuspectTraits)]
 	}
-	return o.traits
 }
 
+// partTraits returns the traits of the parts of the prompt.
+func (o *openRequest) partTraits() []quarantine.Trait { return o.traits[1:] }
+
 // mayCrash reports whether the loss of an attempt may be a crash: not if the endpoint is
 // about to leave or was replaced.
 func (m *Machine) mayCrash(e *endpoint) bool { return !e.Draining && m.endpoints[e.ID] == e }
@@ -128,7 +138,7 @@
 	if evidence != EndRemoved {
 		for _, o := range m.open {
 			if o.endpoint == e && !o.started {
-				m.crashes.losses.add(now, i, o.traits)
+				m.crashes.losses.add(now, i, o.suspectTraits(now))
 			}
 		}
 	}
@@ -165,9 +175,7 @@
 
 // addSuspects adds evidence of this instance or a peer.
 func (m *Machine) addSuspects(now, at time.Duration, event quarantine.Event, traits []quarantine.Trait) {
-	for _, t := range traits {
-		m.crashes.register.Crashed(at, t)
-	}
+	m.crashes.register.Crashed(at, traits)
 	if m.crashes.table.Add(now, at, event, traits) && !m.crashes.undecided {
 		m.crashes.undecided, m.crashes.decideAt = true, now+m.settleTime()
 	}
@@ -182,7 +190,7 @@
 	settled := now - m.settleTime()
 	for _, cause := range m.crashes.table.Causes(settled) {
 		if m.crashes.register.Quarantine(cause) {
-			m.notes = append(m.notes, TraitQuarantined{Trait: cause.Trait, Crashes: cause.Crashes})
+			m.notes = append(m.notes, CauseQuarantined{Traits: cause.Traits, Crashes: cause.Crashes})
 		}
 	}
 	m.crashes.undecided, m.crashes.decideAt = m.crashes.table.Newest() > settled, now+decisionInterval
@@ -208,8 +216,8 @@
 func (m *Machine) clearTrait(now, at time.Duration, t quarantine.Trait) bool {
 	suspected := m.crashes.table.Clear(now, at, t)
 	lifted := m.crashes.register.Lift(at, t)
-	if lifted {
-		m.notes = append(m.notes, TraitLifted{Trait: t})
+	for _, e := range lifted {
+		m.notes = append(m.notes, TraitLifted{Trait: t, Traits: e.Traits})
 	}
-	return suspected || lifted
+	return suspected || len(lifted) > 0
 }
--- a/internal/core/gateway/crashreport.go
+++ b/internal/core/gateway/crashreport.go
@@ -104,9 +104,9 @@
 		m.addSuspects(now, c.At, crashEvent(c.Endpoint, c.Started), c.Suspects)
 	}
 	for _, e := range r.Quarantined {
-		m.contradict(now, []quarantine.Trait{e.Trait}, e.CrashedAt)
+		m.contradict(now, e.Traits, e.CrashedAt)
 		if m.crashes.register.Adopt(e) {
-			m.notes = append(m.notes, TraitQuarantined{Trait: e.Trait, Crashes: e.Crashes, Reported: true})
+			m.notes = append(m.notes, CauseQuarantined{Traits: e.Traits, Crashes: e.Crashes, Reported: true})
 		}
 	}
 }
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -41,6 +41,8 @@
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
 	started    bool
+	// everStarted is set once a response has begun, also that of an earlier attempt.
+	everStarted bool
 	// startedAt is the time of the first byte of the current attempt's response.
 	startedAt time.Duration
 	// traits may be the cause if an endpoint crashes with the request.
@@ -166,7 +168,9 @@
 		return nil
 	}
 	first := !o.mayHaveRun
-	o.started, o.startedAt, o.mayHaveRun = true, now, true
+	o.started, o.everStarted, o.startedAt, o.mayHaveRun = true, true, now, true
+	m.executed(now, o.partTraits())
+
 	m.observeIdleFirstByte(now, o)
 	o.endpoint.responseStarted(now, o, m.options.DataCentre, m.idleFirstByte(o.service))
 	if !first || o.team == nil {
--- a/internal/core/gateway/messages.go
+++ b/internal/core/gateway/messages.go
@@ -244,16 +244,20 @@
 	Suspects []quarantine.Trait
 }
 
-// TraitQuarantined reports for the log that requests with a trait are refused from now
-// on. Reported is set if a peer concluded it.
-type TraitQuarantined struct {
-	Trait    quarantine.Trait
+// CauseQuarantined reports for the log that requests with all of the traits are refused
+// from now on. Reported is set if a peer concluded it.
+type CauseQuarantined struct {
+	Traits   []quarantine.Trait
 	Crashes  int
 	Reported bool
 }
 
-// TraitLifted reports for the log that requests with a trait are served again.
-type TraitLifted struct{ Trait quarantine.Trait }
+// TraitLifted reports for the log that a request with a trait was executed, which was
+// among the traits of a quarantined cause.
+type TraitLifted struct {
+	Trait  quarantine.Trait
+	Traits []quarantine.Trait
+}
 
 // CheckEndpoint asks whether a connection to an endpoint can be opened. The result is
 // an EndpointChecked, or nothing if it remains unknown.
@@ -268,6 +272,6 @@
 func (ReadList) action()         {}
 func (CountStarted) action()     {}
 func (EndpointEnded) action()    {}
-func (TraitQuarantined) action() {}
+func (CauseQuarantined) action() {}
 func (TraitLifted) action()      {}
 func (CheckEndpoint) action()    {}
--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,14 +12,21 @@
 	"github.com/cornelhold/cornelhold/internal/core/quarantine"
 )
 
-// requestTraits returns what may be the cause if an endpoint crashes with a request. The
-// same request of a team is the same whichever of its keys it has.
+// requestTraits returns what may be the cause if an endpoint crashes with a request: the
+// request as a whole, which is the same whichever of its team's keys it has, and the parts
+// of its prompt that others may share.
 func requestTraits(r Request, team *catalog.Team) []quarantine.Trait {
 	fingerprint := r.Fingerprint
 	if team != nil {
 		fingerprint ^= fleet.Fingerprint(xxhash.Sum64String(string(team.Name)))
 	}
-	return []quarantine.Trait{quarantine.RequestTrait(fingerprint)}
+	traits := []quarantine.Trait{quarantine.RequestTrait(fingerprint)}
+	for _, p := range sharedParts(r.Parts) {
+		if t := quarantine.PartTrait(p.ID); !slices.Contains(traits, t) {
+			traits = append(traits, t)
+		}
+	}
+	return traits
 }
 
 // quarantined returns the refusal of a request that crashes endpoints and the evidence
@@ -26,16 +34,16 @@
 func (m *Machine) quarantined(now time.Duration, o *openRequest) (*fleet.Refusal, string) {
 	m.quarantineCauses(now)
 	e := m.crashes.register.Match(o.traits)
-	if e == nil || m.ownsTrial(e.Trait) && m.crashes.register.StartTrial(now, e) {
+	if e == nil || m.ownsTrial(e.Traits[0]) && m.crashes.register.StartTrial(now, e) {
 		return nil, ""
 	}
-	refusal := fleet.Refuse(fleet.RefusedQuarantined, max(e.Until-now, retryAfter), "endpoints crashed repeatedly while they ran this request; change it")
-	detail := fmt.Sprintf("trait %s, crashes %d, the last %d ms ago, trials %d", e.Trait, e.Crashes, (now - e.CrashedAt).Milliseconds(), e.Trials)
+	refusal := fleet.Refuse(fleet.RefusedQuarantined, max(e.Until-now, retryAfter), "endpoints crashed repeatedly while they ran this request or others with parts of its prompt; change it")
+	detail := fmt.Sprintf("cause %s, crashes %d, the last %d ms ago, trials %d", quarantine.JoinTraits(e.Traits), e.Crashes, (now - e.CrashedAt).Milliseconds(), e.Trials)
 	return refusal, detail
 }
 
-// ownsTrial reports whether this instance is the one that tries requests with the trait
-// again. All instances with the same peers choose the same one.
+// ownsTrial reports whether this instance is the one that tries requests with a cause of
+// the first trait t again. All instances with the same peers choose the same one.
 func (m *Machine) ownsTrial(t quarantine.Trait) bool {
 	own := trialRank(m.options.Node, t)
 	for node := range m.peers {
--- a/internal/core/quarantine/cause.go
+++ b/internal/core/quarantine/cause.go
@@ -7,9 +7,11 @@
 	"time"
 )
 
-// Cause is a trait that crashes endpoints, as concluded from a Table.
+// Cause is what a request must have to crash endpoints, as concluded from a Table.
 type Cause struct {
-	Trait Trait
+	// Traits is sorted. A request crashes endpoints if it has all of them; it is not
+	// known which of them alone is enough.
+	Traits []Trait
 	// Crashes is the number of crashes that it explains, LastAt the time of the last.
 	Crashes int
 	LastAt  time.Duration
@@ -18,8 +20,9 @@
 // Causes returns the causes of the crashes that this instance had heard of by the time
 // before, so that the reports of all instances should have arrived. A trait is a cause if it was a suspect of at
 // least Threshold crashes over MinSpan, or BusyThreshold if there are others, and none of
-// these has another suspect that may have been in as many. Crashes that a cause explains
-// are no evidence against other traits.
+// these has another suspect that may have been in as many. Traits that were suspects of
+// the same crashes are one cause together. Crashes that a cause explains are no evidence
+// against other traits.
 func (t *Table) Causes(before time.Duration) []Cause {
 	i := newInference(t, before)
 	var causes []Cause
@@ -59,18 +62,34 @@
 	}
 }
 
-// next finds the trait with the most crashes that is a cause, and marks its crashes as
+// next finds the traits with the most crashes that are a cause, and marks the crashes as
 // explained.
 func (i *inference) next() (Cause, bool) {
 	for _, trait := range i.candidates() {
 		events := i.events(trait)
-		if i.lasts(events) && len(events) >= i.threshold(events) && !i.hasRival(trait, events) {
-			return i.explain(trait, events), true
+		if !i.lasts(events) || len(events) < i.threshold(events) {
+			continue
+		}
+		if traits := i.together(events); !i.hasRival(traits, events) {
+			return i.explain(traits, events), true
 		}
 	}
 	return Cause{}, false
 }
 
+// together returns the traits that are suspects of all the crashes and of no others.
+func (i *inference) together(events []Event) []Trait {
+	var traits []Trait
+	for trait := range i.table.events[events[0]].suspects {
+		inAll := !slices.ContainsFunc(events, func(e Event) bool { return !i.table.events[e].suspects[trait] })
+		if inAll && i.counts[trait] == len(events) {
+			traits = append(traits, trait)
+		}
+	}
+	slices.SortFunc(traits, CompareTraits)
+	return traits
+}
+
 // candidates returns the traits with enough crashes, those with the most first.
 func (i *inference) candidates() []Trait {
 	var traits []Trait
@@ -144,11 +163,23 @@
 const maxLostReports = 1
 
 // hasRival reports whether one of the crashes has another suspect that may have been in
-// as many.
-func (i *inference) hasRival(trait Trait, events []Event) bool {
+// as many. Two whole requests are rivals, since no request is both.
+func (i *inference) hasRival(traits []Trait, events []Event) bool {
+	whole := 0
+	for _, t := range traits {
+		if t.Kind == WholeRequest {
+			whole++
+		}
+	}
+	if whole > 1 {
+		return true
+	}
+	// The parts of a prompt are cleared by others that have them, a whole request only by
+	// itself.
+	needed := len(events) - whole*maxLostReports
 	for _, event := range events {
 		for other := range i.table.events[event].suspects {
-			if other != trait && i.counts[other]+maxLostReports >= len(events) {
+			if i.counts[other] >= needed && !slices.Contains(traits, other) {
 				return true
 			}
 		}
@@ -156,11 +187,11 @@
 	return false
 }
 
-func (i *inference) explain(trait Trait, events []Event) Cause {
+func (i *inference) explain(traits []Trait, events []Event) Cause {
 	for _, event := range events {
 		delete(i.open, event)
 		i.uncount(i.table.events[event])
 	}
 	_, last := i.table.span(events)
-	return Cause{Trait: trait, Crashes: len(events), LastAt: last}
+	return Cause{Traits: traits, Crashes: len(events), LastAt: last}
 }
--- a/internal/core/quarantine/fold.go
+++ b/internal/core/quarantine/fold.go
@@ -85,7 +85,8 @@
 
 // Quarantined returns the quarantined fingerprints.
 func (f *Fold) Quarantined() []fleet.Fingerprint {
-	return lo.Map(f.table.Causes(forever), func(c Cause, _ int) fleet.Fingerprint { return fleet.Fingerprint(c.Trait.ID) })
+	// All suspects of the log are whole requests, so that each cause is one.
+	return lo.Map(f.table.Causes(forever), func(c Cause, _ int) fleet.Fingerprint { return fleet.Fingerprint(c.Traits[0].ID) })
 }
 
 // IsQuarantined reports whether the fingerprint is a cause of crashes.
--- a/internal/core/quarantine/register.go
+++ b/internal/core/quarantine/register.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// firstQuarantine is how long a trait is refused before one request with it is tried
+	// firstQuarantine is how long a cause is refused before one request with it is tried
 	// again. After a crash of the trial the time is multiplied by trialFactor, up to
 	// maxQuarantine.
 	firstQuarantine = 10 * time.Minute
@@ -14,21 +14,22 @@
 	maxQuarantine   = 6 * time.Hour
 	// trialTimeout is the time after which a trial without an outcome is repeated.
 	trialTimeout = 30 * time.Second
-	// forgetAfter is how long a trait that could be tried again is kept.
+	// forgetAfter is how long a cause that could be tried again is kept.
 	forgetAfter = time.Hour
-	// maxEntries bounds the quarantined traits.
+	// maxEntries bounds the quarantined causes.
 	maxEntries = 256
 	// maxLifted bounds the traits that were lifted and are remembered as such.
 	maxLifted = 1024
 )
 
-// Entry is a quarantined trait.
+// Entry is a quarantined cause: requests that have all of its traits are refused.
 type Entry struct {
-	Trait   Trait
+	// Traits is sorted and not empty.
+	Traits  []Trait
 	Crashes int
 	// CrashedAt is the time of its last known crash.
 	CrashedAt time.Duration
-	// Until is the time from which one request with the trait is tried again.
+	// Until is the time from which one request with the cause is tried again.
 	Until time.Duration
 	// Trials counts the trials that crashed.
 	Trials int
@@ -37,10 +38,17 @@
 	onTrial bool
 }
 
-// Register holds the quarantined traits of a deployment, as far as an instance knows
+// matches reports whether a request with the traits has the cause.
+func (e *Entry) matches(traits []Trait) bool {
+	return !slices.ContainsFunc(e.Traits, func(t Trait) bool { return !slices.Contains(traits, t) })
+}
+
+// Register holds the quarantined causes of a deployment, as far as an instance knows
 // them.
 type Register struct {
-	entries map[Trait]*Entry
+	// entries holds the causes by their first trait.
+	entries map[Trait][]*Entry
+	size    int
 	// lifted holds the times at which traits were lifted, so that a peer that missed it
 	// does not bring them back.
 	lifted map[Trait]time.Duration
@@ -48,45 +56,60 @@
 
 // NewRegister returns a register without entries.
 func NewRegister() *Register {
-	return &Register{entries: make(map[Trait]*Entry), lifted: make(map[Trait]time.Duration)}
+	return &Register{entries: make(map[Trait][]*Entry), lifted: make(map[Trait]time.Duration)}
 }
 
 // Quarantine adds the cause of crashes that the instance knows itself. It reports whether
 // it is new.
 func (r *Register) Quarantine(c Cause) bool {
-	return r.Adopt(Entry{Trait: c.Trait, Crashes: c.Crashes, CrashedAt: c.LastAt, Until: c.LastAt + firstQuarantine})
+	return r.Adopt(Entry{Traits: c.Traits, Crashes: c.Crashes, CrashedAt: c.LastAt, Until: c.LastAt + firstQuarantine})
 }
 
-// Adopt merges an entry into the register, such as one that a peer reported. An entry
-// whose last crash is older than the lifting of its trait is ignored. It reports whether
-// the entry is new.
+// Adopt merges an entry into the register, such as one that a peer reported. Traits that
+// were lifted after its last crash are left out. It reports whether the entry is new.
 func (r *Register) Adopt(e Entry) bool {
-	if r.LiftedAt(e.Trait) >= e.CrashedAt {
+	e.Traits = slices.DeleteFunc(slices.Clone(e.Traits), func(t Trait) bool { return r.LiftedAt(t) >= e.CrashedAt })
+	if len(e.Traits) == 0 {
 		return false
 	}
-	known, ok := r.entries[e.Trait]
-	if ok {
+	if known := r.find(e.Traits); known != nil {
 		known.Crashes = max(known.Crashes, e.Crashes)
 		known.CrashedAt = max(known.CrashedAt, e.CrashedAt)
 		known.Until = max(known.Until, e.Until)
 		known.Trials = max(known.Trials, e.Trials)
 		return false
 	}
-	if len(r.entries) >= maxEntries {
+	if r.size >= maxEntries {
 		return false
 	}
 	e.onTrial, e.trialAt = false, 0
-	r.entries[e.Trait] = &e
+	r.entries[e.Traits[0]] = append(r.entries[e.Traits[0]], &e)
+	r.size++
 	return true
 }
 
-// Crashed records a further crash of the trait. If it was on trial, it stays quarantined
-// for longer.
-func (r *Register) Crashed(at time.Duration, trait Trait) {
-	e, ok := r.entries[trait]
-	if !ok {
-		return
+func (r *Register) find(traits []Trait) *Entry {
+	for _, e := range r.entries[traits[0]] {
+		if slices.Equal(e.Traits, traits) {
+			return e
+		}
 	}
+	return nil
+}
+
+// Crashed records a further crash with the suspects. A cause that was on trial stays
+// quarantined for longer.
+func (r *Register) Crashed(at time.Duration, suspects []Trait) {
+	for _, t := range suspects {
+		for _, e := range r.entries[t] {
+			if e.matches(suspects) {
+				e.crashed(at)
+			}
+		}
+	}
+}
+
+func (e *Entry) crashed(at time.Duration) {
 	e.CrashedAt = max(e.CrashedAt, at)
 	if !e.onTrial || at < e.trialAt {
 		return
@@ -104,19 +127,42 @@
 	return d
 }
 
-// Lift removes a trait because a request with it was executed at the time at. It reports
-// whether the trait was quarantined.
-func (r *Register) Lift(at time.Duration, trait Trait) bool {
-	e, ok := r.entries[trait]
-	if !ok || e.CrashedAt > at {
-		return false
+// Lift removes a trait from the causes because a request with it was executed at the time
+// at: the others must be to blame. It returns the causes that had it.
+func (r *Register) Lift(at time.Duration, trait Trait) []Entry {
+	if r.size == 0 {
+		return nil
+	}
+	var lifted []Entry
+	for _, list := range r.entries {
+		for _, e := range list {
+			if e.CrashedAt <= at && slices.Contains(e.Traits, trait) {
+				lifted = append(lifted, *e)
+			}
+		}
+	}
+	if len(lifted) == 0 {
+		return nil
 	}
-	delete(r.entries, trait)
 	if len(r.lifted) >= maxLifted {
 		clear(r.lifted)
 	}
 	r.lifted[trait] = at
-	return true
+	for _, e := range lifted {
+		r.remove(e.Traits)
+		r.Adopt(e)
+	}
+	return lifted
+}
+
+func (r *Register) remove(traits []Trait) {
+	list := slices.DeleteFunc(r.entries[traits[0]], func(e *Entry) bool { return slices.Equal(e.Traits, traits) })
+	r.size -= len(r.entries[traits[0]]) - len(list)
+	if len(list) == 0 {
+		delete(r.entries, traits[0])
+		return
+	}
+	r.entries[traits[0]] = list
 }
 
 // LiftedAt returns the time at which the trait was lifted, or Never.
@@ -127,21 +173,23 @@
 	return Never
 }
 
-// Match returns the entry of one of the traits, or nil.
+// Match returns an entry that a request with the traits has, or nil.
 func (r *Register) Match(traits []Trait) *Entry {
-	if len(r.entries) == 0 {
+	if r.size == 0 {
 		return nil
 	}
 	for _, trait := range traits {
-		if e, ok := r.entries[trait]; ok {
-			return e
+		for _, e := range r.entries[trait] {
+			if e.matches(traits) {
+				return e
+			}
 		}
 	}
 	return nil
 }
 
-// StartTrial reports whether a request with the entry's trait may be tried now, and
-// counts it as the trial. Of all instances only one must ask.
+// StartTrial reports whether a request with the cause may be tried now, and counts it as
+// the trial. Of all instances only one must ask.
 func (r *Register) StartTrial(now time.Duration, e *Entry) bool {
 	if now < e.Until || e.onTrial && now-e.trialAt < trialTimeout {
 		return false
@@ -150,17 +198,22 @@
 	return true
 }
 
-// Entries returns the entries, ordered by trait. Those that no request had for a long
-// time are dropped.
+// Entries returns the entries, ordered by their traits. Those that no request had for a
+// long time are dropped.
 func (r *Register) Entries(now time.Duration) []Entry {
-	entries := make([]Entry, 0, len(r.entries))
-	for trait, e := range r.entries {
-		if now-max(e.Until, e.trialAt) > forgetAfter {
-			delete(r.entries, trait)
-			continue
+	var entries, forgotten []Entry
+	for _, list := range r.entries {
+		for _, e := range list {
+			if now-max(e.Until, e.trialAt) > forgetAfter {
+				forgotten = append(forgotten, *e)
+			} else {
+				entries = append(entries, *e)
+			}
 		}
-		entries = append(entries, *e)
 	}
-	slices.SortFunc(entries, func(a, b Entry) int { return CompareTraits(a.Trait, b.Trait) })
+	for _, e := range forgotten {
+		r.remove(e.Traits)
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return slices.CompareFunc(a.Traits, b.Traits, CompareTraits) })
 	return entries
 }
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -38,7 +38,7 @@
 	table.Add(seconds(3), seconds(3), event(3), requests(1, 3))
 	is.Equal(len(table.Causes(forever)), 0) // a report may be missing
 	table.Add(seconds(4), seconds(4), event(4), requests(1))
-	is.Equal(table.Causes(forever), []Cause{{Trait: RequestTrait(1), Crashes: 5, LastAt: seconds(4)}})
+	is.Equal(table.Causes(forever), []Cause{{Traits: requests(1), Crashes: 5, LastAt: seconds(4)}})
 }
 
 // TestTwoCausesAreFound guards against a cause that hides behind another one.
@@ -53,8 +53,8 @@
 	table.Add(seconds(5), seconds(5), event(5), requests(1))
 	causes := table.Causes(forever)
 	is.Equal(len(causes), 2)
-	is.Equal(causes[0].Trait, RequestTrait(1))
-	is.Equal(causes[1].Trait, RequestTrait(2))
+	is.Equal(causes[0].Traits, requests(1))
+	is.Equal(causes[1].Traits, requests(2))
 }
 
 // TestCrashesAtOneMomentAreNoEvidence guards against the refusal of a request that ran on
@@ -97,3 +97,37 @@
 	is.True(len(table.events) <= testLimits.MaxEvents)
 	is.True(len(table.counts) <= testLimits.MaxEvents*testLimits.MaxSuspects)
 }
+
+// TestSharedPartIsFound guards against requests that crash endpoints although no two of
+// them are alike, and against the blame of a part that only some of them have.
+func TestSharedPartIsFound(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(testLimits)
+	for i := range 3 {
+		suspects := append(requests(fleet.Fingerprint(i)), PartTrait(7), PartTrait(uint64(100+i%2)))
+		table.Add(seconds(i), seconds(i), event(i), suspects)
+	}
+	is.Equal(table.Causes(forever), []Cause{{Traits: []Trait{PartTrait(7)}, Crashes: 3, LastAt: seconds(2)}})
+}
+
+// TestInseparablePartsAreOneCause guards against the blame of a sound part that all requests
+// with the crashing part have: only requests with both are refused.
+func TestInseparablePartsAreOneCause(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(testLimits)
+	for i := range 3 {
+		table.Add(seconds(i), seconds(i), event(i), append(requests(fleet.Fingerprint(i)), PartTrait(8), PartTrait(7)))
+	}
+	causes := table.Causes(forever)
+	is.Equal(len(causes), 1)
+	is.Equal(causes[0].Traits, []Trait{PartTrait(7), PartTrait(8)})
+	register := NewRegister()
+	is.True(register.Quarantine(causes[0]))
+	is.True(register.Match([]Trait{PartTrait(8), PartTrait(9)}) == nil)
+	is.True(register.Match([]Trait{PartTrait(8), RequestTrait(1), PartTrait(7)}) != nil)
+
+	// An answer to a sound request shows which of them it is.
+	is.Equal(len(register.Lift(seconds(4), PartTrait(8))), 1)
+	is.True(register.Match([]Trait{PartTrait(7)}) != nil)
+	is.True(register.Match([]Trait{PartTrait(8)}) == nil)
+}
--- a/internal/core/quarantine/trait.go
+++ b/internal/core/quarantine/trait.go
@@ -22,10 +22,12 @@
 	// WholeRequest is everything that a request consists of. Its ID is the request's
 	// fingerprint.
 	WholeRequest TraitKind = iota
+	// PromptPart is one part of the prompt of a model request. Its ID is the part's.
+	PromptPart
 )
 
 // LastTraitKind is the highest kind that this version of the program knows.
-const LastTraitKind = WholeRequest
+const LastTraitKind = PromptPart
 
 // Trait is a property of a request that may be the cause of crashes.
 type Trait struct {
@@ -36,9 +38,12 @@
 // RequestTrait returns the trait that only requests with the fingerprint have.
 func RequestTrait(f fleet.Fingerprint) Trait { return Trait{Kind: WholeRequest, ID: uint64(f)} }
 
-// String returns the form used in logs, such as "request:5c1e07a2".
+// PartTrait returns the trait of all requests with a part in their prompt.
+func PartTrait(id uint64) Trait { return Trait{Kind: PromptPart, ID: id} }
+
+// String returns the form used in logs, such as "part:5c1e07a2".
 func (t Trait) String() string {
-	return [...]string{"request"}[t.Kind] + ":" + strconv.FormatUint(t.ID, 16)
+	return [...]string{"request", "part"}[t.Kind] + ":" + strconv.FormatUint(t.ID, 16)
 }
 
 // JoinTraits returns the traits in the form used in logs.
--- a/internal/edge/crashcodec.go
+++ b/internal/edge/crashcodec.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -20,9 +21,9 @@
 			Suspects: lo.Map(c.Suspects, encodeTrait),
 		}
 	})
-	message.Quarantined = lo.Map(r.Quarantined, func(e quarantine.Entry, _ int) *cornelholdv1.QuarantinedTrait {
-		return &cornelholdv1.QuarantinedTrait{
-			Trait: encodeTrait(e.Trait, 0), Crashes: uint32(e.Crashes), Trials: uint32(e.Trials),
+	message.Quarantined = lo.Map(r.Quarantined, func(e quarantine.Entry, _ int) *cornelholdv1.QuarantinedCause {
+		return &cornelholdv1.QuarantinedCause{
+			Traits: lo.Map(e.Traits, encodeTrait), Crashes: uint32(e.Crashes), Trials: uint32(e.Trials),
 			CrashedAgeMs: (now - e.CrashedAt).Milliseconds(), LeftMs: (e.Until - now).Milliseconds(),
 		}
 	})
@@ -38,13 +39,14 @@
 	for _, c := range m.GetCrashes() {
 		r.Crashes = append(r.Crashes, gateway.Crash{
 			Endpoint: fleet.EndpointID(c.GetEndpoint()), Started: c.GetStartedMs(), At: sentAt - milliseconds(c.GetAgeMs()),
-			Suspects: lo.FilterMap(c.GetSuspects(), func(t *cornelholdv1.RequestTrait, _ int) (quarantine.Trait, bool) { return decodeTrait(t) }),
+			Suspects: decodeTraits(c.GetSuspects()),
 		})
 	}
 	for _, q := range m.GetQuarantined() {
-		if t, ok := decodeTrait(q.GetTrait()); ok {
+		// Without one of its traits a cause would be another one.
+		if traits := decodeTraits(q.GetTraits()); len(traits) > 0 && len(traits) == len(q.GetTraits()) {
 			r.Quarantined = append(r.Quarantined, quarantine.Entry{
-				Trait: t, Crashes: int(q.GetCrashes()), Trials: int(q.GetTrials()),
+				Traits: traits, Crashes: int(q.GetCrashes()), Trials: int(q.GetTrials()),
 				CrashedAt: sentAt - milliseconds(q.GetCrashedAgeMs()), Until: sentAt + milliseconds(q.GetLeftMs()),
 			})
 		}
@@ -61,6 +63,13 @@
 	return &cornelholdv1.RequestTrait{Kind: uint32(t.Kind), Id: t.ID}
 }
 
+// decodeTraits returns the traits of known kinds, sorted.
+func decodeTraits(list []*cornelholdv1.RequestTrait) []quarantine.Trait {
+	traits := lo.FilterMap(list, func(t *cornelholdv1.RequestTrait, _ int) (quarantine.Trait, bool) { return decodeTrait(t) })
+	slices.SortFunc(traits, quarantine.CompareTraits)
+	return traits
+}
+
 func decodeTrait(t *cornelholdv1.RequestTrait) (quarantine.Trait, bool) {
 	if t == nil || t.GetKind() > uint32(quarantine.LastTraitKind) {
 		return quarantine.Trait{}, false
--- a/internal/edge/crashlog.go
+++ b/internal/edge/crashlog.go
@@ -19,9 +19,11 @@
 			"endpoint": string(a.Endpoint), "started": a.Started, "evidence": a.Evidence.String(),
 			"suspects": len(a.Suspects), "traits": quarantine.JoinTraits(a.Suspects[:min(len(a.Suspects), maxLoggedSuspects)]),
 		}).Warn("endpoint ended")
-	case gateway.TraitQuarantined:
-		t.log.WithFields(log.Fields{"trait": a.Trait.String(), "crashes": a.Crashes, "reported": a.Reported}).Warn("requests quarantined")
+	case gateway.CauseQuarantined:
+		t.log.WithFields(log.Fields{
+			"cause": quarantine.JoinTraits(a.Traits), "crashes": a.Crashes, "reported": a.Reported,
+		}).Warn("requests quarantined")
 	case gateway.TraitLifted:
-		t.log.WithField("trait", a.Trait.String()).Info("quarantine lifted")
+		t.log.WithFields(log.Fields{"trait": a.Trait.String(), "cause": quarantine.JoinTraits(a.Traits)}).Info("quarantine lifted")
 	}
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -60,7 +60,7 @@
 			Name: "cornelhold_endpoint_ends_total", Help: "Incarnations of endpoints that ended, by evidence.",
 		}, []string{"evidence"}),
 		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "cornelhold_quarantined_traits", Help: "Traits whose requests are refused because they crash endpoints.",
+			Name: "cornelhold_quarantined_causes", Help: "Causes of crashes, whose requests are refused.",
 		}),
 	}
 	registry.MustRegister(m.requests, m.firstByte, m.total, m.sendDelay, m.listAge, m.stalls, m.malformed, m.droppedLog, m.endpointEnds, m.quarantined)
