--- a/internal/core/gateway/admission.go
+++ b/internal/core/gateway/admission.go
@@ -28,12 +28,15 @@
 		return []Action{Refuse{ID: msg.ID, Refusal: refusal}}
 	case !m.list.usable(now):
 		return m.hold(heldRequest{id: msg.ID, arrival: &msg.Request, heldAt: now})
-	default:
-		return []Action{m.admit(now, msg)}
 	}
+	if a := m.admit(now, msg); a != nil {
+		return []Action{a}
+	}
+	return nil
 }
 
-// admit sends a new request to an endpoint or refuses it.
+// admit sends a new request to an endpoint or refuses it. It returns nil if the request
+// has to wait.
 func (m *Machine) admit(now time.Duration, msg RequestArrived) Action {
 	refuse := func(kind fleet.RefusalKind, after time.Duration, remedy string) Action {
 		return Refuse{ID: msg.ID, Refusal: fleet.Refuse(kind, after, remedy)}
@@ -49,6 +52,10 @@
 	if refusal, detail := m.quarantined(now, o); refusal != nil {
 		return Refuse{ID: msg.ID, Refusal: refusal, Detail: detail}
 	}
+	if !msg.Request.waitedAsSuspect && m.awaitsDecision(now, o.traits) {
+		m.suspects = append(m.suspects, waitingSuspect{arrival: msg, traits: o.traits, since: now})
+		return nil
+	}
 	e, est := m.chooseEndpoint(now, o)
 	if e == nil {
 		return refuse(fleet.RefusedNoEndpoint, retryAfter, "no endpoint of the service is available; retry")
--- a/internal/core/gateway/crash_test.go
+++ b/internal/core/gateway/crash_test.go
@@ -176,6 +176,7 @@
 	exchange(second, first)
 	second.list, second.starts = slices.Clone(first.list), first.starts
 	second.step(SetEndpoints{Endpoints: second.list})
+	second.now += time.Second
 	crash(second, 3)
 	second.now += time.Second
 	refused, ok := second.step(RequestArrived{ID: 4, Request: crashingRequest()}).(Refuse)
@@ -297,9 +298,14 @@
 	crashes := 0
 	for id := RequestID(1); id <= 30; id += 2 {
 		_, ok := c.step(RequestArrived{ID: id + 1, Request: soundPrompt(id)}).(Send)
+		if !ok { // it waits until it is known that its parts are not the cause
+			c.now += 200 * time.Millisecond
+			_, ok = c.step(PeerReport{}).(Send)
+		}
 		is.True(ok)
 		c.now += 100 * time.Millisecond
 		c.step(ResponseStarted{ID: id + 1})
+		c.step(RequestFinished{ID: id + 1, Succeeded: true})
 		s, ok := c.step(RequestArrived{ID: id, Request: crashingPrompt(id)}).(Send)
 		for ; ok; s, ok = c.step(AttemptFailed{ID: id, Failure: FailureConnectionLost}).(Send) {
 			c.now += 150 * time.Millisecond
@@ -311,7 +317,6 @@
 		}
 		c.checks = nil
 		c.now += 400 * time.Millisecond
-		c.step(RequestFinished{ID: id + 1, Succeeded: true})
 	}
 	is.True(crashes >= 3)
 	is.True(crashes <= 8) // five, and three that the users allow after them
@@ -347,3 +352,49 @@
 		is.Equal(traits, []quarantine.Trait{quarantine.RequestTrait(1)})
 	}
 }
+
+// TestSuspectsAreSentWithCare guards against further crashes while the cause of two is not
+// decided: a new request with a suspect waits for the reports of all instances, and is not
+// retried.
+func TestSuspectsAreSentWithCare(t *testing.T) {
+	is := is.New(t)
+	c := newCrashTest(10)
+	crashes := make([]Crash, suspectedCrashes)
+	for i := range crashes {
+		crashes[i] = Crash{Endpoint: "other", Started: int64(i), At: c.now, Suspects: requestTraits(crashingPrompt(1), nil)[1:]}
+	}
+	c.step(PeerReport{Node: "n2", Crashes: CrashReport{Crashes: crashes}})
+	is.Equal(c.step(RequestArrived{ID: 1, Request: crashingPrompt(1)}), nil)
+	other := soundPrompt(2)
+	other.Parts = nil
+	_, ok := c.step(RequestArrived{ID: 2, Request: other}).(Send)
+	is.True(ok) // it has no suspect
+	c.now += c.machine.settleTime() + time.Millisecond
+	sent, ok := c.step(PeerReport{Node: "n2"}).(Send)
+	is.True(ok)
+	is.Equal(sent.ID, RequestID(1))
+	_, ok = c.step(AttemptFailed{ID: 1, Failure: FailureConnectionLost}).(Refuse)
+	is.True(ok)
+}
+
+// TestWaitingSuspectIsReleased guards against sound requests that wait although an answer
+// has shown that their parts are not the cause, and against a caller that left meanwhile.
+func TestWaitingSuspectIsReleased(t *testing.T) {
+	is := is.New(t)
+	c := newCrashTest(10)
+	_, ok := c.step(RequestArrived{ID: 1, Request: soundPrompt(1)}).(Send)
+	is.True(ok)
+	var crashes []Crash
+	for i := range suspectedCrashes {
+		crashes = append(crashes, Crash{Endpoint: "other", Started: int64(i), At: c.now, Suspects: []quarantine.Trait{quarantine.PartTrait(1)}})
+	}
+	c.step(PeerReport{Node: "n2", Crashes: CrashReport{Crashes: crashes}})
+	is.Equal(c.step(RequestArrived{ID: 2, Request: soundPrompt(2)}), nil)
+	is.Equal(c.step(RequestArrived{ID: 3, Request: soundPrompt(3)}), nil)
+	c.step(RequestFinished{ID: 3})
+	c.now += 10 * time.Millisecond
+	sent, ok := c.step(ResponseStarted{ID: 1}).(Send)
+	is.True(ok)
+	is.Equal(sent.ID, RequestID(2))
+	is.Equal(c.sends, 2)
+}
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -66,6 +66,7 @@
 	list         listAge
 	// held holds the requests that wait until the list is usable.
 	held          []heldRequest
+	suspects      []waitingSuspect
 	usageRestored bool
 	open          map[RequestID]*openRequest
 	quota         *quota.Meter
@@ -104,7 +105,7 @@
 // Step processes one message at the local monotonic time now. Observations for the
 // log follow the other actions.
 func (m *Machine) Step(now time.Duration, msg Message) []Action {
-	actions := m.process(now, msg)
+	actions := append(m.process(now, msg), m.releaseSuspects(now)...)
 	actions = append(actions, m.notes...)
 	m.notes = nil
 	return actions
@@ -180,6 +181,7 @@
 }
 
 func (m *Machine) requestFinished(now time.Duration, msg RequestFinished) {
+	m.suspects = slices.DeleteFunc(m.suspects, func(w waitingSuspect) bool { return w.arrival.ID == msg.ID })
 	m.held = slices.DeleteFunc(m.held, func(h heldRequest) bool { return h.id == msg.ID })
 	o, ok := m.open[msg.ID]
 	if !ok {
--- a/internal/core/gateway/messages.go
+++ b/internal/core/gateway/messages.go
@@ -32,6 +32,9 @@
 	Fingerprint                   fleet.Fingerprint
 	// Random is a random number in [0, 1) for weighted splits and jitter.
 	Random float64
+
+	// waitedAsSuspect is set once the request has waited for the cause of crashes.
+	waitedAsSuspect bool
 }
 
 // Message is an input of the machine.
--- a/internal/core/gateway/retry.go
+++ b/internal/core/gateway/retry.go
@@ -121,13 +121,14 @@
 	return &fleet.Refusal{Kind: kind, Run: fleet.RunUnknown, Remedy: "the endpoint failed; check the outcome before a repeat"}
 }
 
-// mayRetry reports whether deadline, attempts and route allow a retry.
+// mayRetry reports whether deadline, attempts, route and the crashes of endpoints allow a
+// retry.
 func (m *Machine) mayRetry(now time.Duration, o *openRequest, failure Failure) bool {
 	if now >= o.deadlineAt || o.sends >= o.route.MaxAttempts || o.dialFailures >= maxDialFailures {
 		return false
 	}
 	notRun := failure == FailureDial || failure == FailureRejected || failure == FailureNotSentInTime
-	return notRun || o.route.Repeatable()
+	return notRun || o.route.Repeatable() && !m.isSuspect(o.suspectTraits(now))
 }
 
 // chooseRetry returns the endpoint for a retry. It reports false if there is none or
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -160,6 +160,17 @@
 	return newest
 }
 
+// HeardAt returns when the last crash with the suspect was heard of, or Never.
+func (t *Table) HeardAt(trait Trait) time.Duration {
+	last := Never
+	for _, c := range t.events {
+		if c.suspects[trait] {
+			last = max(last, c.heardAt)
+		}
+	}
+	return last
+}
+
 // Count returns the number of crashes with the suspect.
 func (t *Table) Count(trait Trait) int { return t.counts[trait] }
 
