--- a/internal/core/stream/splitter.go
+++ b/internal/core/stream/splitter.go
@@ -41,21 +41,21 @@
 	s.pending = append(s.pending, data...)
 	var out []byte
 	for {
-		end := bytes.Index(s.pending, []byte("\n\n"))
+		end := eventEnd(s.pending)
 		if end < 0 {
 			break
 		}
-		event := s.pending[:end+2]
+		event := s.pending[:end]
 		if id, ok := parseEventID(event); ok {
 			if s.hasID && id <= s.lastID {
-				s.pending = s.pending[end+2:]
+				s.pending = s.pending[end:]
 				continue
 			}
 			s.lastID, s.hasID = id, true
 		}
 		s.eventCount++
 		out = append(out, event...)
-		s.pending = s.pending[end+2:]
+		s.pending = s.pending[end:]
 	}
 	if len(s.pending) > maxEventBytes {
 		s.pending = nil
@@ -64,12 +64,26 @@
 	return out, nil
 }
 
-// Remainder returns and clears the bytes after the last complete event. It is
-// called at the end of a stream.
-func (s *Splitter) Remainder() []byte {
-	remainder := s.pending
+// End is called at the end of a stream. It returns the line breaks after the last event,
+// and reports false if the stream ended inside an event.
+func (s *Splitter) End() (lineBreaks []byte, complete bool) {
+	rest := s.pending
 	s.pending = nil
-	return remainder
+	if len(bytes.Trim(rest, "\r\n")) > 0 {
+		return nil, false
+	}
+	return rest, true
+}
+
+// eventEnd returns the length of the first event, which ends with an empty line, or -1.
+func eventEnd(data []byte) int {
+	end := -1
+	for _, emptyLine := range []string{"\n\n", "\r\n\r\n"} {
+		if i := bytes.Index(data, []byte(emptyLine)); i >= 0 && (end < 0 || i+len(emptyLine) < end) {
+			end = i + len(emptyLine)
+		}
+	}
+	return end
 }
 
 // Discard drops the bytes of an incomplete event after an interruption.
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -266,7 +266,7 @@
 	case upstream.StreamData:
 		return r.handleData(ctx, e.Bytes)
 	case upstream.StreamEnd:
-		return r.handleEnd(ctx)
+		return r.handleEnd(ctx, e.Delimited)
 	case upstream.FullResponse:
 		return r.handleFullResponse(ctx, e)
 	case upstream.Failed:
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -60,11 +60,19 @@
 	return last, last
 }
 
-func (r *request) handleEnd(ctx context.Context) (done, reusable bool) {
+// handleEnd ends the response, unless the stream was broken off: inside an event, or before
+// the first one if only the end of the connection tells the end of the body.
+func (r *request) handleEnd(ctx context.Context, delimited bool) (done, reusable bool) {
+	rest, complete := r.splitter.End()
+	if !complete || !delimited && !r.delivered {
+		r.lastError = "the stream ended inside an event or without one"
+		r.failAttempt(ctx, gateway.AttemptFailed{Failure: gateway.FailureConnectionLost})
+		return false, false
+	}
 	if !r.delivered {
 		r.responseStarted(ctx)
 	}
-	return r.deliver(r.splitter.Remainder(), true)
+	return r.deliver(rest, true)
 }
 
 func (r *request) handleFullResponse(ctx context.Context, e upstream.FullResponse) (done, reusable bool) {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -125,6 +125,7 @@
 	replica := replicas[r.random.IntN(len(replicas))]
 	replicaFaults := []userplatform.Fault{
 		userplatform.FaultServerError, userplatform.FaultReject, userplatform.FaultReset, userplatform.FaultTruncateStream,
+		userplatform.FaultUnframedStream, userplatform.FaultUnframedHead,
 		userplatform.FaultStaleResponse, userplatform.FaultExtraResponse, userplatform.FaultUnsigned,
 		userplatform.FaultEndlessHead, userplatform.FaultEndlessBody,
 	}
--- a/internal/standin/userplatform/replica.go
+++ b/internal/standin/userplatform/replica.go
@@ -31,6 +31,11 @@
 	// FaultTruncateStream resets the connection in the middle of a stream's third
 	// event.
 	FaultTruncateStream
+	// FaultUnframedStream sends a stream with neither a length nor chunks, which ends in the
+	// middle of its third event with the connection.
+	FaultUnframedStream
+	// FaultUnframedHead ends such a stream behind its head.
+	FaultUnframedHead
 	// FaultStaleResponse sends a response to another request before its own.
 	FaultStaleResponse
 	// FaultExtraResponse sends a second response after its own.
@@ -227,6 +232,18 @@
 	if id, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
 		first = id + 1
 	}
+	if fault == FaultUnframedStream || fault == FaultUnframedHead {
+		event := Event(3)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head+"Content-Type: text/event-stream\r\n\r\n")
+		if fault == FaultUnframedHead {
+			return false
+		}
+		for id := first; id < 3; id++ {
+			_, _ = io.WriteString(conn, Event(id))
+		}
+		_, _ = io.WriteString(conn, event[:len(event)/2])
+		return false
+	}
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
 	for id := first; id <= r.EventCount; id++ {
 		event := Event(id)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -74,7 +74,11 @@
 type StreamData struct{ Bytes []byte }
 
 // StreamEnd reports that the stream was received completely.
-type StreamEnd struct{}
+type StreamEnd struct {
+	// Delimited is set if the response stated where its body ends. Otherwise only the end
+	// of the connection did.
+	Delimited bool
+}
 
 // FullResponse is a complete response that is not a stream.
 type FullResponse struct {
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -87,7 +87,7 @@
 		}
 		switch {
 		case err == io.EOF:
-			return StreamEnd{}, nil
+			return StreamEnd{Delimited: isDelimited(resp)}, nil
 		case err != nil:
 			return nil, err
 		}
