--- a/internal/core/quarantine/register.go
+++ b/internal/core/quarantine/register.go
@@ -72,6 +72,7 @@
 	if len(e.Traits) == 0 {
 		return false
 	}
+	e.Until = min(e.Until, e.CrashedAt+maxQuarantine)
 	if known := r.find(e.Traits); known != nil {
 		known.Crashes = max(known.Crashes, e.Crashes)
 		known.CrashedAt = max(known.CrashedAt, e.CrashedAt)
--- a/internal/edge/crashcodec.go
+++ b/internal/edge/crashcodec.go
@@ -38,7 +38,7 @@
 	var r gateway.CrashReport
 	for _, c := range m.GetCrashes() {
 		r.Crashes = append(r.Crashes, gateway.Crash{
-			Endpoint: fleet.EndpointID(c.GetEndpoint()), Started: c.GetStartedMs(), At: sentAt - milliseconds(c.GetAgeMs()),
+			Endpoint: fleet.EndpointID(c.GetEndpoint()), Started: c.GetStartedMs(), At: sentAt - age(c.GetAgeMs()),
 			Suspects: decodeTraits(c.GetSuspects()),
 		})
 	}
@@ -47,18 +47,21 @@
 		if traits := decodeTraits(q.GetTraits()); len(traits) > 0 && len(traits) == len(q.GetTraits()) {
 			r.Quarantined = append(r.Quarantined, quarantine.Entry{
 				Traits: traits, Crashes: int(q.GetCrashes()), Trials: int(q.GetTrials()),
-				CrashedAt: sentAt - milliseconds(q.GetCrashedAgeMs()), Until: sentAt + milliseconds(q.GetLeftMs()),
+				CrashedAt: sentAt - age(q.GetCrashedAgeMs()), Until: sentAt + milliseconds(q.GetLeftMs()),
 			})
 		}
 	}
 	for _, c := range m.GetCleared() {
 		if t, ok := decodeTrait(c.GetTrait()); ok {
-			r.Clears = append(r.Clears, gateway.Clearance{Trait: t, At: sentAt - milliseconds(c.GetAgeMs())})
+			r.Clears = append(r.Clears, gateway.Clearance{Trait: t, At: sentAt - age(c.GetAgeMs())})
 		}
 	}
 	return r
 }
 
+// age decodes an age. What a peer reports has not happened in the future.
+func age(ms int64) time.Duration { return milliseconds(max(ms, 0)) }
+
 func encodeTrait(t quarantine.Trait, _ int) *cornelholdv1.RequestTrait {
 	return &cornelholdv1.RequestTrait{Kind: uint32(t.Kind), Id: t.ID}
 }
