--- a/internal/e2e/edge_test.go
+++ b/internal/e2e/edge_test.go
@@ -81,6 +81,23 @@
 	is.Equal(resp.StatusCode, http.StatusBadGateway)
 }
 
+// TestStaleRefusalIsNotPassedOn guards against an earlier refusal that a replica sends once
+// more on a kept connection: callers would be told that a request did not run which does,
+// or it would run at a second replica (rules REFUSED, TWICE).
+func TestStaleRefusalIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	f := newEdgeFleet(t, 1)
+	for i := range 12 {
+		setFault(f.PlainReplicas, []userplatform.Fault{userplatform.FaultNone, userplatform.FaultStaleRefusal}[i%2])
+		for _, target := range []string{"/order/", "/check/"} {
+			resp, body, id := f.do(f.Edges[0], call{method: http.MethodPost, target: fmt.Sprint(target, i)})
+			is.Equal(resp.StatusCode, http.StatusOK)
+			is.Equal(body, "answer of "+id)
+		}
+	}
+	is.Equal(len(runs(f.PlainReplicas)), 24)
+}
+
 // TestErrorAfterEventsIsNotPassedOn guards against the error of a second replica in the
 // middle of a stream that the first one broke off, and against a stream that then ends as if
 // it were complete (rules ORDER, MIXED).
--- a/internal/standin/userplatform/replica.go
+++ b/internal/standin/userplatform/replica.go
@@ -38,6 +38,9 @@
 	FaultUnframedHead
 	// FaultStaleResponse sends a response to another request before its own.
 	FaultStaleResponse
+	// FaultStaleRefusal sends refusals before its own response: one of another request and
+	// one without an id.
+	FaultStaleRefusal
 	// FaultExtraResponse sends a second response after its own.
 	FaultExtraResponse
 	// FaultUnsigned responds without a signature.
@@ -209,6 +212,9 @@
 		return false
 	case FaultStaleResponse:
 		writeResponse(conn, "200 OK", "Attempt-Id: other\r\nReplica-Signature: x\r\n", "the answer to another request")
+	case FaultStaleRefusal:
+		writeResponse(conn, "503 Service Unavailable", "Attempt-Id: other\r\nNot-Executed: 1\r\n", "")
+		writeResponse(conn, "503 Service Unavailable", "Not-Executed: 1\r\n", "")
 	case FaultUnsigned:
 		return writeResponse(conn, "200 OK", head, "unsigned")
 	case FaultEndlessHead:
