--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -20,19 +20,22 @@
 	minSettleTime = 500 * time.Millisecond
 	settlePeers   = 48
 	// decisionInterval is the minimum time between two searches for causes.
-	decisionInterval = 50 * time.Millisecond
+	decisionInterval = 200 * time.Millisecond
 	// maxSuspectTraits bounds the suspects of one request.
 	maxSuspectTraits = 64
-	// maxReportedCrashes, maxReportedSuspects and maxReportedClears bound one report.
+	// maxReportedCrashes, maxReportedSuspects and maxReportedClears bound one report, which
+	// has to fit into a datagram.
 	maxReportedCrashes  = 32
 	maxReportedSuspects = 256
 	maxReportedClears   = 64
+	// maxReportedCauseTraits bounds the traits of the quarantined causes in one report.
+	maxReportedCauseTraits = 512
 )
 
 // crashLimits bounds the evidence. The span of the crashes covers the time until peers
 // have reported clearances.
 var crashLimits = quarantine.Limits{
-	Threshold: 3, MinSpan: 400 * time.Millisecond, BusyThreshold: 5, Background: time.Minute, TTL: time.Hour, ClearMemory: 10 * time.Second, MaxEvents: 512, MaxSuspects: 256,
+	Threshold: 3, MinSpan: 400 * time.Millisecond, BusyThreshold: 5, Background: time.Minute, TTL: time.Hour, ClearMemory: 10 * time.Second, MaxEvents: 256, MaxSuspects: 128,
 }
 
 // crashEvidence is what an instance knows of crashes: the attempts that were lost, the
--- a/internal/core/gateway/crashreport.go
+++ b/internal/core/gateway/crashreport.go
@@ -62,7 +62,7 @@
 	c.losses.expire(now)
 	c.own = slices.DeleteFunc(c.own, func(o ownCrash) bool { return now-o.at > reportTime })
 	maps.DeleteFunc(c.clears, func(_ quarantine.Trait, l clearReport) bool { return now-l.since > reportTime })
-	r := CrashReport{Quarantined: c.register.Entries(now)}
+	r := CrashReport{Quarantined: c.quarantined(now)}
 	suspects := 0
 	for i := len(c.own) - 1; i >= 0 && len(r.Crashes) < maxReportedCrashes && suspects < maxReportedSuspects; i-- {
 		o := c.own[i]
@@ -81,6 +81,19 @@
 	return r
 }
 
+// quarantined returns the quarantined causes, those with the latest crash first.
+func (c *crashEvidence) quarantined(now time.Duration) []quarantine.Entry {
+	entries := c.register.Entries(now)
+	slices.SortStableFunc(entries, func(a, b quarantine.Entry) int { return cmp.Compare(b.CrashedAt, a.CrashedAt) })
+	traits := 0
+	for i, e := range entries {
+		if traits += len(e.Traits); traits > maxReportedCauseTraits {
+			return entries[:i]
+		}
+	}
+	return entries
+}
+
 // newestClears returns the latest clearances to report.
 func (c *crashEvidence) newestClears() []Clearance {
 	clears := lo.MapToSlice(c.clears, func(t quarantine.Trait, l clearReport) Clearance { return Clearance{Trait: t, At: l.at} })
--- a/internal/core/quarantine/cause.go
+++ b/internal/core/quarantine/cause.go
@@ -87,7 +87,7 @@
 		}
 	}
 	slices.SortFunc(traits, CompareTraits)
-	return traits
+	return traits[:min(len(traits), maxCauseTraits)]
 }
 
 // candidates returns the traits with enough crashes, those with the most first.
--- a/internal/core/quarantine/register.go
+++ b/internal/core/quarantine/register.go
@@ -17,7 +17,10 @@
 	// forgetAfter is how long a cause that could be tried again is kept.
 	forgetAfter = time.Hour
 	// maxEntries bounds the quarantined causes.
-	maxEntries = 256
+	maxEntries = 128
+	// maxCauseTraits bounds the traits of a cause. More that cannot be told apart are left
+	// out.
+	maxCauseTraits = 16
 	// maxLifted bounds the traits that were lifted and are remembered as such.
 	maxLifted = 1024
 )
@@ -69,7 +72,7 @@
 // were lifted after its last crash are left out. It reports whether the entry is new.
 func (r *Register) Adopt(e Entry) bool {
 	e.Traits = slices.DeleteFunc(slices.Clone(e.Traits), func(t Trait) bool { return r.LiftedAt(t) >= e.CrashedAt })
-	if len(e.Traits) == 0 {
+	if len(e.Traits) == 0 || len(e.Traits) > maxCauseTraits {
 		return false
 	}
 	e.Until = min(e.Until, e.CrashedAt+maxQuarantine)
