--- a/internal/e2e/edge_crash_test.go
+++ b/internal/e2e/edge_crash_test.go
@@ -61,6 +61,14 @@
 	}
 }
 
+// pollFor polls for a while.
+func (w *crashWatch) pollFor(length time.Duration) {
+	w.fleet.t.Helper()
+	for start := time.Now(); time.Since(start) < length; time.Sleep(20 * time.Millisecond) {
+		w.poll()
+	}
+}
+
 // runsOf returns how often requests with the target were executed, by replicas that have
 // crashed or run.
 func (w *crashWatch) runsOf(target string) int {
@@ -85,9 +93,7 @@
 		e := f.Edges[i%len(f.Edges)]
 		resp, _, _ := f.do(e, call{method: http.MethodGet, target: "/check/crash"})
 		is.True(resp.StatusCode >= 500)
-		for pause := time.Now(); time.Since(pause) < 500*time.Millisecond; time.Sleep(20 * time.Millisecond) {
-			watch.poll()
-		}
+		watch.pollFor(500 * time.Millisecond)
 		sound, body, _ := f.do(e, call{method: http.MethodGet, target: fmt.Sprint("/check/sound-", i)})
 		if strings.Contains(body, "crashed repeatedly") {
 			refused++
@@ -102,3 +108,41 @@
 	is.Equal(refused, 0)
 	is.Equal(unserved, 0)
 }
+
+// maxPartSends is what the users allow of requests with one part: five sends crash a replica
+// each, and three may follow.
+const maxPartSends = 8
+
+// TestEdgesStopCrashingPart guards against requests with one part in their prompts, no two
+// alike, that crash one replica after the other, and against the refusal of sound requests
+// with the other parts (rules BUDGET, LOST).
+func TestEdgesStopCrashingPart(t *testing.T) {
+	is := is.New(t)
+	f := newEdgeFleet(t, 3)
+	watch := newCrashWatch(f, func(r *http.Request) bool { return strings.Contains(r.Header.Get("Prefix-Hash"), "dead:") })
+	prompt := func(i int, parts string) call {
+		return call{
+			method: http.MethodPost, target: fmt.Sprint("/stream/", parts[:1], i), body: fmt.Sprint(i),
+			header: fmt.Sprintf("Model: m\r\nToken-Usage: 300,20\r\nPrefix-Hash: a1:200,%s%x:50\r\n", parts, 0x1000+i),
+		}
+	}
+	refused, unserved := 0, 0
+	for i := range 16 {
+		e := f.Edges[i%len(f.Edges)]
+		resp, _, _ := f.do(e, prompt(i, fmt.Sprintf("dead:30,b%d:20,", i%3)))
+		is.True(resp.StatusCode >= 500)
+		watch.pollFor(500 * time.Millisecond)
+		sound, body, _ := f.do(e, prompt(i, fmt.Sprintf("b%d:20,", i%3)))
+		if strings.Contains(body, "crashed repeatedly") {
+			refused++
+		}
+		if i >= 12 && sound.StatusCode != http.StatusOK {
+			unserved++
+		}
+	}
+	t.Logf("%d replicas crashed", watch.crashes)
+	is.True(watch.crashes >= 3)
+	is.True(watch.runsOf("/stream/d") <= maxPartSends)
+	is.Equal(refused, 0)
+	is.Equal(unserved, 0)
+}
