--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -161,17 +161,22 @@
 	if deadline > 0 {
 		deadline -= min(deadlineMargin, deadline/4)
 	}
-	hash := xxhash.New()
-	_, _ = hash.WriteString(req.Method + " " + req.RequestURI + " " + r.callerRequest.Key + " ")
-	_, _ = hash.Write(r.incoming.body)
 	return gateway.Request{
 		Host: req.Host, Path: path, Key: r.callerRequest.Key, HasKey: r.callerRequest.HasKey, Deadline: deadline,
 		Waited:       r.connection.server.options.Clock.Now() - r.incoming.arrived,
 		PromptTokens: r.callerRequest.PromptTokens, MaxOutputTokens: r.callerRequest.MaxOutput, HasTokens: r.callerRequest.HasTokens,
-		Parts: r.callerRequest.Parts, Fingerprint: fleet.Fingerprint(hash.Sum64()), Random: random,
+		Parts: r.callerRequest.Parts, Fingerprint: fingerprint(req, r.incoming.body), Random: random,
 	}
 }
 
+// fingerprint identifies a request among those of its team: a team may have several keys.
+func fingerprint(req *http.Request, body []byte) fleet.Fingerprint {
+	hash := xxhash.New()
+	_, _ = hash.WriteString(req.Method + " " + req.RequestURI + " ")
+	_, _ = hash.Write(body)
+	return fleet.Fingerprint(hash.Sum64())
+}
+
 func (r *request) handleAction(ctx context.Context, a gateway.Action) (done, reusable bool) {
 	switch a := a.(type) {
 	case gateway.Send:
--- a/internal/front/request_test.go
+++ b/internal/front/request_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -61,3 +62,19 @@
 		_ = conn.Close()
 	}
 }
+
+// TestFingerprintIgnoresKey guards against a request that crashes endpoints and is not
+// recognized because its team sends it with another of its keys.
+func TestFingerprintIgnoresKey(t *testing.T) {
+	is := is.New(t)
+	decode := func(key, body string) gateway.Request {
+		req := httptest.NewRequest(http.MethodPost, "/a/b?c=1", nil)
+		req.Header.Set("Authorization", "Bearer "+key)
+		c := &connection{server: &Server{options: Options{Clock: task.NewClock(), Stage: func() Stage { return StageServing }, NextID: func() gateway.RequestID { return 1 }}}}
+		return newRequest(c, incomingRequest{request: req, body: []byte(body)}).toGatewayRequest(0)
+	}
+	first, second := decode("key-1", "x"), decode("key-2", "x")
+	is.True(first.Key != second.Key)
+	is.Equal(first.Fingerprint, second.Fingerprint)
+	is.True(first.Fingerprint != decode("key-1", "y").Fingerprint)
+}
