--- a/internal/core/quarantine/cause.go
+++ b/internal/core/quarantine/cause.go
@@ -15,12 +15,15 @@
 	// Crashes is the number of crashes that it explains, LastAt the time of the last.
 	Crashes int
 	LastAt  time.Duration
+	// Doubtful is set if the crashes may be a coincidence, since there are others: a single
+	// trial decides.
+	Doubtful bool
 }
 
 // Causes returns the causes of the crashes that this instance had heard of by the time
 // before, so that the reports of all instances should have arrived. A trait is a cause if it was a suspect of at
-// least Threshold crashes over MinSpan, or BusyThreshold if there are others, and none of
-// these has another suspect that may have been in as many. Traits that were suspects of
+// least Threshold crashes over MinSpan, doubtful up to BusyThreshold if there are others,
+// and none of these has another suspect that may have been in as many. Traits that were suspects of
 // the same crashes are one cause together. Crashes that a cause explains are no evidence
 // against other traits.
 func (t *Table) Causes(before time.Duration) []Cause {
@@ -67,11 +70,14 @@
 func (i *inference) next() (Cause, bool) {
 	for _, trait := range i.candidates() {
 		events := i.events(trait)
-		if !i.lasts(events) || len(events) < i.threshold(events) {
+		if !i.lasts(events) {
 			continue
 		}
 		if traits := i.together(events); !i.hasRival(traits, events) {
-			return i.explain(traits, events), true
+			doubtful := len(events) < i.table.limits.BusyThreshold && i.others(events) >= len(events)
+			cause := i.explain(traits, events)
+			cause.Doubtful = doubtful
+			return cause, true
 		}
 	}
 	return Cause{}, false
@@ -122,17 +128,9 @@
 	return last-first >= i.table.limits.MinSpan
 }
 
-// threshold returns how many crashes are needed. A request that is running whenever an
-// endpoint crashes for another reason may be unlucky several times.
-func (i *inference) threshold(events []Event) int {
-	limits := i.table.limits
-	if limits.BusyThreshold == 0 || i.others(events) < len(events) {
-		return limits.Threshold
-	}
-	return limits.BusyThreshold
-}
-
-// others returns the number of unexplained crashes beside the given ones.
+// others returns the number of recent unexplained crashes beside the given ones. A request
+// that is running whenever an endpoint crashes for another reason may be unlucky several
+// times.
 func (i *inference) others(events []Event) int {
 	_, last := i.table.span(events)
 	recent := func(at time.Duration) bool { return at > last-i.table.limits.Background }
--- a/internal/core/quarantine/register.go
+++ b/internal/core/quarantine/register.go
@@ -62,10 +62,14 @@
 	return &Register{entries: make(map[Trait][]*Entry), lifted: make(map[Trait]time.Duration)}
 }
 
-// Quarantine adds the cause of crashes that the instance knows itself. It reports whether
-// it is new.
+// Quarantine adds the cause of crashes that the instance knows itself. A doubtful one may
+// be tried at once. It reports whether the cause is new.
 func (r *Register) Quarantine(c Cause) bool {
-	return r.Adopt(Entry{Traits: c.Traits, Crashes: c.Crashes, CrashedAt: c.LastAt, Until: c.LastAt + firstQuarantine})
+	e := Entry{Traits: c.Traits, Crashes: c.Crashes, CrashedAt: c.LastAt, Until: c.LastAt + firstQuarantine}
+	if c.Doubtful {
+		e.Until = c.LastAt
+	}
+	return r.Adopt(e)
 }
 
 // Adopt merges an entry into the register, such as one that a peer reported. Traits that
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -11,9 +11,9 @@
 	// MinSpan the least time from the first to the last of them.
 	Threshold int
 	MinSpan   time.Duration
-	// BusyThreshold replaces Threshold while endpoints crash for other reasons too: if
-	// within Background before the last crash of a trait at least as many crashes did not
-	// have it. 0 means that other crashes do not matter.
+	// BusyThreshold is the number of crashes up to which a cause is doubtful while endpoints
+	// crash for other reasons too: if within Background before the last crash of a trait at
+	// least as many crashes did not have it. 0 means that other crashes do not matter.
 	BusyThreshold int
 	Background    time.Duration
 	// TTL is how long a crash counts.
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -131,3 +131,28 @@
 	is.True(register.Match([]Trait{PartTrait(7)}) != nil)
 	is.True(register.Match([]Trait{PartTrait(8)}) == nil)
 }
+
+// TestCauseIsDoubtfulBesideOtherCrashes guards against a sound request that is refused for
+// long because it was running whenever endpoints crashed for another reason.
+func TestCauseIsDoubtfulBesideOtherCrashes(t *testing.T) {
+	is := is.New(t)
+	limits := testLimits
+	limits.BusyThreshold, limits.Background = 5, time.Minute
+	table := NewTable(limits)
+	for i := range 4 {
+		table.Add(seconds(i), seconds(i), event(i), requests(1))
+		table.AddBlameless(seconds(i))
+	}
+	cause := table.Causes(forever)[0]
+	is.True(cause.Doubtful)
+	register := NewRegister()
+	is.True(register.Quarantine(cause))
+	entry := register.Match(requests(1))
+	is.True(register.StartTrial(seconds(4), entry))
+	is.True(!register.StartTrial(seconds(5), entry)) // one at a time
+	register.Crashed(seconds(6), requests(1))
+	is.True(!register.StartTrial(seconds(600), entry)) // it was no coincidence
+
+	table.Add(seconds(7), seconds(7), event(7), requests(1))
+	is.True(!table.Causes(forever)[0].Doubtful)
+}
