--- a/internal/core/gateway/crash_test.go
+++ b/internal/core/gateway/crash_test.go
@@ -242,6 +242,27 @@
 	}
 }
 
+// TestEarlierLossConfirmsNothing guards against a crash that is concluded from an old loss,
+// although attempts from after it go on.
+func TestEarlierLossConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	c := newCrashTest(1)
+	lose := func(id RequestID) {
+		s, ok := c.step(RequestArrived{ID: id, Request: crashingRequest()}).(Send)
+		is.True(ok)
+		c.now += 10 * time.Millisecond
+		c.step(AttemptFailed{ID: id, Failure: FailureConnectionLost})
+		c.step(EndpointChecked{Endpoint: s.Endpoint.ID, Started: s.Endpoint.Started, Refused: id > 1})
+	}
+	lose(1)
+	c.now += time.Second
+	_, ok := c.step(RequestArrived{ID: 2, Request: crashingRequest()}).(Send)
+	is.True(ok) // it goes on
+	c.now += time.Second
+	lose(3)
+	is.Equal(len(c.machine.Report(c.now).Crashes.Crashes), 0)
+}
+
 // TestQuarantineHoldsForRetries guards against a request that is sent again after its
 // quarantine: a retry whose connection failed, or a request that waited for the list.
 func TestQuarantineHoldsForRetries(t *testing.T) {
--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -123,7 +123,7 @@
 // keeps the others.
 func (m *Machine) confirmRefused(now time.Duration, e *endpoint, r *losses) {
 	for _, o := range m.open {
-		if o.endpoint == e && o.sentAt < r.first() {
+		if o.endpoint == e && o.sentAt < r.last() {
 			return
 		}
 	}
--- a/internal/core/gateway/losses.go
+++ b/internal/core/gateway/losses.go
@@ -83,8 +83,8 @@
 	return true
 }
 
-// first returns the time of the first loss.
-func (r *losses) first() time.Duration { return r.attempts[0].at }
+// last returns the time of the last loss.
+func (r *losses) last() time.Duration { return r.attempts[len(r.attempts)-1].at }
 
 // takeSuspects removes the recent losses and returns their traits and the time of the
 // last.
