--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -139,8 +141,8 @@
 		return
 	}
 	if evidence != EndRemoved {
-		for _, o := range m.open {
-			if o.endpoint == e && !o.started {
+		for _, id := range slices.Sorted(maps.Keys(m.open)) {
+			if o := m.open[id]; o.endpoint == e && !o.started {
 				m.crashes.losses.add(now, i, o.suspectTraits(now))
 			}
 		}
--- a/internal/core/gateway/endpoints.go
+++ b/internal/core/gateway/endpoints.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -125,8 +127,9 @@
 func (m *Machine) noticeEnds(now time.Duration, list []catalog.Endpoint) {
 	listed := lo.KeyBy(list, func(l catalog.Endpoint) fleet.EndpointID { return l.ID })
 	addresses := lo.SliceToMap(list, func(l catalog.Endpoint) (string, bool) { return l.Address, true })
-	for _, e := range m.endpoints {
-		l, ok := listed[e.ID]
+	for _, id := range slices.Sorted(maps.Keys(m.endpoints)) {
+		e := m.endpoints[id]
+		l, ok := listed[id]
 		switch {
 		case ok && l.Started != e.Started:
 			m.incarnationEnded(now, e, EndRestarted)
--- a/internal/core/quarantine/register.go
+++ b/internal/core/quarantine/register.go
@@ -152,6 +152,7 @@
 	if len(lifted) == 0 {
 		return nil
 	}
+	sortEntries(lifted)
 	if len(r.lifted) >= maxLifted {
 		clear(r.lifted)
 	}
@@ -222,6 +223,10 @@
 	for _, e := range forgotten {
 		r.remove(e.Traits)
 	}
-	slices.SortFunc(entries, func(a, b Entry) int { return slices.CompareFunc(a.Traits, b.Traits, CompareTraits) })
+	sortEntries(entries)
 	return entries
 }
+
+func sortEntries(entries []Entry) {
+	slices.SortFunc(entries, func(a, b Entry) int { return slices.CompareFunc(a.Traits, b.Traits, CompareTraits) })
+}
