--- a/internal/core/gateway/choose.go
+++ b/internal/core/gateway/choose.go
@@ -21,7 +21,8 @@
 // chooseEndpoint returns the endpoint with the minimum cost and its estimate,
 // or nil. The cost is the expected time until the first byte plus penalties.
 // Endpoints that are draining or were tried before are excluded; suspect and
-// lapsed ones are used only if there is no other.
+// lapsed ones are used only if there is no other, and those about to leave only for a
+// while.
 func (m *Machine) chooseEndpoint(now time.Duration, o *openRequest) (*endpoint, estimate) {
 	var chosen *endpoint
 	var minCost time.Duration
@@ -31,6 +32,10 @@
 		if e.Draining || o.tried[e.ID] {
 			continue
 		}
+		leavingSince, leaving := m.leavingSince(e)
+		if leaving && now-leavingSince > m.maxLeavingChoice() {
+			continue
+		}
 		est := m.estimateFirstByte(now, o, e, e == preferred)
 		cost := est.firstByte + time.Duration(e.failureRate*float64(failureCost))
 		cost += time.Duration(float64(est.jitter) * jitterFactor(o.request.Random, e))
@@ -43,6 +48,9 @@
 		if now < e.suspectUntil {
 			cost += suspectCost
 		}
+		if leaving {
+			cost += leavingCost
+		}
 		if chosen == nil || cost < minCost {
 			chosen, minCost, chosenEstimate = e, cost, est
 		}
@@ -148,7 +156,7 @@
 	var chosen *endpoint
 	var maxHash uint64
 	for _, e := range m.byService[o.service] {
-		if e.Draining {
+		if _, leaving := m.leavingSince(e); leaving || e.Draining {
 			continue
 		}
 		hash := mixHash(e.hash ^ session*0x9e3779b97f4a7c15)
--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -106,7 +106,10 @@
 
 // mayCrash reports whether the loss of an attempt may be a crash: not if the endpoint is
 // about to leave or was replaced.
-func (m *Machine) mayCrash(e *endpoint) bool { return !e.Draining && m.endpoints[e.ID] == e }
+func (m *Machine) mayCrash(e *endpoint) bool {
+	_, leaving := m.leavingSince(e)
+	return !e.Draining && !leaving && m.endpoints[e.ID] == e
+}
 
 // connectionRefused records that the endpoint refused a connection. It is no evidence
 // without a lost attempt.
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -67,6 +67,7 @@
 	// held holds the requests that wait until the list is usable.
 	held          []heldRequest
 	suspects      []waitingSuspect
+	leaving       leavingLog
 	usageRestored bool
 	open          map[RequestID]*openRequest
 	quota         *quota.Meter
@@ -89,7 +90,7 @@
 		options: options, list: listAge{drainBound: options.DrainBound}, endpoints: make(map[fleet.EndpointID]*endpoint),
 		byService: make(map[fleet.ServiceName][]*endpoint),
 		open:      make(map[RequestID]*openRequest), quota: quota.New(options.Quota),
-		budgets: make(map[fleet.ServiceName]*budget.Shared), crashes: newCrashEvidence(),
+		budgets: make(map[fleet.ServiceName]*budget.Shared), crashes: newCrashEvidence(), leaving: make(leavingLog),
 		peers: make(map[string]bool), loads: make(map[string]peerLoads), demand: make(map[fleet.ServiceName]*window.Sum),
 		demandSince: make(map[fleet.ServiceName]time.Duration), firstByte: make(map[fleet.ServiceName]time.Duration),
 	}
@@ -121,6 +122,8 @@
 		if msg.Refused {
 			m.connectionRefused(now, msg.Endpoint, msg.Started)
 		}
+	case EndpointLeaving:
+		m.endpointLeaving(now, msg)
 	case ResponseStarted:
 		return m.responseStarted(now, msg)
 	case RequestFinished:
@@ -157,7 +160,7 @@
 	o.backlog = e.addRequest(now, o.request)
 	return Send{
 		ID: id, Endpoint: e.Endpoint, Route: o.route, Team: teamName(o.team), DeadlineAt: o.deadlineAt,
-		SendBy: m.list.sendBy(now), AttemptTimeout: m.attemptTimeout(now, o), Priority: requestPriority(o),
+		SendBy: m.leavingSendBy(e, m.list.sendBy(now)), AttemptTimeout: m.attemptTimeout(now, o), Priority: requestPriority(o),
 		Attempt: o.sends, ExpectedFirstByte: est.firstByte, Load: load, Version: m.catalog.Version, Traits: o.traits,
 		ListOffset: m.list.offset, ListAge: now - m.list.completeAt,
 	}
--- a/internal/core/gateway/messages.go
+++ b/internal/core/gateway/messages.go
@@ -93,6 +93,12 @@
 	Refused bool
 }
 
+// EndpointLeaving reports that an endpoint stated in a response that it is about to leave.
+type EndpointLeaving struct {
+	Endpoint fleet.EndpointID
+	Started  int64
+}
+
 // ResponseStarted reports the first byte of the endpoint's response.
 type ResponseStarted struct{ ID RequestID }
 
@@ -157,6 +163,7 @@
 func (RequestArrived) message()  {}
 func (AttemptFailed) message()   {}
 func (EndpointChecked) message() {}
+func (EndpointLeaving) message() {}
 func (ResponseStarted) message() {}
 func (RequestFinished) message() {}
 func (SetCatalog) message()      {}
@@ -262,6 +269,13 @@
 	Traits []quarantine.Trait
 }
 
+// LeavingNoticed reports for the log the first statement of an incarnation that it is about
+// to leave.
+type LeavingNoticed struct {
+	Endpoint fleet.EndpointID
+	Started  int64
+}
+
 // CheckEndpoint asks whether a connection to an endpoint can be opened. The result is
 // an EndpointChecked, or nothing if it remains unknown.
 type CheckEndpoint struct {
@@ -277,4 +291,5 @@
 func (EndpointEnded) action()    {}
 func (CauseQuarantined) action() {}
 func (TraitLifted) action()      {}
+func (LeavingNoticed) action()   {}
 func (CheckEndpoint) action()    {}
--- a/internal/edge/crashlog.go
+++ b/internal/edge/crashlog.go
@@ -19,6 +19,8 @@
 			"endpoint": string(a.Endpoint), "started": a.Started, "evidence": a.Evidence.String(),
 			"suspects": len(a.Suspects), "traits": quarantine.JoinTraits(a.Suspects[:min(len(a.Suspects), maxLoggedSuspects)]),
 		}).Warn("endpoint ended")
+	case gateway.LeavingNoticed:
+		t.log.WithFields(log.Fields{"endpoint": string(a.Endpoint), "started": a.Started}).Info("endpoint is about to leave")
 	case gateway.CauseQuarantined:
 		t.log.WithFields(log.Fields{
 			"cause": quarantine.JoinTraits(a.Traits), "crashes": a.Crashes, "reported": a.Reported,
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -264,6 +264,7 @@
 	case upstream.RequestWritten:
 		r.requestSent(e)
 	case upstream.StreamHead:
+		r.noticeLeaving(ctx, e.Decoded)
 		r.head = &e
 		if !e.Decoded.Signed {
 			r.failAttempt(ctx, gateway.AttemptFailed{Failure: gateway.FailureConnectionLost})
@@ -273,6 +274,7 @@
 	case upstream.StreamEnd:
 		return r.handleEnd(ctx, e.Delimited)
 	case upstream.FullResponse:
+		r.noticeLeaving(ctx, e.Decoded)
 		return r.handleFullResponse(ctx, e)
 	case upstream.Failed:
 		r.lastError = e.Cause.Error()
@@ -281,6 +283,14 @@
 	return false, false
 }
 
+// noticeLeaving reports to the gateway that the endpoint is about to leave, if its response
+// states that.
+func (r *request) noticeLeaving(ctx context.Context, response platform.EndpointResponse) {
+	if response.Leaving {
+		r.connection.server.options.Gateway.Post(ctx, gateway.EndpointLeaving{Endpoint: r.send.Endpoint.ID, Started: r.send.Endpoint.Started})
+	}
+}
+
 func toFailure(e upstream.Failed) gateway.Failure {
 	switch {
 	case e.NotSentInTime:
--- a/internal/standin/userplatform/replica.go
+++ b/internal/standin/userplatform/replica.go
@@ -64,6 +64,7 @@
 	fault            Fault
 	crash            CrashRule
 	crashed          bool
+	leaving          bool
 	conns            map[net.Conn]bool
 	runs             []Run
 	abandonedStreams int
@@ -139,6 +140,15 @@
 // SetFault selects the fault of the requests that follow.
 func (r *Replica) SetFault(f Fault) { r.do(func(s *replicaState) { s.fault = f }) }
 
+// SetLeaving makes the replica state in all its responses that it is about to leave.
+func (r *Replica) SetLeaving() { r.do(func(s *replicaState) { s.leaving = true }) }
+
+func (r *Replica) isLeaving() bool {
+	var leaving bool
+	r.do(func(s *replicaState) { leaving = s.leaving })
+	return leaving
+}
+
 // Runs returns the requests that the replica started to execute.
 func (r *Replica) Runs() []Run {
 	var runs []Run
@@ -184,6 +194,9 @@
 func (r *Replica) respond(conn net.Conn, req *http.Request, body string) bool {
 	attempt := req.Header.Get("Attempt-Id")
 	head := "Attempt-Id: " + attempt + "\r\nKeep-Alive: timeout=10\r\n"
+	if r.isLeaving() {
+		head += "Server-Leaving: 1\r\n"
+	}
 	if expected := req.Header.Get("Expect-Replica"); expected != "" && expected != r.ID {
 		return writeResponse(conn, "421 Misdirected Request", head+"Replica-Id: "+r.ID+"\r\n", "")
 	}
