--- a/internal/core/gateway/admission.go
+++ b/internal/core/gateway/admission.go
@@ -58,7 +58,7 @@
 	}
 	e, est := m.chooseEndpoint(now, o)
 	if e == nil {
-		return refuse(fleet.RefusedNoEndpoint, retryAfter, "no endpoint of the service is available; retry")
+		return refuse(fleet.RefusedNoEndpoint, m.noEndpointDelay(now, o.service, msg.Request.Random), "no endpoint of the service is available; retry")
 	}
 	if o.team != nil && !m.quota.Admit(now, o.team.Name, o.team.Rate, o.team.Burst, o.quotaAmount) {
 		delay := m.quota.RetryDelay(now, o.team.Name, o.team.Rate, o.team.Burst, o.quotaAmount)
--- a/internal/core/gateway/choose.go
+++ b/internal/core/gateway/choose.go
@@ -20,7 +20,7 @@
 
 // chooseEndpoint returns the endpoint with the minimum cost and its estimate,
 // or nil. The cost is the expected time until the first byte plus penalties.
-// Endpoints that are draining or were tried before are excluded; suspect and
+// Endpoints that are draining, asked for a pause or were tried before are excluded; suspect and
 // lapsed ones are used only if there is no other, and those about to leave only for a
 // while.
 func (m *Machine) chooseEndpoint(now time.Duration, o *openRequest) (*endpoint, estimate) {
@@ -29,7 +29,7 @@
 	var chosenEstimate estimate
 	preferred := m.preferredEndpoint(o)
 	for _, e := range m.byService[o.service] {
-		if e.Draining || o.tried[e.ID] {
+		if e.Draining || o.tried[e.ID] || m.pausedUntil(now, e) > 0 {
 			continue
 		}
 		leavingSince, leaving := m.leavingSince(e)
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -68,6 +68,7 @@
 	held          []heldRequest
 	suspects      []waitingSuspect
 	leaving       leavingLog
+	paused        pauseLog
 	usageRestored bool
 	open          map[RequestID]*openRequest
 	quota         *quota.Meter
@@ -90,7 +91,7 @@
 		options: options, list: listAge{drainBound: options.DrainBound}, endpoints: make(map[fleet.EndpointID]*endpoint),
 		byService: make(map[fleet.ServiceName][]*endpoint),
 		open:      make(map[RequestID]*openRequest), quota: quota.New(options.Quota),
-		budgets: make(map[fleet.ServiceName]*budget.Shared), crashes: newCrashEvidence(), leaving: make(leavingLog),
+		budgets: make(map[fleet.ServiceName]*budget.Shared), crashes: newCrashEvidence(), leaving: make(leavingLog), paused: make(pauseLog),
 		peers: make(map[string]bool), loads: make(map[string]peerLoads), demand: make(map[fleet.ServiceName]*window.Sum),
 		demandSince: make(map[fleet.ServiceName]time.Duration), firstByte: make(map[fleet.ServiceName]time.Duration),
 	}
@@ -124,6 +125,8 @@
 		}
 	case EndpointLeaving:
 		m.endpointLeaving(now, msg)
+	case EndpointPaused:
+		m.endpointPaused(now, msg)
 	case ResponseStarted:
 		return m.responseStarted(now, msg)
 	case RequestFinished:
--- a/internal/core/gateway/messages.go
+++ b/internal/core/gateway/messages.go
@@ -99,6 +99,13 @@
 	Started  int64
 }
 
+// EndpointPaused reports that an endpoint asked for a pause of a length from now on.
+type EndpointPaused struct {
+	Endpoint fleet.EndpointID
+	Started  int64
+	Length   time.Duration
+}
+
 // ResponseStarted reports the first byte of the endpoint's response.
 type ResponseStarted struct{ ID RequestID }
 
@@ -164,6 +171,7 @@
 func (AttemptFailed) message()   {}
 func (EndpointChecked) message() {}
 func (EndpointLeaving) message() {}
+func (EndpointPaused) message()  {}
 func (ResponseStarted) message() {}
 func (RequestFinished) message() {}
 func (SetCatalog) message()      {}
@@ -276,6 +284,14 @@
 	Started  int64
 }
 
+// PauseNoticed reports for the log that an endpoint asked for a pause, and the length that is
+// observed.
+type PauseNoticed struct {
+	Endpoint      fleet.EndpointID
+	Started       int64
+	Asked, Length time.Duration
+}
+
 // CheckEndpoint asks whether a connection to an endpoint can be opened. The result is
 // an EndpointChecked, or nothing if it remains unknown.
 type CheckEndpoint struct {
@@ -292,4 +308,5 @@
 func (CauseQuarantined) action() {}
 func (TraitLifted) action()      {}
 func (LeavingNoticed) action()   {}
+func (PauseNoticed) action()     {}
 func (CheckEndpoint) action()    {}
--- a/internal/core/gateway/retry.go
+++ b/internal/core/gateway/retry.go
@@ -73,7 +73,7 @@
 // refuses it if no retry is allowed.
 func (m *Machine) retryOrRefuse(now time.Duration, id RequestID, failure Failure) []Action {
 	o := m.open[id]
-	refusal := failureRefusal(o, failure)
+	refusal := m.failureRefusal(now, o, failure)
 	if quarantined, _ := m.quarantined(now, o); quarantined != nil {
 		if !o.mayHaveRun {
 			refusal = quarantined
@@ -110,9 +110,9 @@
 	return nil
 }
 
-func failureRefusal(o *openRequest, f Failure) *fleet.Refusal {
+func (m *Machine) failureRefusal(now time.Duration, o *openRequest, f Failure) *fleet.Refusal {
 	if !o.mayHaveRun {
-		return fleet.Refuse(fleet.RefusedOverload, retryAfter, "the endpoints did not take the request; retry")
+		return fleet.Refuse(fleet.RefusedOverload, m.noEndpointDelay(now, o.service, o.request.Random), "the endpoints did not take the request; retry")
 	}
 	kind := fleet.RefusedUpstream
 	if f == FailureTimeout {
--- a/internal/edge/crashlog.go
+++ b/internal/edge/crashlog.go
@@ -21,6 +21,10 @@
 		}).Warn("endpoint ended")
 	case gateway.LeavingNoticed:
 		t.log.WithFields(log.Fields{"endpoint": string(a.Endpoint), "started": a.Started}).Info("endpoint is about to leave")
+	case gateway.PauseNoticed:
+		t.log.WithFields(log.Fields{
+			"endpoint": string(a.Endpoint), "started": a.Started, "asked_ms": a.Asked.Milliseconds(), "pause_ms": a.Length.Milliseconds(),
+		}).Info("endpoint asked for a pause")
 	case gateway.CauseQuarantined:
 		t.log.WithFields(log.Fields{
 			"cause": quarantine.JoinTraits(a.Traits), "crashes": a.Crashes, "reported": a.Reported,
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -264,7 +264,7 @@
 	case upstream.RequestWritten:
 		r.requestSent(e)
 	case upstream.StreamHead:
-		r.noticeLeaving(ctx, e.Decoded)
+		r.noticeState(ctx, e.Decoded)
 		r.head = &e
 		if !e.Decoded.Signed {
 			r.failAttempt(ctx, gateway.AttemptFailed{Failure: gateway.FailureConnectionLost})
@@ -274,7 +274,7 @@
 	case upstream.StreamEnd:
 		return r.handleEnd(ctx, e.Delimited)
 	case upstream.FullResponse:
-		r.noticeLeaving(ctx, e.Decoded)
+		r.noticeState(ctx, e.Decoded)
 		return r.handleFullResponse(ctx, e)
 	case upstream.Failed:
 		r.lastError = e.Cause.Error()
@@ -283,11 +283,20 @@
 	return false, false
 }
 
-// noticeLeaving reports to the gateway that the endpoint is about to leave, if its response
-// states that.
-func (r *request) noticeLeaving(ctx context.Context, response platform.EndpointResponse) {
+// noticeState reports to the gateway what a response states of its endpoint: that it is about
+// to leave, or wants a pause.
+func (r *request) noticeState(ctx context.Context, response platform.EndpointResponse) {
+	e := r.send.Endpoint
 	if response.Leaving {
-		r.connection.server.options.Gateway.Post(ctx, gateway.EndpointLeaving{Endpoint: r.send.Endpoint.ID, Started: r.send.Endpoint.Started})
+		r.connection.server.options.Gateway.Post(ctx, gateway.EndpointLeaving{Endpoint: e.ID, Started: e.Started})
+	}
+	if response.Pause > 0 {
+		r.connection.server.options.Gateway.Post(ctx, gateway.EndpointPaused{Endpoint: e.ID, Started: e.Started, Length: response.Pause})
+	}
+	if response.PauseMalformed {
+		r.connection.server.options.Log.WithFields(log.Fields{
+			"request": r.callerRequest.Attempt, "endpoint": string(e.ID),
+		}).Warn("endpoint asked for a pause of a malformed length; ignored")
 	}
 }
 
--- a/internal/standin/userplatform/replica.go
+++ b/internal/standin/userplatform/replica.go
@@ -65,6 +65,8 @@
 	crash            CrashRule
 	crashed          bool
 	leaving          bool
+	pause            string
+	rejectedInPause  int
 	conns            map[net.Conn]bool
 	runs             []Run
 	abandonedStreams int
@@ -140,6 +142,28 @@
 // SetFault selects the fault of the requests that follow.
 func (r *Replica) SetFault(f Fault) { r.do(func(s *replicaState) { s.fault = f }) }
 
+// SetPause makes the replica reject all requests and ask for a pause of that many seconds. An
+// empty text ends that.
+func (r *Replica) SetPause(seconds string) { r.do(func(s *replicaState) { s.pause = seconds }) }
+
+// RejectedInPause returns the number of requests that the replica rejected with a pause.
+func (r *Replica) RejectedInPause() int {
+	var rejected int
+	r.do(func(s *replicaState) { rejected = s.rejectedInPause })
+	return rejected
+}
+
+// rejectInPause returns the pause to ask for, or "" if the request is to be served.
+func (r *Replica) rejectInPause() string {
+	var pause string
+	r.do(func(s *replicaState) {
+		if pause = s.pause; pause != "" {
+			s.rejectedInPause++
+		}
+	})
+	return pause
+}
+
 // SetLeaving makes the replica state in all its responses that it is about to leave.
 func (r *Replica) SetLeaving() { r.do(func(s *replicaState) { s.leaving = true }) }
 
@@ -200,6 +224,9 @@
 	if expected := req.Header.Get("Expect-Replica"); expected != "" && expected != r.ID {
 		return writeResponse(conn, "421 Misdirected Request", head+"Replica-Id: "+r.ID+"\r\n", "")
 	}
+	if pause := r.rejectInPause(); pause != "" {
+		return writeResponse(conn, "503 Service Unavailable", head+"Not-Executed: 1\r\nRetry-After: "+pause+"\r\n", "")
+	}
 	var fault Fault
 	r.do(func(s *replicaState) {
 		fault = s.fault
