--- a/internal/core/gateway/admission.go
+++ b/internal/core/gateway/admission.go
@@ -53,7 +53,7 @@
 		return Refuse{ID: msg.ID, Refusal: refusal, Detail: detail}
 	}
 	if !msg.Request.waitedAsSuspect && m.awaitsDecision(now, o.traits) {
-		m.suspects = append(m.suspects, waitingSuspect{arrival: msg, traits: o.traits, since: now})
+		m.waitingSuspects = append(m.waitingSuspects, waitingSuspect{arrival: msg, traits: o.traits, since: now})
 		return nil
 	}
 	e, est := m.chooseEndpoint(now, o)
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -65,8 +65,10 @@
 	hasEndpoints bool
 	list         listAge
 	// held holds the requests that wait until the list is usable.
-	held          []heldRequest
-	suspects      []waitingSuspect
+	held []heldRequest
+	// waitingSuspects holds the new requests that wait until the cause of crashes is decided.
+	waitingSuspects []waitingSuspect
+	// leaving and paused hold what endpoints stated of themselves in responses.
 	leaving       leavingLog
 	paused        pauseLog
 	usageRestored bool
@@ -187,7 +189,7 @@
 }
 
 func (m *Machine) requestFinished(now time.Duration, msg RequestFinished) {
-	m.suspects = slices.DeleteFunc(m.suspects, func(w waitingSuspect) bool { return w.arrival.ID == msg.ID })
+	m.waitingSuspects = slices.DeleteFunc(m.waitingSuspects, func(w waitingSuspect) bool { return w.arrival.ID == msg.ID })
 	m.held = slices.DeleteFunc(m.held, func(h heldRequest) bool { return h.id == msg.ID })
 	o, ok := m.open[msg.ID]
 	if !ok {
--- a/internal/core/gateway/suspects.go
+++ b/internal/core/gateway/suspects.go
@@ -34,16 +34,16 @@
 
 // releaseSuspects resumes the requests that need not wait any more.
 func (m *Machine) releaseSuspects(now time.Duration) []Action {
-	if len(m.suspects) == 0 {
+	if len(m.waitingSuspects) == 0 {
 		return nil
 	}
 	m.quarantineCauses(now)
 	var actions []Action
-	waiting := m.suspects
-	m.suspects = nil
+	waiting := m.waitingSuspects
+	m.waitingSuspects = nil
 	for _, w := range waiting {
 		if m.awaitsDecision(now, w.traits) && now-w.since < m.settleTime() {
-			m.suspects = append(m.suspects, w)
+			m.waitingSuspects = append(m.waitingSuspects, w)
 			continue
 		}
 		w.arrival.Request.Waited += now - w.since
