Answer requests that are still open when the process exits

Callers saw: at the end of the grace of a planned stop, connections of requests that had been accepted and sent to an endpoint were closed without a response. Cause: request.run returned at the end of its context without writing anything. TestStopAnswersOpenRequests failed before (unexpected EOF) and passes now.

--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -56,6 +56,21 @@
 	return r.refuse(http.StatusGatewayTimeout, 0, "the endpoint did not answer in time; check the outcome before a repeat")
 }
 
+// stop ends a request that is still open when the process exits. A response that has begun
+// is broken off.
+func (r *request) stop() bool {
+	r.cancel()
+	r.closing = true
+	r.outcome.Reason = string(fleet.RefusedDraining)
+	if r.outcome.Attempts == 0 {
+		return r.finishRefused(fleet.Refuse(fleet.RefusedDraining, time.Millisecond, "this instance shuts down; use another"))
+	}
+	return r.finishRefused(&fleet.Refusal{
+		Kind: fleet.RefusedDraining, Run: fleet.RunUnknown,
+		Remedy: "this instance shut down before the endpoint answered; check the outcome before a repeat",
+	})
+}
+
 // refuse writes an error response of this instance.
 func (r *request) refuse(status int, retryAfter time.Duration, remedy string) bool {
 	if r.outcome.Result == "" {
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -114,7 +114,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return false
+			return r.stop()
 		case <-r.connection.closed:
 			r.outcome.Result = resultCallerLeft
 			return false
