--- a/internal/core/duty/clock.go
+++ b/internal/core/duty/clock.go
@@ -1,6 +1,7 @@
 package duty
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -19,6 +20,8 @@
 	offset    time.Duration
 	estimated bool
 	samples   map[string]clockSample
+	// cursor is the position of the next sample that Readings returns.
+	cursor int
 }
 
 type clockSample struct{ offset, takenAt time.Duration }
@@ -65,5 +68,23 @@
 	t.samples[name] = clockSample{offset: wall - now, takenAt: now}
 }
 
+// ClockReading is the wall clock of an instance.
+type ClockReading struct {
+	Node string
+	Wall time.Duration
+}
+
+// Readings returns the wall clocks of up to n peers at now, others each time.
+func (t *ClockEstimate) Readings(now time.Duration, n int) []ClockReading {
+	names := slices.Sorted(maps.Keys(t.samples))
+	var readings []ClockReading
+	for range min(n, len(names)) {
+		name := names[t.cursor%len(names)]
+		readings = append(readings, ClockReading{Node: name, Wall: now + t.samples[name].offset})
+		t.cursor++
+	}
+	return readings
+}
+
 // TrueTime returns the estimated Unix time.
 func (t *ClockEstimate) TrueTime(now time.Duration) time.Duration { return now + t.offset }
--- a/internal/core/duty/lease.go
+++ b/internal/core/duty/lease.go
@@ -80,6 +80,10 @@
 	Held bool
 }
 
+// LeaseCandidacy tells whether this instance may acquire the lease. It may by default. The
+// holder keeps the lease whether it may or not.
+type LeaseCandidacy struct{ Allowed bool }
+
 // LeaseTick makes the state machine check its timeouts.
 type LeaseTick struct{}
 
@@ -91,6 +95,7 @@
 func (LeaseAppended) leaseMessage()     {}
 func (LeaseAppendFailed) leaseMessage() {}
 func (LeaseReported) leaseMessage()     {}
+func (LeaseCandidacy) leaseMessage()    {}
 func (LeaseTick) leaseMessage()         {}
 func (LeaseRelease) leaseMessage()      {}
 
@@ -136,6 +141,8 @@
 	validUntil time.Duration
 	nonce      uint64
 	releasing  bool
+	// excluded is set while this instance may not acquire the lease.
+	excluded bool
 }
 
 // NewLease returns a lease without known records. seed makes the nonces of this
@@ -174,6 +181,8 @@
 		l.applyPeerReport(now, msg)
 	case LeaseRelease:
 		l.releasing = true
+	case LeaseCandidacy:
+		l.excluded = !msg.Allowed
 	case LeaseTick:
 	}
 	if l.inFlight {
@@ -230,6 +239,8 @@
 func (l *Lease) nextActions(now time.Duration) []LeaseAction {
 	own := l.synced && l.record != nil && l.record.Holder == l.self && !l.record.Released
 	switch {
+	case l.excluded && !own && now >= l.validUntil:
+		return nil
 	case !l.synced:
 		return l.requestRead(now)
 	case l.releasing && own:
--- a/internal/core/duty/lease_test.go
+++ b/internal/core/duty/lease_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"github.com/cornelhold/cornelhold/internal/proptest"
@@ -257,3 +258,22 @@
 		}
 	})
 }
+
+// TestOnlyCandidatesAcquireLease guards against calls to the store by every instance of a
+// large deployment, and against a holder that loses the lease with its candidacy.
+func TestOnlyCandidatesAcquireLease(t *testing.T) {
+	is := is.New(t)
+	l := NewLease(Holder{Node: "n", Boot: "b"}, 1)
+	is.Equal(len(l.Step(0, LeaseCandidacy{})), 0)
+	is.Equal(len(l.Step(10*time.Second, LeaseTick{})), 0)
+	is.Equal(len(l.Step(10*time.Second, LeaseReported{Offset: 4, Held: true})), 0)
+	is.Equal(len(l.Step(20*time.Second, LeaseTick{})), 0) // the holder is silent
+	is.Equal(l.Step(20*time.Second, LeaseCandidacy{Allowed: true}), []LeaseAction{l.append(5)})
+	l.Step(20*time.Second, LeaseAppended{Offset: 5})
+	is.Equal(l.Step(21*time.Second, LeaseCandidacy{}), []LeaseAction{l.append(6)}) // it renews
+	_, held := l.Fence(21 * time.Second)
+	is.True(held)
+}
+
+// append returns the append of the last record that the lease has sent.
+func (l *Lease) append(at int64) AppendLease { return AppendLease{At: at, Record: *l.unconfirmed} }
--- a/internal/core/duty/usage.go
+++ b/internal/core/duty/usage.go
@@ -23,42 +23,91 @@
 // Counts holds the number of requests of each team.
 type Counts map[fleet.TeamName]int64
 
-// Usage counts the requests that began in each window, by origin. It is a
-// grow-only counter: counts of an origin never decrease, so merging two copies
-// takes the maximum.
+// Origin is what counted requests: one boot of an instance of a data centre.
+type Origin struct {
+	DataCentre fleet.DataCentre
+	Boot       string
+}
+
+// Usage counts the requests that began in each window, by origin. It is a grow-only counter:
+// counts of an origin never decrease, so merging two copies takes the maximum. Of the origins
+// of other data centres only the totals are known, which never decrease either.
 type Usage struct {
-	windows map[int64]map[string]Counts
+	windows map[int64]map[fleet.DataCentre]*centreCounts
+}
+
+// centreCounts are the counts of one data centre in one window.
+type centreCounts struct {
+	byBoot map[string]Counts
+	// reported is the highest total of each team that was reported for all origins
+	// together.
+	reported Counts
+}
+
+// total returns the counts of all origins. Both what they counted and the reported totals
+// are at most the true numbers.
+func (c *centreCounts) total() Counts {
+	total := make(Counts)
+	for _, counts := range c.byBoot {
+		for team, n := range counts {
+			total[team] += n
+		}
+	}
+	total.raise(c.reported)
+	return total
+}
+
+// raise replaces each count by a higher one.
+func (c Counts) raise(other Counts) {
+	for team, n := range other {
+		c[team] = max(c[team], n)
+	}
 }
 
 // NewUsage returns a Usage without counts.
-func NewUsage() *Usage { return &Usage{windows: make(map[int64]map[string]Counts)} }
+func NewUsage() *Usage {
+	return &Usage{windows: make(map[int64]map[fleet.DataCentre]*centreCounts)}
+}
 
 // Add counts one request.
-func (u *Usage) Add(window int64, origin string, team fleet.TeamName) {
+func (u *Usage) Add(window int64, origin Origin, team fleet.TeamName) {
 	u.originCounts(window, origin)[team]++
 }
 
-// Merge adds the counts of an origin as reported by a peer.
-func (u *Usage) Merge(window int64, origin string, counts Counts) {
-	merged := u.originCounts(window, origin)
-	for team, n := range counts {
-		merged[team] = max(merged[team], n)
+// Merge adds the counts of an origin as reported by it.
+func (u *Usage) Merge(window int64, origin Origin, counts Counts) {
+	u.originCounts(window, origin).raise(counts)
+}
+
+// MergeTotal adds the counts of all origins of a data centre as reported by an instance to
+// which they report.
+func (u *Usage) MergeTotal(window int64, dc fleet.DataCentre, counts Counts) {
+	u.centre(window, dc).reported.raise(counts)
+}
+
+func (u *Usage) originCounts(window int64, origin Origin) Counts {
+	centre := u.centre(window, origin.DataCentre)
+	counts, ok := centre.byBoot[origin.Boot]
+	if !ok {
+		counts = make(Counts)
+		centre.byBoot[origin.Boot] = counts
 	}
+	return counts
 }
 
-func (u *Usage) originCounts(window int64, origin string) Counts {
-	origins, ok := u.windows[window]
+func (u *Usage) centre(window int64, dc fleet.DataCentre) *centreCounts {
+	centres, ok := u.windows[window]
 	if !ok {
-		origins = make(map[string]Counts)
-		u.windows[window] = origins
+		centres = make(map[fleet.DataCentre]*centreCounts)
+		u.windows[window] = centres
 		u.trim()
 	}
-	counts, ok := origins[origin]
+	centre, ok := centres[dc]
 	if !ok {
-		counts = make(Counts)
-		origins[origin] = counts
+		centre = &centreCounts{byBoot: make(map[string]Counts), reported: make(Counts)}
+		centres[dc] = centre
 	}
-	return counts
+	return centre
 }
 
 func (u *Usage) trim() {
@@ -69,25 +118,37 @@
 	}
 }
 
-// Total returns the counts of all origins in a window.
+// Total returns the counts of all data centres in a window.
 func (u *Usage) Total(window int64) Counts {
 	total := make(Counts)
-	for _, counts := range u.windows[window] {
-		for team, n := range counts {
+	for _, centre := range u.windows[window] {
+		for team, n := range centre.total() {
 			total[team] += n
 		}
 	}
 	return total
 }
 
-// Each calls visit for the counts of each origin in the windows from and later.
-func (u *Usage) Each(from int64, visit func(window int64, origin string, counts Counts)) {
-	for window, origins := range u.windows {
-		if window < from {
+// EachTotal calls visit for the counts of each data centre in the windows from and later.
+func (u *Usage) EachTotal(from int64, visit func(window int64, dc fleet.DataCentre, counts Counts)) {
+	for window, centres := range u.windows {
+		for dc, centre := range centres {
+			if window >= from {
+				visit(window, dc, centre.total())
+			}
+		}
+	}
+}
+
+// EachOf calls visit for copies of the counts of one origin in the windows from and later.
+func (u *Usage) EachOf(origin Origin, from int64, visit func(window int64, counts Counts)) {
+	for window, centres := range u.windows {
+		centre, ok := centres[origin.DataCentre]
+		if !ok || window < from {
 			continue
 		}
-		for origin, counts := range origins {
-			visit(window, origin, counts)
+		if counts, ok := centre.byBoot[origin.Boot]; ok {
+			visit(window, maps.Clone(counts))
 		}
 	}
 }
--- a/internal/core/duty/usage_test.go
+++ b/internal/core/duty/usage_test.go
@@ -65,7 +65,7 @@
 		reporter := NewReporter(windowLength)
 		first := reporter.Window(1000 * time.Second)
 		for now := 1000 * time.Second; now < 1060*time.Second; now += 100 * time.Millisecond {
-			usage.Add(reporter.Window(now-time.Duration(w.random.IntN(3000))*time.Millisecond), "a/1", "team")
+			usage.Add(reporter.Window(now-time.Duration(w.random.IntN(3000))*time.Millisecond), Origin{"dc", "a/1"}, "team")
 			if w.random.IntN(60) == 0 {
 				reporter = NewReporter(windowLength)
 			}
@@ -96,10 +96,10 @@
 func TestCountsOfKilledInstanceAreKept(t *testing.T) {
 	is := is.New(t)
 	u := NewUsage()
-	u.Add(7, "a/1", "team")
-	u.Merge(7, "b/1", Counts{"team": 5})
-	u.Merge(7, "b/1", Counts{"team": 3}) // outdated report
-	u.Merge(7, "b/2", Counts{"team": 1}) // same instance after a restart
+	u.Add(7, Origin{"dc", "a/1"}, "team")
+	u.Merge(7, Origin{"dc", "b/1"}, Counts{"team": 5})
+	u.Merge(7, Origin{"dc", "b/1"}, Counts{"team": 3}) // outdated report
+	u.Merge(7, Origin{"dc", "b/2"}, Counts{"team": 1}) // same instance after a restart
 	is.Equal(u.Total(7)[fleet.TeamName("team")], int64(7))
 }
 
@@ -129,3 +129,21 @@
 	fresh.Update(time.Second, epoch+3400*time.Millisecond)
 	is.Equal(fresh.TrueTime(time.Second), epoch+time.Second)
 }
+
+// TestTotalsOfDataCentresAreMerged guards against usage that is counted twice or lost where
+// an instance knows both the counts of origins and reported totals: the true number is at
+// least the higher of both for each data centre.
+func TestTotalsOfDataCentresAreMerged(t *testing.T) {
+	is := is.New(t)
+	u := NewUsage()
+	u.Merge(7, Origin{"near", "a/1"}, Counts{"team": 5})
+	u.MergeTotal(7, "near", Counts{"team": 4, "other": 2}) // lacks one of a/1, knows a killed instance
+	u.MergeTotal(7, "far", Counts{"team": 3})
+	u.MergeTotal(7, "far", Counts{"team": 1}) // outdated
+	is.Equal(u.Total(7), Counts{"team": 8, "other": 2})
+	totals := make(map[fleet.DataCentre]Counts)
+	u.EachTotal(7, func(_ int64, dc fleet.DataCentre, counts Counts) { totals[dc] = counts })
+	is.Equal(totals, map[fleet.DataCentre]Counts{"near": {"team": 5, "other": 2}, "far": {"team": 3}})
+	u.EachOf(Origin{"near", "a/1"}, 7, func(_ int64, counts Counts) { counts["team"] = 100 }) // a copy
+	is.Equal(u.Total(7)["team"], int64(8))
+}
--- /dev/null
+++ b/internal/core/exchange/exchange.go
@@ -0,0 +1,333 @@
+package exchange
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/tally"
+)
+
+const (
+	// Interval is the time between two ticks. Each tick sends what is due.
+	Interval = 200 * time.Millisecond
+	// CarriersPerDataCentre is the number of carriers of a data centre. Reports go to
+	// all of them, so that no report is lost with one.
+	CarriersPerDataCentre = 3
+	// successorsPerDataCentre is the number of instances that are named as the next
+	// carriers, to which an instance turns if all carriers are lost at once.
+	successorsPerDataCentre = 3
+	// ReportHops is the greatest number of ticks that news waits for on its way to all
+	// instances: in a report, a digest and a feed.
+	ReportHops = 3
+	// aliveTTL is the time without a message after which an instance counts as lost, so
+	// that a few lost datagrams do not matter.
+	aliveTTL = 6 * Interval
+	// lostTTL is how long a lost instance is counted as such. Until then it may be cut
+	// off and admit requests.
+	lostTTL = 30 * time.Second
+	// probesPerTick is the number of instances that are tried at a tick: by one without
+	// contact, and by a carrier that does not hear instances of lower ranks.
+	probesPerTick = 3
+)
+
+// Options configures an Exchange.
+type Options struct {
+	Self Instance
+	Boot string
+	// QuotaWindow is the length of the window of quota use.
+	QuotaWindow time.Duration
+	StartedAt   time.Duration
+}
+
+// Exchange is the state of one instance in the exchange of news.
+type Exchange struct {
+	options  Options
+	book     book
+	members  members
+	remote   map[fleet.DataCentre]*remote
+	feeds    feeds
+	sequence uint64
+	leaving  bool
+	holder   bool
+	// carrierSince is when this instance became a carrier, if isCarrier is set.
+	isCarrier    bool
+	carrierSince time.Duration
+	// silentCursor is the position of the next probe of silent instances.
+	silentCursor int
+	// redirects are instances of other data centres that took this one for a carrier.
+	redirects []Address
+}
+
+// New returns an exchange that knows no other instance.
+func New(o Options) *Exchange {
+	return &Exchange{
+		options: o, book: newBook(o.Self.Address), members: newMembers(o.QuotaWindow),
+		remote: make(map[fleet.DataCentre]*remote), feeds: newFeeds(),
+	}
+}
+
+// Step processes one input at now.
+func (e *Exchange) Step(now time.Duration, in Input) []Action {
+	switch in := in.(type) {
+	case Learned:
+		e.book.learn(in.Instance)
+	case Received:
+		return e.received(now, in.Message)
+	case Tick:
+		return e.tick(now, in)
+	}
+	return nil
+}
+
+func (e *Exchange) received(now time.Duration, m Message) []Action {
+	if m.Sender.Address == e.options.Self.Address || m.Sender.Address == "" {
+		return nil
+	}
+	e.book.learn(m.Sender)
+	for _, i := range m.Known {
+		e.book.learn(i)
+	}
+	for _, c := range m.Carriers {
+		e.book.learn(c.Instance)
+	}
+	if m.Sender.DataCentre != e.options.Self.DataCentre {
+		return e.receivedRemote(now, m)
+	}
+	if m.Report != nil {
+		e.members.report(now, m)
+	}
+	e.feeds.observeCarriers(now, m)
+	if m.Feed == nil || e.knowsSums(now) {
+		return nil
+	}
+	return e.feeds.apply(*m.Feed, e.isCarrier)
+}
+
+// IsCarrier reports whether this instance is a carrier of its data centre. One that
+// reaches no other is.
+func (e *Exchange) IsCarrier() bool { return e.isCarrier }
+
+// knowsSums reports whether this instance has been a carrier for long enough that all
+// instances of its data centre report to it, or nobody feeds it.
+func (e *Exchange) knowsSums(now time.Duration) bool {
+	return e.isCarrier && (now-e.carrierSince >= minListedTime || !e.feeds.isFed(now))
+}
+
+// contains reports whether this instance is one of the carriers.
+func (e *Exchange) contains(carriers []Carrier) bool {
+	return slices.ContainsFunc(carriers, func(c Carrier) bool { return c.Address == e.options.Self.Address })
+}
+
+// candidates returns the carriers of this data centre among the instances that are known
+// to live, and their successors: the holder of the duties and those with the lowest ranks.
+func (e *Exchange) candidates(now time.Duration) []Carrier {
+	candidates := make(map[Address]Carrier)
+	for _, c := range e.feeds.listed(now) {
+		candidates[c.Address] = c
+	}
+	for _, m := range e.members.alive(now) {
+		delete(candidates, m.instance.Address)
+		if !m.leaving {
+			candidates[m.instance.Address] = Carrier{Instance: m.instance, Holder: m.holder}
+		}
+	}
+	delete(candidates, e.options.Self.Address)
+	if !e.leaving {
+		candidates[e.options.Self.Address] = Carrier{Instance: e.options.Self, Holder: e.holder}
+	}
+	list := slices.SortedFunc(maps.Values(candidates), compareCarriers)
+	return list[:min(len(list), CarriersPerDataCentre+successorsPerDataCentre)]
+}
+
+// firstCarriers returns the carriers without their successors.
+func firstCarriers(named []Carrier) []Carrier {
+	return named[:min(len(named), CarriersPerDataCentre)]
+}
+
+func compareCarriers(a, b Carrier) int {
+	switch {
+	case a.Holder && !b.Holder:
+		return -1
+	case b.Holder && !a.Holder:
+		return 1
+	}
+	return compareRanks(a.Address, b.Address)
+}
+
+// compareRanks orders instances by their rank, which is the same everywhere.
+func compareRanks(a, b Address) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))), cmp.Compare(a, b))
+}
+
+func (e *Exchange) tick(now time.Duration, t Tick) []Action {
+	e.leaving, e.holder = t.Leaving, t.Holder
+	e.sequence++
+	e.members.expire(now)
+	e.expireRemote(now)
+	named := e.candidates(now)
+	carriers := firstCarriers(named)
+	if carrier := e.contains(carriers); carrier != e.isCarrier {
+		e.isCarrier, e.carrierSince = carrier, now
+	}
+	message := e.message(now, named)
+	actions := e.sendReport(now, t, carriers, message)
+	if !e.isCarrier {
+		return append(actions, e.sendCarriers(now, message)...)
+	}
+	own := e.ownGroup(now, t.Own)
+	actions = append(actions, e.sendDigests(now, own, message)...)
+	actions = append(actions, e.sendFeeds(now, own, message)...)
+	if e.knowsSums(now) {
+		actions = append(actions, e.others(now))
+	}
+	return actions
+}
+
+// message returns the parts of a message that are the same for all receivers.
+func (e *Exchange) message(now time.Duration, named []Carrier) Message {
+	return Message{
+		Sender: e.options.Self, Boot: e.options.Boot, Uptime: now - e.options.StartedAt,
+		Leaving: e.leaving, Holder: e.holder, Carriers: named, Known: e.book.sample(),
+	}
+}
+
+// sendReport reports to the carriers. While this instance has no contact to its data
+// centre it reports to candidates, who answer with the carriers that they know.
+func (e *Exchange) sendReport(now time.Duration, t Tick, carriers []Carrier, message Message) []Action {
+	e.feeds.record(e.sequence, t.Own)
+	var to []Address
+	for _, c := range carriers {
+		if c.Address != e.options.Self.Address {
+			to = append(to, c.Address)
+		}
+	}
+	feeder := Address("")
+	if !e.knowsSums(now) {
+		feeder = e.feeds.choose(now, e.options.Self.Address, carriers)
+	}
+	probes := e.probes(now, carriers)
+	var asked []Address
+	if !e.feeds.isFed(now) && feeder != "" {
+		asked, to = to, nil
+	} else if i := slices.Index(to, feeder); i >= 0 {
+		asked, to = []Address{feeder}, slices.Delete(to, i, i+1)
+	}
+	return append(reportTo(to, message, Report{Sequence: e.sequence, Tally: t.Own}),
+		reportTo(append(asked, probes...), message, Report{Sequence: e.sequence, Tally: t.Own, WantsFeed: true})...)
+}
+
+// reportTo sends a report to some instances, if there are any.
+func reportTo(to []Address, message Message, r Report) []Action {
+	if len(to) == 0 {
+		return nil
+	}
+	message.Report = &r
+	return []Action{Send{To: to, Message: message}}
+}
+
+// probes returns the instances to which this one reports to learn which carriers there are.
+func (e *Exchange) probes(now time.Duration, carriers []Carrier) []Address {
+	alone := !slices.ContainsFunc(carriers, func(c Carrier) bool { return c.Address != e.options.Self.Address })
+	switch {
+	case alone:
+		return append(e.feeds.lastNamed(e.options.Self.Address), e.book.next(e.options.Self.DataCentre, probesPerTick)...)
+	case e.isCarrier:
+		return e.silentInstances(now, carriers)
+	}
+	return nil
+}
+
+// silentInstances returns some of the known instances that would be carriers if they
+// reported. Groups of instances that a partition has separated, or that formed around
+// different instances, join in this way.
+func (e *Exchange) silentInstances(now time.Duration, carriers []Carrier) []Address {
+	last := carriers[len(carriers)-1].Address
+	var silent []Address
+	for _, a := range e.book.ranked[e.options.Self.DataCentre] {
+		if compareRanks(a, last) >= 0 {
+			break
+		}
+		if !e.members.isAlive(now, a) {
+			silent = append(silent, a)
+		}
+	}
+	var probes []Address
+	for range min(probesPerTick, len(silent)) {
+		probes = append(probes, silent[e.silentCursor%len(silent)])
+		e.silentCursor++
+	}
+	return probes
+}
+
+// ownGroup returns the sum of the data centre, with this instance.
+func (e *Exchange) ownGroup(now time.Duration, own tally.Tally) Digest {
+	d := Digest{Reached: e.members.reached(now), Lost: e.members.lost(now)}
+	d.Reached.Join(tally.Group{Tally: own, Instances: 1, Oldest: now - e.options.StartedAt})
+	return d
+}
+
+// sendFeeds sends the sums of the deployment to the instances that want them.
+func (e *Exchange) sendFeeds(now time.Duration, own Digest, message Message) []Action {
+	action := SendFeed{Message: message}
+	for _, m := range e.members.fed(now) {
+		action.To = append(action.To, m.instance.Address)
+		action.Included = append(action.Included, m.includedSequence(now))
+	}
+	if len(action.To) == 0 {
+		return nil
+	}
+	reached, lost := e.deployment(now, own)
+	action.Message.Feed = &Feed{Reached: reached, Lost: lost, CarrierNodes: e.carrierNodes(now)}
+	return []Action{action}
+}
+
+// others returns the sums over the other instances as a carrier knows them.
+func (e *Exchange) others(now time.Duration) Others {
+	reached, lost := e.deployment(now, Digest{Reached: e.members.reached(now), Lost: e.members.lost(now)})
+	return Others{Reached: reached, Lost: lost, Carrier: true, CarrierNodes: e.carrierNodes(now)}
+}
+
+// deployment returns the sums of this data centre and all others.
+func (e *Exchange) deployment(now time.Duration, own Digest) (reached, lost tally.Group) {
+	reached, lost = tally.NewGroup(), tally.NewGroup()
+	reached.Join(own.Reached)
+	lost.Join(own.Lost)
+	e.joinRemote(now, &reached, &lost)
+	return reached, lost
+}
+
+// sendCarriers tells instances that take this one for a carrier which ones are.
+func (e *Exchange) sendCarriers(now time.Duration, message Message) []Action {
+	to := e.redirects
+	e.redirects = nil
+	for _, m := range e.members.fed(now) {
+		to = append(to, m.instance.Address)
+	}
+	if len(to) == 0 {
+		return nil
+	}
+	return []Action{Send{To: to, Message: message}}
+}
+
+// carrierNodes returns the nodes of the carriers of all data centres.
+func (e *Exchange) carrierNodes(now time.Duration) []string {
+	var nodes []string
+	for _, c := range firstCarriers(e.candidates(now)) {
+		nodes = append(nodes, c.Node)
+	}
+	for _, r := range e.remote {
+		if !r.isReached(now) {
+			continue
+		}
+		for _, c := range firstCarriers(r.named) {
+			nodes = append(nodes, c.Node)
+		}
+	}
+	slices.Sort(nodes)
+	return nodes
+}
--- a/internal/core/gateway/crash_property_test.go
+++ b/internal/core/gateway/crash_property_test.go
@@ -44,14 +44,25 @@
 	}
 }
 
+// checkHistories checks random histories, both with instances that report to each other and
+// with two relays between them.
+func checkHistories(t *testing.T, check func(t *rapid.T, relays int)) {
+	for name, relays := range map[string]int{"direct": 0, "relayed": 2} {
+		t.Run(name, func(t *testing.T) {
+			proptest.Check(t, proptest.Bounds{Seed: 20261205, Checks: worldHistories}, func(t *rapid.T) { check(t, relays) })
+		})
+	}
+}
+
 // TestOnlyCrashingRequestIsRefused guards against a request that crashes endpoints again
 // and again, and against the refusal of sound ones, in random histories of crashes,
 // planned departures, resets and restarts of instances.
 func TestOnlyCrashingRequestIsRefused(t *testing.T) {
-	proptest.Check(t, proptest.Bounds{Seed: 20261205, Checks: worldHistories}, func(t *rapid.T) {
+	checkHistories(t, func(t *rapid.T, relays int) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 		w := newCrashWorld(random, 2+random.IntN(8), 8+random.IntN(8), 3)
 		w.dark = []float64{0, 0.3}[random.IntN(2)]
+		w.relays = relays
 		w.crashes = func(r Request) bool { return r.Fingerprint == crashingFingerprint }
 		id := fleet.Fingerprint(1000)
 		sound := func() Request {
@@ -77,10 +88,11 @@
 		firstOwnPart     = 1 << 20
 		crashingSessions = 4
 	)
-	proptest.Check(t, proptest.Bounds{Seed: 20261205, Checks: worldHistories}, func(t *rapid.T) {
+	checkHistories(t, func(t *rapid.T, relays int) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 		w := newCrashWorld(random, 2+random.IntN(8), 8+random.IntN(8), allowedByPart)
 		w.dark = []float64{0, 0.3}[random.IntN(2)]
+		w.relays = relays
 		w.crashes = func(r Request) bool {
 			return slices.ContainsFunc(r.Parts, func(p fleet.PromptPart) bool { return p.ID == crashingPart })
 		}
@@ -104,10 +116,11 @@
 // TestCommonPartsSurviveTroubles guards against the refusal of a part that much of the
 // traffic shares, on histories without any request that crashes endpoints.
 func TestCommonPartsSurviveTroubles(t *testing.T) {
-	proptest.Check(t, proptest.Bounds{Seed: 20261205, Checks: worldHistories}, func(t *rapid.T) {
+	checkHistories(t, func(t *rapid.T, relays int) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 		w := newCrashWorld(random, 2+random.IntN(8), 8+random.IntN(8), 1)
 		w.dark = 0.3
+		w.relays = relays
 		w.crashes = func(Request) bool { return false }
 		own := uint64(1000)
 		sound := func() Request {
--- a/internal/core/gateway/crash_test.go
+++ b/internal/core/gateway/crash_test.go
@@ -167,9 +167,7 @@
 	}
 	exchange := func(to, from *crashTest) {
 		to.now = max(to.now, from.now)
-		report := from.machine.Report(from.now)
-		report.Node = fmt.Sprintf("%p", from)
-		to.step(report)
+		to.step(CrashesReported{Report: from.machine.Report(from.now).Crashes})
 	}
 	crash(first, 1)
 	crash(first, 2)
@@ -266,7 +264,7 @@
 // TestQuarantineHoldsForRetries guards against a request that is sent again after its
 // quarantine: a retry whose connection failed, or a request that waited for the list.
 func TestQuarantineHoldsForRetries(t *testing.T) {
-	quarantined := PeerReport{Node: "n2", Crashes: CrashReport{Quarantined: []quarantine.Entry{{
+	quarantined := CrashesReported{Report: CrashReport{Quarantined: []quarantine.Entry{{
 		Traits: requestTraits(crashingRequest(), &catalog.Team{Name: "team"}), Crashes: 3, CrashedAt: time.Second, Until: time.Hour,
 	}}}}
 	for _, failure := range []Failure{FailureDial, FailureRejected, FailureNotSentInTime, FailureConnectionLost} {
@@ -321,7 +319,7 @@
 		_, ok := c.step(RequestArrived{ID: id + 1, Request: soundPrompt(id)}).(Send)
 		if !ok { // it waits until it is known that its parts are not the cause
 			c.now += 200 * time.Millisecond
-			_, ok = c.step(PeerReport{}).(Send)
+			_, ok = c.step(CrashesReported{}).(Send)
 		}
 		is.True(ok)
 		c.now += 100 * time.Millisecond
@@ -384,14 +382,14 @@
 	for i := range crashes {
 		crashes[i] = Crash{Endpoint: "other", Started: int64(i), At: c.now, Suspects: requestTraits(crashingPrompt(1), nil)[1:]}
 	}
-	c.step(PeerReport{Node: "n2", Crashes: CrashReport{Crashes: crashes}})
+	c.step(CrashesReported{Report: CrashReport{Crashes: crashes}})
 	is.Equal(c.step(RequestArrived{ID: 1, Request: crashingPrompt(1)}), nil)
 	other := soundPrompt(2)
 	other.Parts = nil
 	_, ok := c.step(RequestArrived{ID: 2, Request: other}).(Send)
 	is.True(ok) // it has no suspect
 	c.now += c.machine.settleTime() + time.Millisecond
-	sent, ok := c.step(PeerReport{Node: "n2"}).(Send)
+	sent, ok := c.step(CrashesReported{}).(Send)
 	is.True(ok)
 	is.Equal(sent.ID, RequestID(1))
 	_, ok = c.step(AttemptFailed{ID: 1, Failure: FailureConnectionLost}).(Refuse)
@@ -409,7 +407,7 @@
 	for i := range suspectedCrashes {
 		crashes = append(crashes, Crash{Endpoint: "other", Started: int64(i), At: c.now, Suspects: []quarantine.Trait{quarantine.PartTrait(1)}})
 	}
-	c.step(PeerReport{Node: "n2", Crashes: CrashReport{Crashes: crashes}})
+	c.step(CrashesReported{Report: CrashReport{Crashes: crashes}})
 	is.Equal(c.step(RequestArrived{ID: 2, Request: soundPrompt(2)}), nil)
 	is.Equal(c.step(RequestArrived{ID: 3, Request: soundPrompt(3)}), nil)
 	c.step(RequestFinished{ID: 3})
--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -17,10 +17,11 @@
 	// reportTime is how long crashes and clearances are reported to peers, so that none
 	// is lost with a single datagram.
 	reportTime = 10 * time.Second
-	// minSettleTime is the time from a crash until up to settlePeers instances have
-	// reported their suspects, of which one report may be lost.
-	minSettleTime = 500 * time.Millisecond
-	settlePeers   = 48
+	// directSettleTime is the time from a crash until all instances know the suspects of
+	// the others if those report to each other, relayedSettleTime if the reports pass two
+	// relays. One report may be lost on the way.
+	directSettleTime  = 500 * time.Millisecond
+	relayedSettleTime = 900 * time.Millisecond
 	// decisionInterval is the minimum time between two searches for causes.
 	decisionInterval = 200 * time.Millisecond
 	// maxSuspectTraits bounds the suspects of one request.
@@ -205,9 +206,11 @@
 }
 
 // settleTime returns how long it takes until the suspects of a crash are known everywhere.
-// Instances with many peers report less often.
 func (m *Machine) settleTime() time.Duration {
-	return minSettleTime * time.Duration(max(m.instances(), settlePeers)) / settlePeers
+	if m.reportsDirectly() {
+		return directSettleTime
+	}
+	return relayedSettleTime
 }
 
 // executed clears the traits of a request that an endpoint has executed and survived.
--- a/internal/core/gateway/crashreport.go
+++ b/internal/core/gateway/crashreport.go
@@ -34,7 +34,13 @@
 	Clears      []Clearance
 }
 
-// ownCrash is a crash with suspects among this instance's own requests.
+// IsEmpty reports whether there is nothing in the report.
+func (r CrashReport) IsEmpty() bool {
+	return len(r.Crashes) == 0 && len(r.Quarantined) == 0 && len(r.Clears) == 0
+}
+
+// ownCrash is a crash with suspects among this instance's own requests, or among those of
+// others if it relays their reports.
 type ownCrash struct {
 	incarnation incarnation
 	at          time.Duration
@@ -44,7 +50,7 @@
 // clearReport is a clearance that is reported since a time.
 type clearReport struct{ at, since time.Duration }
 
-// addOwn records suspects among this instance's own requests.
+// addOwn records suspects that this instance reports.
 func (c *crashEvidence) addOwn(i incarnation, at time.Duration, traits []quarantine.Trait) {
 	k := slices.IndexFunc(c.own, func(o ownCrash) bool { return o.incarnation == i })
 	if k < 0 {
@@ -103,10 +109,16 @@
 	return clears[:min(len(clears), maxReportedClears)]
 }
 
+// relayedTime is the age up to which the crashes of others are relayed. It is shorter than
+// reportTime, so that two relays do not keep a report alive between them.
+const relayedTime = reportTime - time.Second
+
 // crashReported applies the report of a peer.
 func (m *Machine) crashReported(now time.Duration, r CrashReport) {
 	for _, c := range r.Clears {
-		m.clearTrait(now, c.At, c.Trait)
+		if m.clearTrait(now, c.At, c.Trait) && m.others.relays {
+			m.crashes.clears[c.Trait] = clearReport{at: c.At, since: now}
+		}
 	}
 	for _, c := range r.Crashes {
 		i := incarnation{id: c.Endpoint, started: c.Started}
@@ -115,6 +127,9 @@
 		}
 		m.contradict(now, c.Suspects, c.At)
 		m.addSuspects(now, c.At, crashEvent(c.Endpoint, c.Started), c.Suspects)
+		if m.others.relays && now-c.At < relayedTime {
+			m.crashes.addOwn(i, c.At, c.Suspects)
+		}
 	}
 	for _, e := range r.Quarantined {
 		m.contradict(now, e.Traits, e.CrashedAt)
--- a/internal/core/gateway/crashworld_test.go
+++ b/internal/core/gateway/crashworld_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/tally"
 )
 
 const (
@@ -32,6 +33,9 @@
 	crashes func(Request) bool
 	nextID  RequestID
 	starts  int
+	// relays is the number of instances that relay the reports of the others, 0 if all
+	// report to all.
+	relays int
 	// dark is the share of crashes that break no connection.
 	dark float64
 
@@ -281,18 +285,31 @@
 	}
 }
 
-// report delivers the report of each instance to the others; a few are lost.
+// report delivers the report of each instance to the others, or to the relays and from
+// these to the others; a few are lost.
 func (w *crashWorld) report() {
-	for _, from := range w.instances {
-		r := from.machine.Report(w.now)
-		for _, to := range w.instances {
-			if to != from && w.random.IntN(20) > 0 {
+	var relayNodes []string
+	for i := range w.instances {
+		if w.isRelay(i) {
+			relayNodes = append(relayNodes, fmt.Sprint("n", i))
+		}
+	}
+	for i, from := range w.instances {
+		w.step(from, OthersReported{
+			Reached: tally.Group{Instances: len(w.instances) - 1}, Relays: w.isRelay(i), RelayNodes: relayNodes,
+		})
+		r := CrashesReported{Report: from.machine.Report(w.now).Crashes}
+		for j, to := range w.instances {
+			if to != from && (w.isRelay(i) || w.isRelay(j)) && w.random.IntN(20) > 0 {
 				w.step(to, r)
 			}
 		}
 	}
 }
 
+// isRelay reports whether an instance relays reports. Without relays all report to all.
+func (w *crashWorld) isRelay(i int) bool { return w.relays == 0 || i < w.relays }
+
 // disturb causes a trouble that is not the fault of a request.
 func (w *crashWorld) disturb() {
 	e := w.endpoints[w.random.IntN(len(w.endpoints))]
--- a/internal/core/gateway/endpoints.go
+++ b/internal/core/gateway/endpoints.go
@@ -10,6 +10,7 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/tally"
 )
 
 const (
@@ -50,8 +51,6 @@
 	// with each consecutive failure.
 	minSuspectTime = 400 * time.Millisecond
 	maxSuspectTime = 4 * time.Second
-	// loadTTL is how long a peer's load report counts.
-	loadTTL = 1500 * time.Millisecond
 	// slownessOffset is added to both the observed and the expected time before
 	// their ratio is taken, so that the jitter of an idle engine does not count
 	// as slowness.
@@ -70,20 +69,14 @@
 	cacheTTL = 60 * time.Second
 )
 
-// peerLoads is the last load report of a peer.
-type peerLoads struct {
-	loads map[fleet.EndpointID]Load
-	at    time.Duration
-}
-
 // endpoint is an endpoint of the instance list with its observed load, speed and
 // failures.
 type endpoint struct {
 	catalog.Endpoint
 	hash uint64
-	own  Load
-	// others is the sum of the loads of all peers.
-	others Load
+	own  tally.Load
+	// others is the sum of the loads of all other instances.
+	others tally.Load
 	// failureRate is the moving average of the share of attempts that failed.
 	failureRate float64
 	// slowness is the moving average of the ratio of observed to expected time.
@@ -114,13 +107,11 @@
 		if !ok || e.Started != l.Started || e.Address != l.Address {
 			e = newEndpoint(l)
 		}
-		e.Endpoint, e.others = l, Load{}
+		e.Endpoint, e.others = l, tally.Load{}
 		m.endpoints[l.ID] = e
 		m.byService[l.Service] = append(m.byService[l.Service], e)
 	}
-	for _, p := range m.loads {
-		m.addLoads(p.loads, 1)
-	}
+	m.addLoads(1)
 }
 
 // noticeEnds records the ends of endpoints that a new list shows.
@@ -144,39 +135,9 @@
 	}
 }
 
-// setLoads replaces the loads of a peer.
-func (m *Machine) setLoads(now time.Duration, node string, loads map[fleet.EndpointID]Load) {
-	m.dropLoads(node)
-	m.loads[node] = peerLoads{loads: loads, at: now}
-	m.addLoads(loads, 1)
-}
-
-func (m *Machine) dropLoads(node string) {
-	m.addLoads(m.loads[node].loads, -1)
-	delete(m.loads, node)
-}
-
-// expireLoads drops the loads of peers whose last report is older than loadTTL.
-func (m *Machine) expireLoads(now time.Duration) {
-	for node, p := range m.loads {
-		if now-p.at > loadTTL {
-			m.dropLoads(node)
-		}
-	}
-}
-
-func (m *Machine) addLoads(loads map[fleet.EndpointID]Load, sign int) {
-	for id, load := range loads {
-		if e, ok := m.endpoints[id]; ok {
-			e.others.Active += sign * load.Active
-			e.others.Backlog += sign * load.Backlog
-		}
-	}
-}
-
 // load returns the load of the endpoint from all instances.
-func (e *endpoint) load() Load {
-	return Load{Active: e.own.Active + e.others.Active, Backlog: e.own.Backlog + e.others.Backlog}
+func (e *endpoint) load() tally.Load {
+	return tally.Load{Active: e.own.Active + e.others.Active, Backlog: e.own.Backlog + e.others.Backlog}
 }
 
 // addRequest counts a request that is sent and returns the number of its prompt
--- a/internal/core/gateway/listage_test.go
+++ b/internal/core/gateway/listage_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/tally"
 	"github.com/cornelhold/cornelhold/internal/proptest"
 )
 
@@ -118,7 +119,7 @@
 	refused, ok := m.Step(2*time.Second, AttemptFailed{ID: 1, Failure: FailureNotSentInTime})[0].(Refuse)
 	is.True(ok)
 	is.Equal(refused.Refusal.Kind, fleet.RefusedNotFound)
-	is.Equal(m.endpoints[first.Endpoint.ID].own, Load{})
+	is.Equal(m.endpoints[first.Endpoint.ID].own, tally.Load{})
 }
 
 // TestEachChoiceRestsOnCurrentList guards, for any order of requests, failures, list reads
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -76,8 +76,7 @@
 	quota         *quota.Meter
 	budgets       map[fleet.ServiceName]*budget.Shared
 	crashes       *crashEvidence
-	peers         map[string]bool
-	loads         map[string]peerLoads
+	others        others
 	demand        map[fleet.ServiceName]*window.Sum
 	// notes are the observations of the current step.
 	notes []Action
@@ -94,7 +93,7 @@
 		byService: make(map[fleet.ServiceName][]*endpoint),
 		open:      make(map[RequestID]*openRequest), quota: quota.New(options.Quota),
 		budgets: make(map[fleet.ServiceName]*budget.Shared), crashes: newCrashEvidence(), leaving: make(leavingLog), paused: make(pauseLog),
-		peers: make(map[string]bool), loads: make(map[string]peerLoads), demand: make(map[fleet.ServiceName]*window.Sum),
+		demand:      make(map[fleet.ServiceName]*window.Sum),
 		demandSince: make(map[fleet.ServiceName]time.Duration), firstByte: make(map[fleet.ServiceName]time.Duration),
 	}
 }
@@ -146,13 +145,13 @@
 	case ListUnreachable:
 		m.list.readFailed(msg.At)
 		return m.release(now)
-	case PeerReport:
-		m.peerReport(now, msg)
+	case OthersReported:
+		m.othersReported(now, msg)
+	case CrashesReported:
+		m.crashReported(now, msg.Report)
 	case UsageRestored:
 		m.usageRestored = true
-		m.quota.Restore(now, msg.Age, msg.Used, msg.Others)
-	case PeerLeft:
-		m.peerLeft(msg.Node)
+		m.quota.Restore(now, msg.Age, msg.Used)
 	}
 	return nil
 }
--- a/internal/core/gateway/machine_test.go
+++ b/internal/core/gateway/machine_test.go
@@ -12,6 +12,7 @@
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/quota"
+	"github.com/cornelhold/cornelhold/internal/core/tally"
 	"github.com/cornelhold/cornelhold/internal/proptest"
 )
 
@@ -148,7 +149,7 @@
 			m.Step(now, RequestFinished{ID: openID})
 		}
 		for _, e := range m.endpoints {
-			if e.own != (Load{}) {
+			if e.own != (tally.Load{}) {
 				t.Fatalf("endpoint %s has load %+v after all requests ended, want none", e.ID, e.own)
 			}
 		}
--- a/internal/core/gateway/messages.go
+++ b/internal/core/gateway/messages.go
@@ -10,6 +10,7 @@
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/quarantine"
 	"github.com/cornelhold/cornelhold/internal/core/quota"
+	"github.com/cornelhold/cornelhold/internal/core/tally"
 )
 
 // RequestID identifies a request within one process.
@@ -135,38 +136,33 @@
 // instance was running. For a while after that a list of any age is used.
 type ListUnreachable struct{ At time.Duration }
 
-// Load is the work at an endpoint: what one instance has sent to it, or the sum
-// over several instances.
-type Load struct {
-	// Active counts the running requests, Backlog the prompt tokens of requests
-	// without a response yet.
-	Active  int
-	Backlog int
+// Report is what this instance states of itself.
+type Report struct {
+	Tally   tally.Tally
+	Crashes CrashReport
 }
 
-// PeerReport is the periodic report of another instance.
-type PeerReport struct {
-	Node    string
-	Used    map[fleet.TeamName]quota.Usage
-	Loads   map[fleet.EndpointID]Load
-	Crashes CrashReport
-	// Demand is the engine time that callers request, by service, as a multiple
-	// of one endpoint's time. Requests refused for overload count too.
-	Demand map[fleet.ServiceName]float64
+// OthersReported delivers the sums over the other instances.
+type OthersReported struct {
+	// Reached are the instances whose reports arrive, Lost those whose reports have
+	// stopped recently.
+	Reached, Lost tally.Group
+	// Relays is set if this instance relays the crash reports of others.
+	Relays bool
+	// RelayNodes are the nodes of the instances that relay reports.
+	RelayNodes []string
 }
 
-// UsageRestored delivers the usage that this instance had admitted before its
-// restart, as recorded Age ago. The machine is not ready before it arrives.
+// CrashesReported delivers what another instance reports about crashes.
+type CrashesReported struct{ Report CrashReport }
+
+// UsageRestored delivers the usage that all instances had admitted before the start of
+// this one, as recorded Age ago. The machine is not ready before it arrives.
 type UsageRestored struct {
 	Used map[fleet.TeamName]quota.Usage
-	// Others is the usage that the other instances had admitted.
-	Others map[fleet.TeamName]quota.Usage
-	Age    time.Duration
+	Age  time.Duration
 }
 
-// PeerLeft reports that an instance has left.
-type PeerLeft struct{ Node string }
-
 func (RequestArrived) message()  {}
 func (AttemptFailed) message()   {}
 func (EndpointChecked) message() {}
@@ -178,9 +174,9 @@
 func (SetEndpoints) message()    {}
 func (ListConfirmed) message()   {}
 func (ListUnreachable) message() {}
-func (PeerReport) message()      {}
+func (OthersReported) message()  {}
+func (CrashesReported) message() {}
 func (UsageRestored) message()   {}
-func (PeerLeft) message()        {}
 
 // Action is an output of the machine.
 type Action interface{ action() }
@@ -205,7 +201,7 @@
 	// ExpectedFirstByte is the estimated time until the first byte, Load the
 	// endpoint's load from all instances at the decision.
 	ExpectedFirstByte time.Duration
-	Load              Load
+	Load              tally.Load
 	// Version is the active configuration at the decision.
 	Version catalog.Version
 	// Traits are those of the request by which crashes are attributed to it.
--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -43,10 +43,13 @@
 }
 
 // ownsTrial reports whether this instance is the one that tries requests with a cause of
-// the first trait t again. All instances with the same peers choose the same one.
+// the first trait t again: one of those that relay reports, all of which know each other.
 func (m *Machine) ownsTrial(t quarantine.Trait) bool {
+	if m.others.instances > 0 && !m.others.relays {
+		return false
+	}
 	own := trialRank(m.options.Node, t)
-	for node := range m.peers {
+	for _, node := range m.others.relayNodes {
 		if trialRank(node, t) > own {
 			return false
 		}
--- a/internal/core/gateway/report.go
+++ b/internal/core/gateway/report.go
@@ -5,49 +5,86 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/quota"
+	"github.com/cornelhold/cornelhold/internal/core/tally"
 )
 
-// instances returns the number of instances of the deployment. While no peer has
-// been found a number is assumed, so that an isolated instance does not use the whole
-// retry reserve.
+const (
+	// loadsTTL is how long the loads of the other instances count after their sums have
+	// stopped.
+	loadsTTL = 1500 * time.Millisecond
+	// assumedInstances is the number of instances assumed while no other is known, so
+	// that an isolated instance does not use the whole retry reserve.
+	assumedInstances = 9
+)
+
+// others is what this instance knows of the others.
+type others struct {
+	instances  int
+	loads      map[fleet.EndpointID]tally.Load
+	at         time.Duration
+	relays     bool
+	relayNodes []string
+}
+
+// instances returns the number of instances of the deployment.
 func (m *Machine) instances() int {
-	const assumedInstances = 9
-	if len(m.peers) == 0 {
+	if m.others.instances == 0 {
 		return assumedInstances
 	}
-	return len(m.peers) + 1
+	return m.others.instances + 1
 }
 
-func (m *Machine) peerReport(now time.Duration, r PeerReport) {
-	m.peers[r.Node] = true
-	m.quota.SetPeer(r.Node, quota.Peer{At: now, Used: r.Used})
-	m.setLoads(now, r.Node, r.Loads)
-	m.crashReported(now, r.Crashes)
+// reportsDirectly reports whether all instances hear each other without relays between
+// them: all of them are relays, or no other is known.
+func (m *Machine) reportsDirectly() bool {
+	return m.others.instances == 0 || len(m.others.relayNodes) > m.others.instances
 }
 
-func (m *Machine) peerLeft(node string) {
-	delete(m.peers, node)
-	m.quota.DropPeer(node)
-	m.dropLoads(node)
+func (m *Machine) othersReported(now time.Duration, r OthersReported) {
+	m.quota.SetOthers(now, quota.Others{
+		Reached: r.Reached.Instances, Used: r.Reached.Tally.Used, Age: r.Reached.Age, Oldest: r.Reached.Oldest,
+		Lost: r.Lost.Instances, LostUsed: r.Lost.Tally.Used, Requested: r.Reached.Tally.Requested,
+	})
+	m.addLoads(-1)
+	m.others = others{
+		instances: r.Reached.Instances + r.Lost.Instances, loads: r.Reached.Tally.Loads, at: now,
+		relays: r.Relays, relayNodes: r.RelayNodes,
+	}
+	m.addLoads(1)
 }
 
-// Report returns the periodic report to the peers. It drops expired loads.
-func (m *Machine) Report(now time.Duration) PeerReport {
+// addLoads adds the loads of the other instances to the endpoints, or removes them.
+func (m *Machine) addLoads(sign int) {
+	for id, load := range m.others.loads {
+		if e, ok := m.endpoints[id]; ok {
+			e.others.Active += sign * load.Active
+			e.others.Backlog += sign * load.Backlog
+		}
+	}
+}
+
+// expireLoads drops the loads of the others once they are out of date.
+func (m *Machine) expireLoads(now time.Duration) {
+	if now-m.others.at > loadsTTL {
+		m.addLoads(-1)
+		m.others.loads = nil
+	}
+}
+
+// Report returns what this instance states of itself. It drops expired loads.
+func (m *Machine) Report(now time.Duration) Report {
 	m.expireLoads(now)
 	m.quarantineCauses(now)
-	r := PeerReport{
-		Node: m.options.Node, Used: m.quota.OwnUsage(now),
-		Loads: make(map[fleet.EndpointID]Load), Crashes: m.crashes.report(now),
-		Demand: make(map[fleet.ServiceName]float64),
-	}
+	r := Report{Tally: tally.New(), Crashes: m.crashes.report(now)}
+	r.Tally.Used, r.Tally.Requested = m.quota.OwnUsage(now), m.quota.OwnDemand(now)
 	for service, sum := range m.demand {
 		// The window is not full yet shortly after the first request.
 		span := min(max(now-m.demandSince[service], demandWindow/4), demandWindow)
-		r.Demand[service] = sum.Total(now) / span.Seconds()
+		r.Tally.Demand[service] = sum.Total(now) / span.Seconds()
 	}
 	for id, e := range m.endpoints {
 		if e.own.Active > 0 {
-			r.Loads[id] = e.own
+			r.Tally.Loads[id] = e.own
 		}
 	}
 	return r
--- a/internal/core/gateway/wait_test.go
+++ b/internal/core/gateway/wait_test.go
@@ -1,13 +1,13 @@
 package gateway
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/tally"
 )
 
 // streamRequest returns a stream request with a prompt of 1000 tokens.
@@ -84,30 +84,32 @@
 	}
 }
 
-// TestPeerLoadsAreReplaced guards against peer loads that are counted twice, or
-// kept after the peer stopped reporting, left or reported none.
-func TestPeerLoadsAreReplaced(t *testing.T) {
+// TestLoadsOfOthersAreReplaced guards against loads of other instances that are counted
+// twice, or kept after their sums have stopped or no longer contain them.
+func TestLoadsOfOthersAreReplaced(t *testing.T) {
 	is := is.New(t)
 	m := readyMachine(2)
-	loads := func(n int) map[fleet.EndpointID]Load {
-		return map[fleet.EndpointID]Load{"e0": {Active: n, Backlog: 10 * n}}
+	loads := func(n int) OthersReported {
+		return OthersReported{Reached: tally.Group{Instances: 3, Tally: tally.Tally{
+			Loads: map[fleet.EndpointID]tally.Load{"e0": {Active: n, Backlog: 10 * n}},
+		}}}
 	}
-	loadAt := func(id fleet.EndpointID) Load { return m.endpoints[id].load() }
-	for i := range 3 {
-		m.Step(0, PeerReport{Node: fmt.Sprint("p", i), Loads: loads(2)})
-	}
-	is.Equal(loadAt("e0"), Load{Active: 6, Backlog: 60})
-	m.Step(time.Second, PeerReport{Node: "p0", Loads: loads(5)})
-	is.Equal(loadAt("e0"), Load{Active: 9, Backlog: 90})
+	loadAt := func(id fleet.EndpointID) tally.Load { return m.endpoints[id].load() }
+	m.Step(0, loads(6))
+	is.Equal(loadAt("e0"), tally.Load{Active: 6, Backlog: 60})
+	m.Step(time.Second, loads(9))
+	is.Equal(loadAt("e0"), tally.Load{Active: 9, Backlog: 90})
 	m.Step(time.Second, SetEndpoints{Endpoints: testEndpoints(2, func(int) bool { return false })})
-	is.Equal(loadAt("e0"), Load{Active: 9, Backlog: 90})
-	m.Step(time.Second, PeerLeft{Node: "p1"})
-	is.Equal(loadAt("e0"), Load{Active: 7, Backlog: 70})
-	m.Report(loadTTL + 100*time.Millisecond)
-	is.Equal(loadAt("e0"), Load{Active: 5, Backlog: 50})
-	m.Step(2*time.Second, PeerReport{Node: "p0"})
-	is.Equal(loadAt("e0"), Load{})
-	is.Equal(loadAt("e1"), Load{})
+	is.Equal(loadAt("e0"), tally.Load{Active: 9, Backlog: 90})
+	m.Report(time.Second + loadsTTL)
+	is.Equal(loadAt("e0"), tally.Load{Active: 9, Backlog: 90})
+	m.Report(time.Second + loadsTTL + 100*time.Millisecond)
+	is.Equal(loadAt("e0"), tally.Load{})
+	m.Step(4*time.Second, loads(7))
+	is.Equal(loadAt("e0"), tally.Load{Active: 7, Backlog: 70})
+	m.Step(4*time.Second, OthersReported{})
+	is.Equal(loadAt("e0"), tally.Load{})
+	is.Equal(loadAt("e1"), tally.Load{})
 }
 
 // TestReadTimeCountsAgainstDeadline guards against a deadline that starts only
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -13,31 +13,34 @@
 )
 
 const (
-	// reportTTL is the age up to which a peer's report counts. A peer with an
-	// older report is assumed to use its share of the quota.
-	reportTTL = 1200 * time.Millisecond
+	// othersTTL is the time without new sums after which this instance counts as cut
+	// off. The others are then assumed to use their share of the quota.
+	othersTTL = 1200 * time.Millisecond
 	// overrunFraction is the part of the permitted overrun that instances use.
 	// The rest covers what peers admitted since their last report.
 	overrunFraction = 0.5
 	// sliceBursts is the number of bursts that a slice of the window may contain,
 	// so that teams with uneven arrivals are not refused.
 	sliceBursts = 2.0
-	// minReportDelay is the minimum delay until an admission of a peer is counted
-	// here. Peers are assumed to have the same demand as this instance had in
-	// demandWindow, also since their last report.
+	// minReportDelay is the minimum delay until an admission of another instance is
+	// counted here. The others are assumed to admit what they requested of late, as
+	// measured over demandWindow, also since they stated it.
 	minReportDelay = 250 * time.Millisecond
-	demandWindow   = time.Second
+	// overdueAfter is the time without new sums after which the others are assumed to
+	// have at least the demand of this instance each.
+	overdueAfter = 500 * time.Millisecond
+	demandWindow = time.Second
 	// unrecordedTime is the time before the end of the previous run whose usage
 	// is missing in its last record. A team may have used its bursts and its rate
 	// in it.
 	unrecordedTime = 450 * time.Millisecond
-	// peerDiscoveryTime is the time after the start in which an instance receives
-	// the first reports of its peers.
-	peerDiscoveryTime = time.Second
+	// discoveryTime is the time after the start in which an instance receives the
+	// first sums of the others.
+	discoveryTime = time.Second
 	// nearLimitFraction is the share of a quota from which its usage is recorded
 	// more often.
 	nearLimitFraction = 0.6
-	// assumedInstances is the number of instances assumed while no peer is known,
+	// assumedInstances is the number of instances assumed while no other is known,
 	// so that an isolated instance does not use the whole quota.
 	assumedInstances = 10
 )
@@ -66,12 +69,13 @@
 	return total
 }
 
-// Plus returns the sum of two usages.
+// Plus returns the sum of two usages. It may change and return u.
 func (u Usage) Plus(other Usage) Usage {
-	sum := make(Usage, usageSlices)
-	sum.add(u)
-	sum.add(other)
-	return sum
+	if len(u) < usageSlices {
+		u = append(make(Usage, 0, usageSlices), u...)[:usageSlices]
+	}
+	u.add(other)
+	return u
 }
 
 func (u Usage) add(other Usage) {
@@ -80,6 +84,16 @@
 	}
 }
 
+// Minus returns the usage without another one that it includes.
+func (u Usage) Minus(other Usage) Usage {
+	rest := make(Usage, usageSlices)
+	rest.add(u)
+	for i := range min(len(rest), len(other)) {
+		rest[i] = max(rest[i]-other[i], 0)
+	}
+	return rest
+}
+
 // addEvenly adds an amount in equal parts to all slices.
 func (u Usage) addEvenly(amount float64) {
 	for i := range u {
@@ -87,8 +101,8 @@
 	}
 }
 
-// shift returns the usage that is still in the window after age has passed.
-func (u Usage) shift(age, window time.Duration) Usage {
+// Shift returns the usage that is still in the window after age has passed.
+func (u Usage) Shift(age, window time.Duration) Usage {
 	slices := int(age * usageSlices / window)
 	shifted := make(Usage, usageSlices)
 	for i, part := range u {
@@ -99,11 +113,19 @@
 	return shifted
 }
 
-// Peer is the last report of another instance: what it admitted in the window
-// that ended at At.
-type Peer struct {
-	At   time.Duration
-	Used map[fleet.TeamName]Usage
+// Others is what the other instances used.
+type Others struct {
+	// Reached is the number of instances whose reports arrive, Lost the number of those
+	// whose reports have stopped recently.
+	Reached, Lost int
+	// Used is what the reached ones used in the window that ended Age ago, LostUsed what
+	// is known of the lost ones.
+	Used, LostUsed map[fleet.TeamName]Usage
+	Age            time.Duration
+	// Requested is what was requested of the reached ones per second.
+	Requested map[fleet.TeamName]float64
+	// Oldest is the longest time that one of the reached ones has been running.
+	Oldest time.Duration
 }
 
 // Meter tracks the usage of all teams and decides what is admitted.
@@ -113,61 +135,67 @@
 	// demand is what the team requested of this instance within demandWindow,
 	// admitted or not.
 	demand map[fleet.TeamName]*window.Sum
-	peers  map[string]Peer
-	// restored is what this instance admitted before its restart, as of
-	// restoredAt.
-	restored   map[fleet.TeamName]Usage
-	restoredAt time.Duration
-	// othersRestored is what the other instances had admitted at restoredAt. It
-	// is used until they report, at the latest until discoveryEnd.
-	othersRestored map[fleet.TeamName]Usage
-	discoveryEnd   time.Duration
+	// others are the newest sums over the other instances, received at othersAt. They
+	// are valid if othersKnown is set.
+	others      Others
+	othersAt    time.Duration
+	othersKnown bool
+	// restored is what all instances had admitted at restoredAt, before the loss of
+	// all of them. It is dropped if another instance turns out to have been running
+	// then, since the sums include it.
+	restored     map[fleet.TeamName]Usage
+	restoredAt   time.Duration
+	discoveryEnd time.Duration
 }
 
 // New returns a meter without usage.
 func New(bounds Bounds) *Meter {
-	return &Meter{bounds: bounds, own: make(map[fleet.TeamName]*window.Sum), demand: make(map[fleet.TeamName]*window.Sum), peers: make(map[string]Peer)}
+	return &Meter{bounds: bounds, own: make(map[fleet.TeamName]*window.Sum), demand: make(map[fleet.TeamName]*window.Sum)}
 }
 
-// SetPeer replaces the last report of a peer.
-func (m *Meter) SetPeer(name string, p Peer) { m.peers[name] = p }
-
-// DropPeer drops a peer that has left.
-func (m *Meter) DropPeer(name string) { delete(m.peers, name) }
+// SetOthers replaces the sums over the other instances.
+func (m *Meter) SetOthers(now time.Duration, others Others) {
+	m.others, m.othersAt, m.othersKnown = others, now, true
+	if now-others.Oldest < m.restoredAt {
+		m.restored = nil
+	}
+}
 
 // NearLimit reports whether a usage is close to the quota of a team.
 func NearLimit(total, rate, burst float64, window time.Duration) bool {
 	return rate > 0 && total > nearLimitFraction*(rate*window.Seconds()+burst)
 }
 
-// Restore sets what this instance and the others had admitted before its
-// restart, as recorded age ago.
-func (m *Meter) Restore(now, age time.Duration, used, others map[fleet.TeamName]Usage) {
-	m.restored, m.othersRestored, m.restoredAt = used, others, now-age
-	m.discoveryEnd = now + peerDiscoveryTime
+// Restore sets what all instances had admitted before the start of this one, as recorded
+// age ago.
+func (m *Meter) Restore(now, age time.Duration, used map[fleet.TeamName]Usage) {
+	m.restored, m.restoredAt, m.discoveryEnd = used, now-age, now+discoveryTime
 }
 
 func (m *Meter) restoredUsage(now time.Duration, team fleet.TeamName) Usage {
-	return m.restored[team].shift(now-m.restoredAt, m.bounds.Window)
+	return m.restored[team].Shift(now-m.restoredAt, m.bounds.Window)
 }
 
-// OwnUsage returns what this instance admitted in the last window, by team,
-// including before its restart.
+// OwnUsage returns what this instance admitted in the last window, by team.
 func (m *Meter) OwnUsage(now time.Duration) map[fleet.TeamName]Usage {
 	used := make(map[fleet.TeamName]Usage, len(m.own))
-	for team := range m.restored {
-		used[team] = m.restoredUsage(now, team)
-	}
 	for team, sum := range m.own {
-		parts := Usage(sum.Slices(now, usageSlices))
-		for i, part := range used[team] {
-			parts[i] += part
-		}
-		used[team] = parts
+		used[team] = sum.Slices(now, usageSlices)
 	}
 	return used
 }
 
+// OwnDemand returns what was requested of this instance per second, by team.
+func (m *Meter) OwnDemand(now time.Duration) map[fleet.TeamName]float64 {
+	demand := make(map[fleet.TeamName]float64, len(m.demand))
+	for team, sum := range m.demand {
+		if total := sum.Total(now); total > 0 {
+			demand[team] = total / demandWindow.Seconds()
+		}
+	}
+	return demand
+}
+
 // Admit counts an amount and reports true if the team may use it now. rate is
 // the quota per second, burst the amount beyond it; a rate of 0 means no limit.
 func (m *Meter) Admit(now time.Duration, team fleet.TeamName, rate, burst, amount float64) bool {
@@ -201,10 +229,9 @@
 	if len(m.restored) > 0 {
 		// Usage after the last record was admitted within the quota, which bounds
 		// it.
-		recorded := m.restored[team].Total() + m.othersRestored[team].Total()
-		available := max(quota+slack-recorded, 0)
+		available := max(quota+slack-m.restored[team].Total(), 0)
 		unrecorded := Usage{min(sliceBursts*burst+rate*unrecordedTime.Seconds(), available)}
-		used.add(unrecorded.shift(now-m.restoredAt, m.bounds.Window))
+		used.add(unrecorded.Shift(now-m.restoredAt, m.bounds.Window))
 	}
 	part := (m.bounds.Window / usageSlices).Seconds()
 	total := amount
@@ -221,13 +248,11 @@
 // group of instances uses only its share, so that the groups together stay
 // within the permitted overrun.
 func (m *Meter) slack(now time.Duration, quota float64) float64 {
-	fresh := 0
-	for _, p := range m.peers {
-		if now-p.At <= reportTTL {
-			fresh++
-		}
+	reached := 1
+	if m.othersAreFresh(now) {
+		reached += m.others.Reached
 	}
-	share := float64(fresh+1) / float64(len(m.peers)+1)
+	share := float64(reached) / float64(m.instances())
 	return overrunFraction * share * (quota*m.bounds.Overrun + m.bounds.Slack)
 }
 
@@ -249,37 +274,49 @@
 func (m *Meter) Describe(now time.Duration, team fleet.TeamName, rate, burst float64) string {
 	quota := rate*m.bounds.Window.Seconds() + burst
 	used := m.totalUsage(now, team, quota)
-	return fmt.Sprintf("used %.0f of %.0f, by age %.0f, peers %d", used.Total(), quota, []float64(used), len(m.peers))
+	return fmt.Sprintf("used %.0f of %.0f, by age %.0f, instances %d, reached %d", used.Total(), quota, []float64(used), m.instances(), m.others.Reached)
+}
+
+// instances returns the number of known instances with this one.
+func (m *Meter) instances() int { return m.others.Reached + m.others.Lost + 1 }
+
+// othersAreFresh reports whether the sums over the other instances are up to date.
+func (m *Meter) othersAreFresh(now time.Duration) bool {
+	return m.othersKnown && now-m.othersAt <= othersTTL
 }
 
 // totalUsage returns what a team used over all instances together, with
-// estimates for what peers have not reported.
+// estimates for what others have not stated.
 func (m *Meter) totalUsage(now time.Duration, team fleet.TeamName, quota float64) Usage {
 	used := m.restoredUsage(now, team)
 	if sum, ok := m.own[team]; ok {
 		used.add(sum.Slices(now, usageSlices))
 	}
-	demandRate := 0.0
-	if sum, ok := m.demand[team]; ok {
-		demandRate = sum.Total(now) / float64(demandWindow)
-	}
-	share := quota / float64(len(m.peers)+1)
-	if len(m.peers) == 0 {
-		if now < m.discoveryEnd && len(m.othersRestored) > 0 {
-			used.add(m.othersRestored[team].shift(now-m.restoredAt, m.bounds.Window))
-		} else {
+	if m.instances() == 1 {
+		if now >= m.discoveryEnd || len(m.restored) == 0 {
 			used.addEvenly(quota * (1 - 1.0/assumedInstances))
 		}
+		return used
 	}
-	for _, p := range m.peers {
-		reported := p.Used[team]
-		if now-p.At <= reportTTL {
-			used.add(reported)
-			used[0] += demandRate * float64(max(now-p.At, minReportDelay))
-			continue
-		}
-		used.add(reported)
-		used.addEvenly(max(share-reported.Total(), 0))
+	share := quota / float64(m.instances())
+	reached := m.others.Used[team]
+	used.add(reached)
+	if m.othersAreFresh(now) {
+		used[0] += m.othersDemand(now, team) * max(now-m.othersAt+m.others.Age, minReportDelay).Seconds()
+	} else {
+		used.addEvenly(max(share*float64(m.others.Reached)-reached.Total(), 0))
 	}
+	lost := m.others.LostUsed[team]
+	used.add(lost)
+	used.addEvenly(max(share*float64(m.others.Lost)-lost.Total(), 0))
 	return used
 }
+
+// othersDemand estimates what is requested of the others per second.
+func (m *Meter) othersDemand(now time.Duration, team fleet.TeamName) float64 {
+	demand := m.others.Requested[team]
+	if sum, ok := m.demand[team]; ok && now-m.othersAt > overdueAfter {
+		demand = max(demand, sum.Total(now)/demandWindow.Seconds()*float64(m.others.Reached))
+	}
+	return demand
+}
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -31,24 +31,35 @@
 	amount float64
 }
 
-// deployment simulates instances that report their usage to each other and
-// record it.
+// deployment simulates instances that get the sums of what the others state, and the record
+// of the sum over all.
 type deployment struct {
 	meters     []*Meter
+	startedAt  []time.Duration
+	stated     []statement
+	departures []statement
 	records    []record
 	admissions []admission
 }
 
-// record is the usage of all instances at one time.
+// statement is what an instance last stated.
+type statement struct {
+	at        time.Duration
+	requested float64
+	parts     Usage
+}
+
+// record is the usage of all instances together at one time.
 type record struct {
 	at   time.Duration
-	used []map[fleet.TeamName]Usage
+	used Usage
 }
 
 func newDeployment(n int) *deployment {
-	d := &deployment{meters: make([]*Meter, n)}
+	d := &deployment{meters: make([]*Meter, n), startedAt: make([]time.Duration, n), stated: make([]statement, n)}
 	for i := range d.meters {
 		d.meters[i] = New(bounds)
+		d.startedAt[i] = -time.Hour
 	}
 	d.exchangeReports(0)
 	return d
@@ -56,40 +67,56 @@
 
 func (d *deployment) exchangeReports(now time.Duration) { d.exchangeReportsAmong(now, len(d.meters)) }
 
-// exchangeReportsAmong exchanges reports while only the first n instances reach
-// each other.
+// exchangeReportsAmong delivers the sums while only the first n instances reach each other.
 func (d *deployment) exchangeReportsAmong(now time.Duration, n int) {
 	for i, m := range d.meters[:n] {
-		used := m.OwnUsage(now)
-		for j, other := range d.meters[:n] {
-			if i != j {
-				other.SetPeer(fmt.Sprint(i), Peer{At: now, Used: used})
+		d.stated[i] = statement{at: now, parts: m.OwnUsage(now)[team], requested: m.OwnDemand(now)[team]}
+	}
+	for i, m := range d.meters[:n] {
+		o := Others{
+			Reached: n - 1, Lost: len(d.meters) - n, Used: map[fleet.TeamName]Usage{team: make(Usage, usageSlices)},
+			LostUsed: map[fleet.TeamName]Usage{team: make(Usage, usageSlices)}, Requested: make(map[fleet.TeamName]float64),
+		}
+		for j, s := range d.stated {
+			switch {
+			case j == i:
+			case j < n:
+				o.Used[team].add(s.parts)
+				o.Requested[team] += s.requested
+				o.Oldest = max(o.Oldest, now-d.startedAt[j])
+			default:
+				o.LostUsed[team].add(s.parts.Shift(now-s.at, bounds.Window))
 			}
 		}
+		for _, s := range d.departures {
+			o.Used[team].add(s.parts.Shift(now-s.at, bounds.Window))
+		}
+		m.SetOthers(now, o)
 	}
 }
 
 func (d *deployment) writeRecord(now time.Duration) {
-	r := record{at: now}
+	r := record{at: now, used: make(Usage, usageSlices)}
 	for _, m := range d.meters {
-		r.used = append(r.used, m.OwnUsage(now))
+		r.used.add(m.OwnUsage(now)[team])
+	}
+	for _, s := range d.departures {
+		r.used.add(s.parts.Shift(now-s.at, bounds.Window))
 	}
 	d.records = append(d.records, r)
 }
 
-// restart replaces instance i by one without state that restores the newest
-// record written before now.
-func (d *deployment) restart(now time.Duration, i int) {
-	d.meters[i] = New(bounds)
+// restart replaces instance i by one without state that restores the newest record written
+// before now. If others go on, they know what its earlier boot last stated.
+func (d *deployment) restart(now time.Duration, i int, all bool) {
+	d.meters[i], d.startedAt[i] = New(bounds), now
+	if !all {
+		d.departures = append(d.departures, d.stated[i])
+	}
+	d.stated[i] = statement{}
 	for _, r := range slices.Backward(d.records) {
 		if r.at <= now-recordAge {
-			others := map[fleet.TeamName]Usage{team: make(Usage, usageSlices)}
-			for j, used := range r.used {
-				if i != j {
-					others[team].add(used[team])
-				}
-			}
-			d.meters[i].Restore(now, now-r.at, r.used[i], others)
+			d.meters[i].Restore(now, now-r.at, map[fleet.TeamName]Usage{team: r.used})
 			return
 		}
 	}
@@ -137,7 +164,7 @@
 			if now <= floodAt && floodAt < now+step {
 				for i := range d.meters {
 					if restartAll || i == 0 {
-						d.restart(now, i)
+						d.restart(now, i, restartAll)
 					}
 				}
 				d.exchangeReports(now)
@@ -218,9 +245,7 @@
 func TestIsolatedInstanceUsesItsShare(t *testing.T) {
 	is := is.New(t)
 	m := New(bounds)
-	for i := range 3 {
-		m.SetPeer(fmt.Sprint(i), Peer{At: 0, Used: map[fleet.TeamName]Usage{}})
-	}
+	m.SetOthers(0, Others{Reached: 3})
 	quota := rate*bounds.Window.Seconds() + burst
 	var used float64
 	for now := 10 * time.Second; now < 12*time.Second; now += step {
@@ -238,6 +263,31 @@
 	is := is.New(t)
 	m := New(bounds)
 	halfUsed := Usage{0.55 * rate * 2, 0.55 * rate * 2, 0.55 * rate * 2, 0.55 * rate * 2}
-	m.Restore(0, 300*time.Millisecond, map[fleet.TeamName]Usage{team: {}}, map[fleet.TeamName]Usage{team: halfUsed})
+	m.Restore(0, 300*time.Millisecond, map[fleet.TeamName]Usage{team: halfUsed})
 	is.True(m.Admit(100*time.Millisecond, team, rate, burst, 9000))
 }
+
+// TestTeamWithinItsRateIsAdmittedOnLargeFleets guards against refusals of a team within its
+// rate because each of many instances takes its own rare requests for the demand of all.
+func TestTeamWithinItsRateIsAdmittedOnLargeFleets(t *testing.T) {
+	for _, n := range []int{9, 74, 295, 810} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			d := newDeployment(n)
+			rng := rand.New(rand.NewPCG(1, 0))
+			const amount, load = 9000.0, 0.8
+			refused, pending := 0, 0.0
+			for now := time.Duration(0); now < 20*time.Second; now += step {
+				if now%(200*time.Millisecond) == 0 {
+					d.exchangeReports(now)
+				}
+				for pending += load * rate * step.Seconds(); pending > amount; pending -= amount {
+					if !d.meters[rng.IntN(n)].Admit(now, team, rate, burst, amount) {
+						refused++
+					}
+				}
+			}
+			is.Equal(refused, 0)
+		})
+	}
+}
--- a/internal/core/scaling/demand.go
+++ b/internal/core/scaling/demand.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// reportTTL is how long an instance's demand counts after its last report.
+	// reportTTL is how long a demand counts after its last report.
 	reportTTL = 3 * time.Second
 	// peakDecayTime is half the time constant with which a recorded peak decays
 	// towards the current demand. It covers a large part of a traffic cycle, so
@@ -17,10 +17,11 @@
 
 type demandReport struct {
 	demand     map[fleet.ServiceName]float64
+	instances  int
 	reportedAt time.Duration
 }
 
-// Demand aggregates the load that the instances report for each service, in
+// Demand aggregates the load that groups of instances report for each service, in
 // endpoints kept busy.
 type Demand struct {
 	reports map[string]demandReport
@@ -38,13 +39,9 @@
 	}
 }
 
-// Report records the demand that an instance measured. A report without a node
-// name is ignored.
-func (d *Demand) Report(now time.Duration, node string, demand map[fleet.ServiceName]float64) {
-	if node == "" {
-		return
-	}
-	d.reports[node] = demandReport{demand: demand, reportedAt: now}
+// Report replaces the demand that a group of instances measured.
+func (d *Demand) Report(now time.Duration, group string, instances int, demand map[fleet.ServiceName]float64) {
+	d.reports[group] = demandReport{demand: demand, instances: instances, reportedAt: now}
 }
 
 // Peak returns the decaying peak of the demand for a service.
@@ -54,7 +51,13 @@
 }
 
 // ReportingInstances returns the number of instances with a current report.
-func (d *Demand) ReportingInstances() int { return len(d.reports) }
+func (d *Demand) ReportingInstances() int {
+	total := 0
+	for _, r := range d.reports {
+		total += r.instances
+	}
+	return total
+}
 
 // SinceFirstSeen returns the time since the first demand for a service, 0 if
 // there has been none.
--- a/internal/core/scaling/plan_test.go
+++ b/internal/core/scaling/plan_test.go
@@ -45,7 +45,7 @@
 
 func (w *simulatedPlatform) run(until time.Duration, load float64) {
 	for ; w.now < until; w.now += 100 * time.Millisecond {
-		w.demand.Report(w.now, "n", map[fleet.ServiceName]float64{"s": load})
+		w.demand.Report(w.now, "n", 1, map[fleet.ServiceName]float64{"s": load})
 		for {
 			o, ok := w.planner.NextOrder(w.now, w.catalog, w.endpoints(), w.demand)
 			if !ok {
@@ -177,7 +177,7 @@
 	w := newSimulatedPlatform(false)
 	w.catalog = catalog.Build(catalog.Catalog{Version: 1, Services: map[fleet.ServiceName]catalog.Service{"s": big}})
 	for i := range 59 {
-		w.demand.Report(0, fmt.Sprint("other", i), nil)
+		w.demand.Report(0, fmt.Sprint("other", i), 1, nil)
 	}
 	w.run(2*time.Second, 0)
 	is.True(w.total(true) >= 33)
--- /dev/null
+++ b/internal/core/tally/tally.go
@@ -0,0 +1,101 @@
+// Package tally holds what instances add up over the deployment: the quota use and
+// demand of teams, the load of endpoints and the demand for services. It performs no
+// input or output.
+package tally
+
+import (
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/quota"
+)
+
+// Load is the work at an endpoint.
+type Load struct {
+	// Active counts the running requests, Backlog the prompt tokens of requests
+	// without a response yet.
+	Active  int
+	Backlog int
+}
+
+// Tally is what one instance, or several together, admitted and sent.
+type Tally struct {
+	// Used is what teams used in the quota window, Requested what they requested per
+	// second, admitted or not, both in the unit of the quota.
+	Used      map[fleet.TeamName]quota.Usage
+	Requested map[fleet.TeamName]float64
+	Loads     map[fleet.EndpointID]Load
+	// Demand is the engine time that callers request, by service, as a multiple of one
+	// endpoint's time. Requests refused for overload count too.
+	Demand map[fleet.ServiceName]float64
+}
+
+// New returns an empty tally.
+func New() Tally {
+	return Tally{
+		Used: make(map[fleet.TeamName]quota.Usage), Requested: make(map[fleet.TeamName]float64),
+		Loads: make(map[fleet.EndpointID]Load), Demand: make(map[fleet.ServiceName]float64),
+	}
+}
+
+// Add adds another tally.
+func (t Tally) Add(other Tally) {
+	t.AddUsed(other.Used)
+	for team, amount := range other.Requested {
+		t.Requested[team] += amount
+	}
+	for id, load := range other.Loads {
+		sum := t.Loads[id]
+		t.Loads[id] = Load{Active: sum.Active + load.Active, Backlog: sum.Backlog + load.Backlog}
+	}
+	for service, demand := range other.Demand {
+		t.Demand[service] += demand
+	}
+}
+
+// AddUsed adds only the quota use of other instances.
+func (t Tally) AddUsed(used map[fleet.TeamName]quota.Usage) {
+	for team, use := range used {
+		t.Used[team] = t.Used[team].Plus(use)
+	}
+}
+
+// Subtract removes a tally that was added before. No part becomes negative.
+func (t Tally) Subtract(other Tally) {
+	for team, use := range other.Used {
+		t.Used[team] = t.Used[team].Minus(use)
+	}
+	for team, amount := range other.Requested {
+		t.Requested[team] = max(t.Requested[team]-amount, 0)
+	}
+	for id, load := range other.Loads {
+		sum := t.Loads[id]
+		t.Loads[id] = Load{Active: max(sum.Active-load.Active, 0), Backlog: max(sum.Backlog-load.Backlog, 0)}
+	}
+	for service, demand := range other.Demand {
+		t.Demand[service] = max(t.Demand[service]-demand, 0)
+	}
+}
+
+// Group is the tally of several instances.
+type Group struct {
+	Tally     Tally
+	Instances int
+	// Age is the mean age of what the instances stated, weighted equally.
+	Age time.Duration
+	// Oldest is the longest time that one of the instances has been running.
+	Oldest time.Duration
+}
+
+// NewGroup returns a group without instances.
+func NewGroup() Group { return Group{Tally: New()} }
+
+// Join adds another group.
+func (g *Group) Join(other Group) {
+	g.Tally.Add(other.Tally)
+	if n := g.Instances + other.Instances; n > 0 {
+		g.Age = (g.Age*time.Duration(g.Instances) + other.Age*time.Duration(other.Instances)) / time.Duration(n)
+		g.Instances = n
+	}
+	g.Oldest = max(g.Oldest, other.Oldest)
+}
--- a/internal/edge/codec.go
+++ b/internal/edge/codec.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"math"
+
 	"google.golang.org/protobuf/proto"
 
 	"github.com/samber/lo"
@@ -8,53 +10,104 @@
 	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
 	"github.com/cornelhold/cornelhold/internal/core/duty"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
-	"github.com/cornelhold/cornelhold/internal/core/gateway"
 	"github.com/cornelhold/cornelhold/internal/core/quota"
+	"github.com/cornelhold/cornelhold/internal/core/tally"
 	"github.com/cornelhold/cornelhold/platform"
 )
 
-// usageWindow holds the usage counts of one origin in one window.
+// usageWindow holds the usage counts of one origin in one window, or of all origins of its
+// data centre.
 type usageWindow struct {
 	number int64
-	origin string
+	// origin is empty for the counts of all origins.
+	origin duty.Origin
 	counts duty.Counts
 }
 
-func encodeReport(r gateway.PeerReport, message *cornelholdv1.InstanceReport) {
-	message.Use = encodeUse(r.Used)
-	for id, load := range r.Loads {
-		message.Loads = append(message.Loads, &cornelholdv1.EndpointLoad{
+func (w usageWindow) isTotal() bool { return w.origin.Boot == "" }
+
+func encodeTally(t tally.Tally) *cornelholdv1.Tally {
+	m := &cornelholdv1.Tally{Use: encodeUse(t.Used)}
+	listed := make(map[string]*cornelholdv1.TeamUse, len(m.Use))
+	for _, u := range m.Use {
+		listed[u.Team] = u
+	}
+	for team, requested := range t.Requested {
+		u, ok := listed[string(team)]
+		if !ok {
+			u = &cornelholdv1.TeamUse{Team: string(team)}
+			m.Use = append(m.Use, u)
+		}
+		u.Requested = requested
+	}
+	for id, load := range t.Loads {
+		m.Loads = append(m.Loads, &cornelholdv1.EndpointLoad{
 			Endpoint: string(id), Active: int32(load.Active), Backlog: int64(load.Backlog),
 		})
 	}
-	for service, work := range r.Demand {
-		message.Demand = append(message.Demand, &cornelholdv1.ServiceDemand{Service: string(service), Endpoints: work})
+	for service, endpoints := range t.Demand {
+		m.Demand = append(m.Demand, &cornelholdv1.ServiceDemand{Service: string(service), Endpoints: endpoints})
 	}
+	return m
 }
 
-func decodeReport(p *cornelholdv1.InstanceReport) gateway.PeerReport {
-	r := gateway.PeerReport{
-		Node: p.GetNode(), Used: decodeUse(p.GetUse()),
-		Loads:  make(map[fleet.EndpointID]gateway.Load, len(p.GetLoads())),
-		Demand: make(map[fleet.ServiceName]float64, len(p.GetDemand())),
+func decodeTally(m *cornelholdv1.Tally) tally.Tally {
+	t := tally.New()
+	for _, u := range m.GetUse() {
+		team := fleet.TeamName(u.GetTeam())
+		if len(u.GetUsed()) > 0 {
+			t.Used[team] = lo.Map(u.GetUsed(), plausible)
+		}
+		if requested := plausible(u.GetRequested(), 0); requested > 0 {
+			t.Requested[team] = requested
+		}
 	}
-	for _, l := range p.GetLoads() {
-		r.Loads[fleet.EndpointID(l.GetEndpoint())] = gateway.Load{
+	for _, l := range m.GetLoads() {
+		t.Loads[fleet.EndpointID(l.GetEndpoint())] = tally.Load{
 			Active: max(int(l.GetActive()), 0), Backlog: max(int(l.GetBacklog()), 0),
 		}
 	}
-	for _, d := range p.GetDemand() {
-		r.Demand[fleet.ServiceName(d.GetService())] = max(d.GetEndpoints(), 0)
+	for _, d := range m.GetDemand() {
+		t.Demand[fleet.ServiceName(d.GetService())] = max(plausible(d.GetEndpoints(), 0), 0)
+	}
+	return t
+}
+
+// maxAmount bounds the amounts that a peer can state, so that sums stay finite.
+const maxAmount = 1e15
+
+// plausible replaces an amount that no instance states by 0.
+func plausible(amount float64, _ int) float64 {
+	if math.Abs(amount) <= maxAmount {
+		return amount
+	}
+	return 0
+}
+
+func encodeGroup(g tally.Group) *cornelholdv1.GroupTally {
+	return &cornelholdv1.GroupTally{
+		Tally: encodeTally(g.Tally), Instances: int32(g.Instances), AgeMs: g.Age.Milliseconds(), OldestMs: g.Oldest.Milliseconds(),
+	}
+}
+
+func decodeGroup(m *cornelholdv1.GroupTally) tally.Group {
+	return tally.Group{
+		Tally: decodeTally(m.GetTally()), Instances: max(int(m.GetInstances()), 0),
+		Age: age(m.GetAgeMs()), Oldest: age(m.GetOldestMs()),
 	}
-	return r
 }
 
 func encodeWindow(w usageWindow, _ int) *cornelholdv1.UsageWindow {
-	return &cornelholdv1.UsageWindow{Number: w.number, Origin: w.origin, Counts: encodeCounts(w.counts)}
+	return &cornelholdv1.UsageWindow{
+		Number: w.number, Origin: w.origin.Boot, DataCentre: string(w.origin.DataCentre), Counts: encodeCounts(w.counts),
+	}
 }
 
 func decodeWindow(w *cornelholdv1.UsageWindow, _ int) usageWindow {
-	return usageWindow{number: w.GetNumber(), origin: w.GetOrigin(), counts: decodeCounts(w.GetCounts())}
+	return usageWindow{
+		number: w.GetNumber(), origin: duty.Origin{DataCentre: fleet.DataCentre(w.GetDataCentre()), Boot: w.GetOrigin()},
+		counts: decodeCounts(w.GetCounts()),
+	}
 }
 
 func encodeCounts(counts duty.Counts) map[string]int64 {
--- a/internal/edge/crashcodec_test.go
+++ b/internal/edge/crashcodec_test.go
@@ -28,7 +28,7 @@
 		}
 		peer.Quarantined = append(peer.Quarantined, quarantine.Entry{Traits: traits, Crashes: 5, CrashedAt: time.Second, Until: time.Hour})
 	}
-	m.Step(time.Second, gateway.PeerReport{Node: "n2", Crashes: peer})
+	m.Step(time.Second, gateway.CrashesReported{Report: peer})
 	crashEndpoints(m, 100)
 	report := m.Report(3 * time.Second)
 	is.True(len(report.Crashes.Crashes) > 0)
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync/atomic"
 	"time"
 
@@ -10,8 +9,8 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/duty"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
-	"github.com/cornelhold/cornelhold/internal/core/quota"
 	"github.com/cornelhold/cornelhold/internal/core/scaling"
+	"github.com/cornelhold/cornelhold/internal/core/tally"
 	"github.com/cornelhold/cornelhold/internal/task"
 	"github.com/cornelhold/cornelhold/platform"
 )
@@ -25,18 +24,30 @@
 	// maxOrders bounds the orders sent in one tick.
 	maxOrders = 8
 	leaseKey  = "duties"
+	// demandOfSelf and demandOfOthers name the groups of instances whose demand is added.
+	demandOfSelf   = "self"
+	demandOfOthers = "others"
 )
 
-// peerUpdate is the part of a peer's report that concerns the duties.
+// clockReadings is the number of wall clocks in a feed.
+const clockReadings = 8
+
+// tickUpdate is what this instance states of itself at a tick of the exchange. candidate is
+// set if it may acquire the lease.
+type tickUpdate struct {
+	own       tally.Tally
+	candidate bool
+}
+
+// othersUpdate carries the sums over the other instances.
+type othersUpdate struct{ reached, lost tally.Group }
+
+// peerUpdate is the part of a peer's datagram that concerns the duties. lease is nil if the
+// peer states nothing of it.
 type peerUpdate struct {
-	node string
-	// isSelf is set for the update of this instance itself.
-	isSelf    bool
-	demand    map[fleet.ServiceName]float64
-	used      map[fleet.TeamName]quota.Usage
-	wallClock time.Duration
-	windows   []usageWindow
-	lease     duty.LeaseReported
+	clocks  []duty.ClockReading
+	windows []usageWindow
+	lease   *duty.LeaseReported
 }
 
 // endpointsUpdate carries a new state of the directory.
@@ -48,9 +59,11 @@
 // callFinished carries the result of a call back to the task, which runs apply.
 type callFinished struct{ apply func(now time.Duration) }
 
-// dutiesSummary is the part of the state that is included in reports to peers.
+// dutiesSummary is the part of the state that is included in datagrams to peers: the own
+// usage counts, those of the data centre, and some wall clocks.
 type dutiesSummary struct {
-	windows     []usageWindow
+	own, centre []usageWindow
+	clocks      []duty.ClockReading
 	leaseOffset int64
 	held        bool
 }
@@ -61,7 +74,7 @@
 type dutiesTask struct {
 	process  *process
 	log      log.Interface
-	origin   string
+	origin   duty.Origin
 	mailbox  task.Mailbox[any]
 	store    *platform.Store
 	cloud    *platform.Cloud
@@ -73,33 +86,33 @@
 	demand   *scaling.Demand
 	state    directoryState
 	held     bool
-	// quotaUse is the recent quota use of each instance.
-	quotaUse map[string]instanceUse
-	saving   bool
-	savedAt  time.Duration
-	summary  atomic.Pointer[dutiesSummary]
+	// own is what this instance last stated, others the sums over the other instances.
+	own     tally.Tally
+	others  othersUpdate
+	saving  bool
+	savedAt time.Duration
+	summary atomic.Pointer[dutiesSummary]
 }
 
 func newDutiesTask(p *process, boot string, seed uint64) *dutiesTask {
 	t := &dutiesTask{
-		process: p, log: p.log, origin: p.deployment.Node + "/" + boot,
+		process: p, log: p.log, origin: duty.Origin{DataCentre: p.deployment.DataCentre, Boot: p.deployment.Node + "/" + boot},
 		mailbox: task.NewMailbox[any](dutyMailbox), store: p.store, cloud: platform.NewCloud(p.deployment.CloudAddr),
 		lease:    duty.NewLease(duty.Holder{Node: p.deployment.Node, Boot: boot}, seed),
 		reporter: duty.NewReporter(max(p.deployment.Bounds.UsageWindow, time.Second)),
 		usage:    duty.NewUsage(), clock: duty.NewClockEstimate(), planner: scaling.NewPlanner(), demand: scaling.NewDemand(),
-		quotaUse: make(map[string]instanceUse),
 	}
 	t.summary.Store(&dutiesSummary{leaseOffset: -1})
 	return t
 }
 
-// postPeerUpdate posts an update to the task. An update dropped because the mailbox
-// is full is superseded by the next report.
-func (t *dutiesTask) postPeerUpdate(n peerUpdate) { t.mailbox.TrySend(n) }
+// post posts an update to the task. An update dropped because the mailbox is full is
+// superseded by the next one.
+func (t *dutiesTask) post(update any) { t.mailbox.TrySend(update) }
 
 func (t *dutiesTask) currentSummary() dutiesSummary { return *t.summary.Load() }
 
-// allWindows returns the usage counts of all origins.
+// allWindows returns the usage counts of all data centres.
 func (t *dutiesTask) allWindows(ctx context.Context) []usageWindow {
 	reply := make(chan []usageWindow, 1)
 	if !t.mailbox.TrySend(windowsRequest{reply: reply}) {
@@ -136,36 +149,51 @@
 func (t *dutiesTask) handle(ctx context.Context, msg any) {
 	now := task.BootTime()
 	switch msg := msg.(type) {
+	case tickUpdate:
+		t.own = msg.own
+		t.demand.Report(now, demandOfSelf, 1, msg.own.Demand)
+		t.stepLease(ctx, now, duty.LeaseCandidacy{Allowed: msg.candidate})
+	case othersUpdate:
+		t.others = msg
+		t.demand.Report(now, demandOfOthers, msg.reached.Instances, msg.reached.Tally.Demand)
 	case peerUpdate:
-		for _, w := range msg.windows {
-			if w.origin != t.origin {
-				t.usage.Merge(w.number, w.origin, w.counts)
-			}
-		}
-		if msg.node != "" {
-			t.demand.Report(now, msg.node, msg.demand)
-			t.quotaUse[msg.node] = instanceUse{used: msg.used, reportedAt: now}
-		}
-		if msg.node != "" && !msg.isSelf {
-			t.clock.AddSample(now, msg.node, msg.wallClock)
-			t.stepLease(ctx, now, msg.lease)
-		}
+		t.applyPeer(ctx, now, msg)
 	case endpointsUpdate:
 		t.state = msg.state
 	case windowsRequest:
-		msg.reply <- t.windows(0, func(string) bool { return true })
+		msg.reply <- t.totals(0, func(fleet.DataCentre) bool { return true })
 	case callFinished:
 		msg.apply(now)
 	}
 }
 
-// windows returns copies of the usage counts of the included origins in the
-// windows from and later.
-func (t *dutiesTask) windows(from int64, include func(origin string) bool) []usageWindow {
+// applyPeer applies a peer's datagram.
+func (t *dutiesTask) applyPeer(ctx context.Context, now time.Duration, u peerUpdate) {
+	for _, w := range u.windows {
+		switch {
+		case w.isTotal():
+			t.usage.MergeTotal(w.number, w.origin.DataCentre, w.counts)
+		case w.origin != t.origin:
+			t.usage.Merge(w.number, w.origin, w.counts)
+		}
+	}
+	for _, c := range u.clocks {
+		if c.Node != t.process.deployment.Node {
+			t.clock.AddSample(now, c.Node, c.Wall)
+		}
+	}
+	if u.lease != nil {
+		t.stepLease(ctx, now, *u.lease)
+	}
+}
+
+// totals returns the usage counts of the included data centres in the windows from and
+// later.
+func (t *dutiesTask) totals(from int64, include func(dc fleet.DataCentre) bool) []usageWindow {
 	var list []usageWindow
-	t.usage.Each(from, func(number int64, origin string, counts duty.Counts) {
-		if include(origin) {
-			list = append(list, usageWindow{number: number, origin: origin, counts: maps.Clone(counts)})
+	t.usage.EachTotal(from, func(number int64, dc fleet.DataCentre, counts duty.Counts) {
+		if include(dc) {
+			list = append(list, usageWindow{number: number, origin: duty.Origin{DataCentre: dc}, counts: counts})
 		}
 	})
 	return list
@@ -189,8 +217,12 @@
 
 func (t *dutiesTask) publish(now time.Duration, held bool) {
 	from := t.reporter.Window(t.clock.TrueTime(now)) - reportedWindows + 1
-	own := t.windows(from, func(origin string) bool { return origin == t.origin })
-	t.summary.Store(&dutiesSummary{windows: own, leaseOffset: t.lease.NewestOffset(), held: held})
+	summary := dutiesSummary{leaseOffset: t.lease.NewestOffset(), held: held, clocks: t.clock.Readings(now, clockReadings)}
+	t.usage.EachOf(t.origin, from, func(number int64, counts duty.Counts) {
+		summary.own = append(summary.own, usageWindow{number: number, origin: t.origin, counts: counts})
+	})
+	summary.centre = t.totals(from, func(dc fleet.DataCentre) bool { return dc == t.origin.DataCentre })
+	t.summary.Store(&summary)
 }
 
 // updateHolder logs when this instance acquires or loses the duties. A new holder
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -25,7 +25,7 @@
 	reply   chan<- gateway.Action
 }
 
-type reportRequest struct{ reply chan<- gateway.PeerReport }
+type reportRequest struct{ reply chan<- gateway.Report }
 
 // gatewayTask owns the state machine that admits and routes requests.
 type gatewayTask struct {
@@ -135,16 +135,16 @@
 }
 
 // report returns the state that this instance reports to its peers.
-func (t *gatewayTask) report(ctx context.Context) (gateway.PeerReport, error) {
-	reply := make(chan gateway.PeerReport, 1)
+func (t *gatewayTask) report(ctx context.Context) (gateway.Report, error) {
+	reply := make(chan gateway.Report, 1)
 	if err := t.reports.Send(ctx, reportRequest{reply: reply}); err != nil {
-		return gateway.PeerReport{}, err
+		return gateway.Report{}, err
 	}
 	select {
 	case r := <-reply:
 		return r, nil
 	case <-ctx.Done():
-		return gateway.PeerReport{}, ctx.Err()
+		return gateway.Report{}, ctx.Err()
 	}
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 
 	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
 	"github.com/cornelhold/cornelhold/internal/core/duty"
+	"github.com/cornelhold/cornelhold/internal/core/exchange"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
 	"github.com/cornelhold/cornelhold/internal/core/storereader"
@@ -23,37 +25,24 @@
 )
 
 const (
-	// reportInterval is the time between two reports to peers. With more than
-	// maxPeersAtFullRate peers it grows in proportion to their number, to limit the
-	// processor time and bandwidth that reports cost each instance.
-	reportInterval     = 200 * time.Millisecond
-	maxPeersAtFullRate = 48
-	// unresponsiveAfter is the time without a report from a peer after which it is
-	// sent one only every unresponsiveInterval.
-	unresponsiveAfter    = 5 * time.Second
-	unresponsiveInterval = 2 * time.Second
-	// peerLostAfter is the time without a report after which a peer no longer has a
-	// share of the quotas.
+	// peerLostAfter is the time without a datagram after which a peer is forgotten.
 	peerLostAfter = 30 * time.Second
-	// maxDatagram bounds a report, in bytes.
+	// maxDatagram bounds a datagram, in bytes.
 	maxDatagram = 60 << 10
-	// maxPeerAddresses bounds the addresses in a report, which are a random sample
-	// of the active peers. maxPeers bounds the number of peers.
-	maxPeerAddresses = 6
-	maxPeers         = 2048
-	peersMailbox     = 256
+	// maxPeers bounds the instances from which datagrams are accepted.
+	maxPeers = 2048
+	// dutiesAfter is the time after the start in which an instance learns whether others
+	// are carriers. It does not try to acquire the lease of the duties before.
+	dutiesAfter  = 5 * exchange.Interval
+	peersMailbox = 256
 )
 
-// peer is another instance.
+// peer is another instance from which datagrams arrive.
 type peer struct {
-	address    netip.Addr
 	node       string
 	boot       string
-	lastReport time.Duration
-	lastSent   time.Duration
-	// active is set from the first report of the peer until it is lost.
-	active bool
-	// delay estimates how long the reports of the peer were on the way.
+	receivedAt time.Duration
+	// delay estimates how long the datagrams of the peer were on the way.
 	delay transit.DelayEstimate
 }
 
@@ -62,18 +51,21 @@
 	data []byte
 }
 
-// peersTask owns the datagram socket: it sends reports to the other instances and
-// distributes the reports received from them.
+// peersTask owns the datagram socket and the state machine that decides which news this
+// instance exchanges with which other one.
 type peersTask struct {
 	process    *process
 	conn       *net.UDPConn
 	received   task.Mailbox[datagram]
-	discovered task.Mailbox[[]netip.Addr]
+	discovered task.Mailbox[[]exchange.Instance]
+	exchange   *exchange.Exchange
 	peers      map[netip.Addr]*peer
-	self       netip.Addr
-	boot       string
+	startedAt  time.Duration
+	isCarrier  bool
 	// election decides whether this instance reads the store for its data centre.
 	election *storereader.Election
+	// instances is the number of the other instances, as last known.
+	instances int
 	// configLag and listLag measure how long this instance has been behind its peers.
 	configLag, listLag lag
 	// pullDelay is the random delay of the next pull of list changes.
@@ -86,53 +78,42 @@
 
 func newPeersTask(p *process, boot string) *peersTask {
 	t := &peersTask{
-		process: p, boot: boot, peers: make(map[netip.Addr]*peer),
-		received: task.NewMailbox[datagram](peersMailbox), discovered: task.NewMailbox[[]netip.Addr](4),
+		process: p, peers: make(map[netip.Addr]*peer), startedAt: task.BootTime(),
+		received: task.NewMailbox[datagram](peersMailbox), discovered: task.NewMailbox[[]exchange.Instance](4),
 		puller: newPuller(p), election: storereader.NewElection(p.deployment.Node, p.deployment.DataCentre),
 	}
-	t.self, _ = netip.ParseAddr(p.deployment.IP)
+	t.exchange = exchange.New(exchange.Options{
+		Self: exchange.Instance{
+			Address: exchange.Address(p.deployment.IP), Node: p.deployment.Node, DataCentre: p.deployment.DataCentre,
+		},
+		Boot: boot, QuotaWindow: p.deployment.Bounds.QuotaWindow, StartedAt: t.startedAt,
+	})
 	for _, seed := range p.deployment.Seeds {
 		if a, err := netip.ParseAddrPort(seed); err == nil {
-			t.add(a.Addr())
+			t.learn(exchange.Instance{Address: exchange.Address(a.Addr().String())})
 		}
 	}
 	return t
 }
 
-// add returns the peer at an address and creates it if needed. It returns nil for
-// an invalid address, for that of this instance, and if there are maxPeers peers.
-func (t *peersTask) add(a netip.Addr) *peer {
-	if a == t.self || !a.IsValid() {
-		return nil
-	}
-	p, ok := t.peers[a]
-	if !ok {
-		if len(t.peers) >= maxPeers {
-			return nil
-		}
-		p = &peer{address: a}
-		t.peers[a] = p
-	}
-	return p
+func (t *peersTask) learn(i exchange.Instance) {
+	t.exchange.Step(task.BootTime(), exchange.Learned{Instance: i})
 }
 
-// run exchanges reports with the peers until ctx ends.
+// run exchanges news with the peers until ctx ends.
 func (t *peersTask) run(ctx context.Context) error {
 	go t.receive(ctx)
-	ticker := time.NewTicker(reportInterval)
+	ticker := time.NewTicker(exchange.Interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			ticker.Reset(reportInterval * time.Duration(max(len(t.peers), maxPeersAtFullRate)) / maxPeersAtFullRate)
-			t.electReader()
-			t.report(ctx)
-			t.expire(ctx)
-		case addresses := <-t.discovered.Receive():
-			for _, a := range addresses {
-				t.add(a)
+			t.tick(ctx)
+		case instances := <-t.discovered.Receive():
+			for _, i := range instances {
+				t.learn(i)
 			}
 		case d := <-t.received.Receive():
 			t.handle(ctx, d)
@@ -148,7 +129,7 @@
 		if err != nil {
 			if ctx.Err() == nil {
 				t.process.log.WithError(err).Warn("peer reports could not be received")
-				sleep(ctx, reportInterval)
+				sleep(ctx, exchange.Interval)
 			}
 			continue
 		}
@@ -156,79 +137,138 @@
 	}
 }
 
-// electReader updates whether this instance reads the store for its data centre.
-func (t *peersTask) electReader() {
+// tick sends what is due to the other instances.
+func (t *peersTask) tick(ctx context.Context) {
+	own, err := t.process.gateway.report(ctx)
+	if err != nil {
+		return
+	}
 	now := task.BootTime()
+	summary := t.process.duties.currentSummary()
+	actions := t.exchange.Step(now, exchange.Tick{Own: own.Tally, Leaving: t.process.draining(), Holder: summary.held})
+	t.process.duties.post(tickUpdate{own: own.Tally, candidate: t.exchange.IsCarrier() && now-t.startedAt >= dutiesAfter})
+	t.updateRole(now)
+	t.expire(now)
+	state := t.ownState(now, own.Crashes, summary)
+	for _, a := range actions {
+		switch a := a.(type) {
+		case exchange.Send:
+			t.send(a, state, summary)
+		case exchange.SendFeed:
+			t.sendFeed(a, state, summary)
+		case exchange.Others:
+			t.othersKnown(ctx, a)
+		}
+	}
+}
+
+// updateRole updates whether this instance is a carrier, and whether it reads the store for
+// its data centre.
+func (t *peersTask) updateRole(now time.Duration) {
+	if isCarrier := t.exchange.IsCarrier(); isCarrier != t.isCarrier {
+		t.isCarrier = isCarrier
+		t.process.log.WithFields(log.Fields{"carrier": isCarrier, "peers": len(t.peers)}).Info("carrier changed")
+	}
 	if failedAt := time.Duration(t.process.list.failedAt.Load()); failedAt != 0 {
 		t.election.StoreLost(failedAt)
 	} else {
 		t.election.StoreRead()
 	}
-	isReader := t.election.IsReader(now)
+	isReader := t.isCarrier && t.election.IsReader(now)
 	if t.process.list.isReader.Swap(isReader) != isReader {
 		t.process.log.WithFields(log.Fields{"reads": isReader, "store_lost": t.election.StoreUnavailable(now)}).Info("reader of the store changed")
 	}
 }
 
-// report sends a report to all peers, and less often to unresponsive ones.
-func (t *peersTask) report(ctx context.Context) {
-	ownReport, err := t.process.gateway.report(ctx)
-	if err != nil {
-		return
-	}
-	now := task.BootTime()
-	t.process.duties.postPeerUpdate(peerUpdate{node: t.process.deployment.Node, isSelf: true, demand: ownReport.Demand, used: ownReport.Used})
-	summary := t.process.duties.currentSummary()
+// ownState returns the part of a datagram that describes this instance.
+func (t *peersTask) ownState(now time.Duration, crashes gateway.CrashReport, summary dutiesSummary) *cornelholdv1.InstanceReport {
 	// The age is read before the state, so that the state is at least as new as the
 	// reported age.
 	listAge, sentAt := t.process.list.age(), task.BootTime()
 	state := t.process.directory.published.Load()
-	message := &cornelholdv1.InstanceReport{
-		Node: t.process.deployment.Node, Boot: t.boot, Ip: t.process.deployment.IP,
+	m := &cornelholdv1.InstanceReport{
 		ConfigVersion: int64(state.Version), ListOffset: state.Offset, WallMs: time.Now().UnixMilli(),
-		Windows: lo.Map(summary.windows, encodeWindow), LeaseOffset: summary.leaseOffset, Held: summary.held,
-		Leaving: t.process.draining(), ListHealthyMs: t.process.list.healthyFor().Milliseconds(),
-		ListAgeMs: listAge.Milliseconds(), DataCentre: string(t.process.deployment.DataCentre),
-		StoreLost: t.election.StoreUnavailable(now), SentMs: sentAt.Milliseconds(),
+		LeaseOffset: summary.leaseOffset, ListHealthyMs: t.process.list.healthyFor().Milliseconds(),
+		ListAgeMs: listAge.Milliseconds(), StoreLost: t.election.StoreUnavailable(now), SentMs: sentAt.Milliseconds(),
+	}
+	encodeCrashes(crashes, t.process.clock.Now(), m)
+	return m
+}
+
+// send sends a message of the exchange together with the state of this instance.
+func (t *peersTask) send(a exchange.Send, state *cornelholdv1.InstanceReport, summary dutiesSummary) {
+	m := proto.CloneOf(state)
+	encodeExchange(a.Message, m)
+	if m.Report != nil {
+		m.Windows = lo.Map(summary.own, encodeWindow)
 	}
-	encodeReport(ownReport, message)
-	encodeCrashes(ownReport.Crashes, t.process.clock.Now(), message)
-	for _, p := range t.peers {
-		if now-p.lastReport < unresponsiveAfter && p.active && len(message.Peers) < maxPeerAddresses {
-			message.Peers = append(message.Peers, p.address.String())
+	if m.Digest != nil {
+		m.Digest.Windows = lo.Map(summary.centre, encodeWindow)
+	}
+	if data, ok := t.encode(m); ok {
+		for _, to := range a.To {
+			t.write(data, to)
 		}
 	}
-	data, err := proto.Marshal(message)
-	if err != nil || len(data) > maxDatagram {
-		t.process.log.WithField("bytes", len(data)).WithError(err).Warn("peer report could not be encoded or is too large")
+}
+
+// sendFeed sends a feed. What differs by receiver is appended to the encoded message, which
+// is the same as a merge of both.
+func (t *peersTask) sendFeed(a exchange.SendFeed, state *cornelholdv1.InstanceReport, summary dutiesSummary) {
+	m := proto.CloneOf(state)
+	encodeExchange(a.Message, m)
+	m.Feed.Clocks = encodeClocks(summary.clocks)
+	data, ok := t.encode(m)
+	if !ok {
 		return
 	}
-	for _, p := range t.peers {
-		unresponsive := !p.active || now-p.lastReport > unresponsiveAfter
-		if unresponsive && now-p.lastSent < unresponsiveInterval && p.lastSent != 0 {
-			continue
+	for i, to := range a.To {
+		own, ok := t.encode(&cornelholdv1.InstanceReport{Feed: &cornelholdv1.DeploymentFeed{Included: a.Included[i]}})
+		if ok {
+			t.write(slices.Concat(data, own), to)
 		}
-		p.lastSent = now
-		to := netip.AddrPortFrom(p.address, uint16(t.process.deployment.FirstPeerPort))
-		// A lost report is superseded by the next one.
-		_, _ = t.conn.WriteToUDPAddrPort(data, to)
 	}
 }
 
-// expire removes lost peers from the shares of the quotas. Their addresses are kept.
-func (t *peersTask) expire(ctx context.Context) {
-	now := task.BootTime()
-	for _, p := range t.peers {
-		if p.active && now-p.lastReport > peerLostAfter {
-			p.active = false
-			t.process.log.WithFields(log.Fields{"peer": p.node, "address": p.address.String()}).Warn("peer lost")
-			t.process.gateway.Post(ctx, gateway.PeerLeft{Node: p.node})
+func (t *peersTask) encode(m *cornelholdv1.InstanceReport) ([]byte, bool) {
+	data, err := proto.Marshal(m)
+	if err != nil || len(data) > maxDatagram {
+		t.process.log.WithField("bytes", len(data)).WithError(err).Warn("peer report could not be encoded or is too large")
+		return nil, false
+	}
+	return data, true
+}
+
+func (t *peersTask) write(data []byte, to exchange.Address) {
+	address, err := netip.ParseAddr(string(to))
+	if err != nil {
+		t.process.metrics.malformed.WithLabelValues("peer").Inc()
+		return
+	}
+	// A lost datagram is superseded by the next one.
+	_, _ = t.conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(address, uint16(t.process.deployment.FirstPeerPort)))
+}
+
+// othersKnown distributes the sums over the other instances.
+func (t *peersTask) othersKnown(ctx context.Context, o exchange.Others) {
+	t.instances = o.Reached.Instances
+	t.process.gateway.Post(ctx, gateway.OthersReported{
+		Reached: o.Reached, Lost: o.Lost, Relays: o.Carrier, RelayNodes: o.CarrierNodes,
+	})
+	t.process.duties.post(othersUpdate{reached: o.Reached, lost: o.Lost})
+}
+
+// expire forgets peers from which nothing has arrived for long.
+func (t *peersTask) expire(now time.Duration) {
+	for address, p := range t.peers {
+		if now-p.receivedAt > peerLostAfter {
+			delete(t.peers, address)
+			t.process.log.WithFields(log.Fields{"peer": p.node, "address": address.String()}).Info("peer lost")
 		}
 	}
 }
 
-// handle decodes a report and distributes it. Malformed reports are counted and
-// dropped.
+// handle decodes a datagram and distributes it. Malformed ones are counted and dropped.
 func (t *peersTask) handle(ctx context.Context, d datagram) {
 	var m cornelholdv1.InstanceReport
 	if err := proto.Unmarshal(d.data, &m); err != nil || m.GetNode() == "" || m.GetBoot() == "" {
@@ -236,45 +276,63 @@
 		return
 	}
 	now := task.BootTime()
-	p := t.add(d.from)
+	p := t.peer(d.from, &m)
 	if p == nil {
 		return
 	}
-	if p.boot != m.GetBoot() {
-		p.delay = transit.DelayEstimate{}
-	}
-	if !p.active || p.boot != m.GetBoot() {
-		t.process.log.WithFields(log.Fields{
-			"peer": m.GetNode(), "boot": m.GetBoot(), "address": d.from.String(),
-		}).Info("peer found")
-	}
-	p.node, p.boot, p.lastReport, p.active = m.GetNode(), m.GetBoot(), now, true
-	for _, text := range m.GetPeers() {
-		if a, err := netip.ParseAddr(text); err == nil {
-			t.add(a)
+	p.receivedAt = now
+	message := decodeExchange(d.from.String(), &m)
+	for _, a := range t.exchange.Step(now, exchange.Received{Message: message}) {
+		if others, ok := a.(exchange.Others); ok {
+			t.othersKnown(ctx, others)
 		}
 	}
 	reported := newReportedState(now, p, &m)
-	report := decodeReport(&m)
-	report.Crashes = decodeCrashes(&m, t.process.clock.At(reported.sentAt))
-	t.process.gateway.Post(ctx, report)
-	t.process.duties.postPeerUpdate(peerUpdate{
-		node: m.GetNode(), demand: report.Demand, used: report.Used, wallClock: time.Duration(m.GetWallMs()) * time.Millisecond,
-		windows: lo.Map(m.GetWindows(), decodeWindow),
-		lease:   duty.LeaseReported{Offset: m.GetLeaseOffset(), Held: m.GetHeld()},
-	})
-	t.election.Observe(now, storereader.Instance{
-		Node: m.GetNode(), DataCentre: fleet.DataCentre(m.GetDataCentre()), Leaving: m.GetLeaving(), StoreLost: m.GetStoreLost(),
-	})
+	if crashes := decodeCrashes(&m, t.process.clock.At(reported.sentAt)); !crashes.IsEmpty() {
+		t.process.gateway.Post(ctx, gateway.CrashesReported{Report: crashes})
+	}
+	t.process.duties.post(newPeerUpdate(&m))
+	if message.NamesSender() {
+		t.election.Observe(now, storereader.Instance{
+			Node: m.GetNode(), DataCentre: fleet.DataCentre(m.GetDataCentre()), Leaving: m.GetLeaving(), StoreLost: m.GetStoreLost(),
+		})
+	}
 	if !m.GetLeaving() {
 		t.pullIfBehind(ctx, now, d.from, reported)
 	}
 }
 
-// joinThroughStore registers the address of this instance in the store and posts
-// the addresses of the others to the task.
+// peer returns the peer at an address, nil if there are too many. A new boot of the peer
+// replaces it.
+func (t *peersTask) peer(from netip.Addr, m *cornelholdv1.InstanceReport) *peer {
+	p, ok := t.peers[from]
+	if ok && p.boot == m.GetBoot() {
+		return p
+	}
+	if !ok && len(t.peers) >= maxPeers {
+		return nil
+	}
+	p = &peer{node: m.GetNode(), boot: m.GetBoot()}
+	t.peers[from] = p
+	t.process.log.WithFields(log.Fields{"peer": p.node, "boot": p.boot, "address": from.String()}).Info("peer found")
+	return p
+}
+
+// newPeerUpdate returns the part of a datagram that concerns the duties.
+func newPeerUpdate(m *cornelholdv1.InstanceReport) peerUpdate {
+	u := peerUpdate{
+		clocks:  append(decodeClocks(m.GetFeed().GetClocks()), duty.ClockReading{Node: m.GetNode(), Wall: milliseconds(m.GetWallMs())}),
+		windows: append(lo.Map(m.GetWindows(), decodeWindow), lo.Map(m.GetDigest().GetWindows(), decodeWindow)...),
+		lease:   &duty.LeaseReported{Offset: m.GetLeaseOffset(), Held: m.GetHeld()},
+	}
+	return u
+}
+
+// joinThroughStore registers this instance in the store and posts the others to the task.
 func (t *peersTask) joinThroughStore(ctx context.Context) error {
-	record := platform.Record{Key: t.process.deployment.Node, Value: []byte(t.process.deployment.IP)}
+	record := platform.Record{
+		Key: t.process.deployment.Node, Value: []byte(t.process.deployment.IP + " " + string(t.process.deployment.DataCentre)),
+	}
 	for registered := false; ctx.Err() == nil; {
 		if !registered {
 			_, err := t.process.store.Append(ctx, platform.TopicMembers, record)
@@ -282,16 +340,19 @@
 		}
 		batch, err := t.process.store.Newest(ctx, platform.TopicMembers)
 		if err == nil && registered {
-			return t.discovered.Send(ctx, parseAddresses(batch.Records))
+			return t.discovered.Send(ctx, parseInstances(batch.Records))
 		}
 		sleep(ctx, time.Second)
 	}
 	return nil
 }
 
-func parseAddresses(records []platform.Record) []netip.Addr {
-	return lo.FilterMap(records, func(r platform.Record, _ int) (netip.Addr, bool) {
-		a, err := netip.ParseAddr(string(r.Value))
-		return a, err == nil
+// parseInstances decodes the records of instances: an address and, except in those of older
+// versions, a data centre. Malformed ones are left out.
+func parseInstances(records []platform.Record) []exchange.Instance {
+	return lo.FilterMap(records, func(r platform.Record, _ int) (exchange.Instance, bool) {
+		address, dc, _ := strings.Cut(string(r.Value), " ")
+		a, err := netip.ParseAddr(address)
+		return exchange.Instance{Address: exchange.Address(a.String()), Node: r.Key, DataCentre: fleet.DataCentre(dc)}, err == nil
 	})
 }
--- a/internal/edge/pulls.go
+++ b/internal/edge/pulls.go
@@ -17,7 +17,7 @@
 	configPullDelay = 200 * time.Millisecond
 	// minPullInterval is the minimum time between two pulls.
 	minPullInterval = 400 * time.Millisecond
-	// pullJitterPerPeer times the number of peers, at most maxPullJitter, bounds the
+	// pullJitterPerPeer times the number of other instances, at most maxPullJitter, bounds the
 	// random delay before a pull of list changes. It spreads the load on the first
 	// peers that have them.
 	pullJitterPerPeer = 10 * time.Millisecond
@@ -132,7 +132,7 @@
 		return false
 	}
 	if behindFor == 0 {
-		t.pullDelay = time.Duration(rand.Float64() * float64(min(pullJitterPerPeer*time.Duration(len(t.peers)), maxPullJitter)))
+		t.pullDelay = time.Duration(rand.Float64() * float64(min(pullJitterPerPeer*time.Duration(t.instances), maxPullJitter)))
 	}
 	drain := t.process.deployment.Bounds.Drain
 	if behindFor > shareOf(drain, listBehindShare) && !t.listLag.storeReadTriggered {
--- a/internal/edge/quotause.go
+++ b/internal/edge/quotause.go
@@ -12,6 +12,7 @@
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
 	"github.com/cornelhold/cornelhold/internal/core/quota"
+	"github.com/cornelhold/cornelhold/internal/core/tally"
 	"github.com/cornelhold/cornelhold/platform"
 )
 
@@ -21,19 +22,11 @@
 	// instances are lost, the use since the last record is lost with them.
 	quotaSaveInterval     = 1500 * time.Millisecond
 	nearLimitSaveInterval = 250 * time.Millisecond
-	// useTTL is how long the use of an unresponsive instance is still recorded.
-	useTTL = 10 * time.Second
 	// quotaRestoreTimeout bounds the wait for the record at the start of an instance.
 	quotaRestoreTimeout = 1500 * time.Millisecond
 	quotaUseKey         = "use"
 )
 
-// instanceUse is the quota use that an instance last reported.
-type instanceUse struct {
-	used       map[fleet.TeamName]quota.Usage
-	reportedAt time.Duration
-}
-
 // saveQuotaUse records the quota use of all instances in the store, so that
 // restarted instances do not grant the same quota again.
 func (t *dutiesTask) saveQuotaUse(ctx context.Context, now time.Duration) {
@@ -44,15 +37,7 @@
 	if t.saving || now < t.savedAt+interval {
 		return
 	}
-	m := &cornelholdv1.AllowanceUse{WallMs: t.clock.TrueTime(now).Milliseconds()}
-	for node, u := range t.quotaUse {
-		if now-u.reportedAt > useTTL {
-			delete(t.quotaUse, node)
-			continue
-		}
-		m.Instances = append(m.Instances, &cornelholdv1.InstanceUse{Node: node, Use: encodeUse(u.used)})
-	}
-	value, err := proto.Marshal(m)
+	value, err := t.quotaRecord(now)
 	if err != nil {
 		t.log.WithError(err).Warn("quota use not recorded")
 		return
@@ -67,20 +52,33 @@
 	})
 }
 
+// quotaRecord returns the record of the quota use. Its size depends on the number of teams
+// only.
+func (t *dutiesTask) quotaRecord(now time.Duration) ([]byte, error) {
+	value, err := proto.Marshal(&cornelholdv1.QuotaUse{
+		WallMs: t.clock.TrueTime(now).Milliseconds(), Use: encodeUse(t.totalUse()),
+	})
+	return value, Error.Wrap(err)
+}
+
+// totalUse returns the quota use of all instances together.
+func (t *dutiesTask) totalUse() map[fleet.TeamName]quota.Usage {
+	total := tally.New()
+	total.AddUsed(t.own.Used)
+	total.AddUsed(t.others.reached.Tally.Used)
+	total.AddUsed(t.others.lost.Tally.Used)
+	return total.Used
+}
+
 // nearLimit reports whether any team is near its quota.
 func (t *dutiesTask) nearLimit() bool {
 	if t.state.Catalog == nil {
 		return false
 	}
-	total := make(map[fleet.TeamName]float64)
-	for _, u := range t.quotaUse {
-		for team, use := range u.used {
-			total[team] += use.Total()
-		}
-	}
+	total := t.totalUse()
 	window := t.process.deployment.Bounds.QuotaWindow
 	return slices.ContainsFunc(t.state.Catalog.Teams, func(team catalog.Team) bool {
-		return quota.NearLimit(total[team.Name], team.Rate, team.Burst, window)
+		return quota.NearLimit(total[team.Name].Total(), team.Rate, team.Burst, window)
 	})
 }
 
@@ -107,7 +105,7 @@
 // decodeQuotaUse decodes the record of the quota use. The age is limited to the
 // quota window because clocks may have been stepped.
 func (p *process) decodeQuotaUse(records []platform.Record) gateway.UsageRestored {
-	var m cornelholdv1.AllowanceUse
+	var m cornelholdv1.QuotaUse
 	if len(records) == 0 {
 		return gateway.UsageRestored{}
 	}
@@ -116,17 +114,5 @@
 		return gateway.UsageRestored{}
 	}
 	age := time.Since(time.UnixMilli(m.GetWallMs()))
-	r := gateway.UsageRestored{
-		Age: min(max(age, 0), p.deployment.Bounds.QuotaWindow), Others: make(map[fleet.TeamName]quota.Usage),
-	}
-	for _, i := range m.GetInstances() {
-		if i.GetNode() == p.deployment.Node {
-			r.Used = decodeUse(i.GetUse())
-			continue
-		}
-		for team, use := range decodeUse(i.GetUse()) {
-			r.Others[team] = r.Others[team].Plus(use)
-		}
-	}
-	return r
+	return gateway.UsageRestored{Age: min(max(age, 0), p.deployment.Bounds.QuotaWindow), Used: decodeUse(m.GetUse())}
 }
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -135,5 +135,5 @@
 			u.process.confirmList(ctx)
 		}
 	}
-	u.process.duties.postPeerUpdate(peerUpdate{windows: lo.Map(m.GetWindows(), decodeWindow)})
+	u.process.duties.post(peerUpdate{windows: lo.Map(m.GetWindows(), decodeWindow)})
 }
--- a/internal/edge/snapshot_test.go
+++ b/internal/edge/snapshot_test.go
@@ -29,6 +29,9 @@
 // peers over a link of 10 Mbit/s within a tenth of a drain bound of 3 s.
 const maxListPullBytes = 300 * 10_000_000 / 8 / 1000 / 20
 
+// snapshotDataCentres is the number of data centres of the deployment that it knows.
+const snapshotDataCentres = 4
+
 // newSnapshotPeer returns a client of the snapshots of a process that knows the usage of
 // a large deployment.
 func newSnapshotPeer(t *testing.T) cornelholdv1connect.InstanceServiceClient {
@@ -41,7 +44,7 @@
 			for team := range 16 {
 				counts[fleet.TeamName(fmt.Sprint("team-", team))] = 100
 			}
-			p.duties.usage.Merge(window, fmt.Sprint("edge-", origin), counts)
+			p.duties.usage.Merge(window, duty.Origin{DataCentre: fleet.DataCentre(fmt.Sprint("dc-", origin%snapshotDataCentres)), Boot: fmt.Sprint("edge-", origin)}, counts)
 		}
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -77,7 +80,7 @@
 	defer cancel()
 	first, err := peer.Snapshot(ctx, connect.NewRequest(&cornelholdv1.SnapshotRequest{}))
 	is.NoErr(err)
-	is.Equal(len(first.Msg.GetWindows()), 12*84) // a restarted instance gets the counts from before
+	is.Equal(len(first.Msg.GetWindows()), 12*snapshotDataCentres) // a restarted instance gets the counts from before
 	later, err := peer.Snapshot(ctx, connect.NewRequest(&cornelholdv1.SnapshotRequest{OmitUsage: true}))
 	is.NoErr(err)
 	is.Equal(len(later.Msg.GetEntries()), 1)
