Keep the endpoints that are there at first instead of one for each instance

Cause: until demand is known, the planner kept one endpoint for each reporting instance; deployments of this size have fewer endpoints than instances. Change: as many as there were at first, at most one for each instance. TestInitialEndpointsDoNotGrowWithInstances failed before.

--- a/internal/core/scaling/plan.go
+++ b/internal/core/scaling/plan.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -21,11 +22,10 @@
 	scarceUtilization = 0.8
 	// minEndpoints is the minimum number of endpoints of a service.
 	minEndpoints = 4.0
-	// initialEndpointsPerInstance sets the minimum number of endpoints per
-	// reporting instance until demand has been seen for demandStabilization.
-	// Deployments have about as many endpoints as instances.
-	initialEndpointsPerInstance = 1.0
-	demandStabilization         = 10 * time.Second
+	// demandStabilization is the time from the first demand for a service until the
+	// demand is known. Until then as many endpoints as there were at first are kept,
+	// at most one for each instance.
+	demandStabilization = 10 * time.Second
 	// reorderMargin is added to the boot time of an endpoint before an order that
 	// has not taken effect is sent again.
 	reorderMargin = 2 * time.Second
@@ -74,10 +74,14 @@
 	// inherited is set if another instance held the duty before. Its orders are
 	// lowered only after scaleDownDelay, like the planner's own.
 	inherited bool
+	// initial is the number of endpoints of each service when it was first seen.
+	initial map[fleet.ServiceName]int
 }
 
 // NewPlanner returns a planner without orders.
-func NewPlanner() *Planner { return &Planner{orders: make(map[EndpointGroup]orderState)} }
+func NewPlanner() *Planner {
+	return &Planner{orders: make(map[EndpointGroup]orderState), initial: make(map[fleet.ServiceName]int)}
+}
 
 // Reset drops the recorded orders, which another instance may have replaced.
 // inherited states whether another instance held the duty before.
@@ -89,6 +93,7 @@
 // NextOrder returns the next order to send, if one is due.
 func (p *Planner) NextOrder(now time.Duration, c *catalog.Catalog, endpoints []catalog.Endpoint, demand *Demand) (Order, bool) {
 	present := countPresent(endpoints)
+	p.noteInitial(present)
 	for _, order := range p.targets(now, c, present, demand) {
 		if p.due(now, c, order, present[order.EndpointGroup]) {
 			p.orders[order.EndpointGroup] = orderState{count: order.Count, sentAt: now, maxPresent: present[order.EndpointGroup]}
@@ -186,7 +191,18 @@
 	if p.inherited || demand.SinceFirstSeen(now, name) >= demandStabilization {
 		return minEndpoints
 	}
-	return max(initialEndpointsPerInstance*float64(demand.ReportingInstances()), minEndpoints)
+	return max(float64(min(p.initial[name], demand.ReportingInstances())), minEndpoints)
+}
+
+// noteInitial records the number of endpoints of services that are seen for the first time.
+func (p *Planner) noteInitial(present map[EndpointGroup]int) {
+	counts := make(map[fleet.ServiceName]int)
+	for group, n := range present {
+		if _, ok := p.initial[group.Service]; !ok {
+			counts[group.Service] += n
+		}
+	}
+	maps.Copy(p.initial, counts)
 }
 
 // serviceTargets distributes the needed endpoints so that losing all reclaimable
--- a/internal/core/scaling/plan_test.go
+++ b/internal/core/scaling/plan_test.go
@@ -176,6 +176,9 @@
 	big.Scaling = &scaling
 	w := newSimulatedPlatform(false)
 	w.catalog = catalog.Build(catalog.Catalog{Version: 1, Services: map[fleet.ServiceName]catalog.Service{"s": big}})
+	for _, dc := range dataCentres {
+		w.counts[EndpointGroup{"s", dc, false}] = 20
+	}
 	for i := range 59 {
 		w.demand.Report(0, fmt.Sprint("other", i), 1, nil)
 	}
@@ -184,3 +187,20 @@
 	w.run(60*time.Second, 5)
 	is.True(w.total(true) <= 15)
 }
+
+// TestInitialEndpointsDoNotGrowWithInstances guards against a deployment with more instances
+// than endpoints that orders one endpoint for each instance before its traffic is known.
+func TestInitialEndpointsDoNotGrowWithInstances(t *testing.T) {
+	is := is.New(t)
+	big := service
+	scaling := *service.Scaling
+	scaling.Max = 100
+	big.Scaling = &scaling
+	w := newSimulatedPlatform(false)
+	w.catalog = catalog.Build(catalog.Catalog{Version: 1, Services: map[fleet.ServiceName]catalog.Service{"s": big}})
+	w.demand.Report(0, "others", 294, nil)
+	initial := w.total(false)
+	w.run(2*time.Second, 0)
+	// Without any one data centre as many are left.
+	is.True(w.total(true) <= initial*len(dataCentres)/(len(dataCentres)-1)+len(dataCentres))
+}
