Pull small configurations from a carrier instead of the store

Cause: a peer's link was protected from all others pulling a large configuration by never pulling at first; its size and the number of those who pull were unknown. Change: datagrams state the size; if the link of a carrier sends it to the instances that the carrier feeds within a tenth of the bound, it is pulled from there, and read from the store only if it has not come after 0.3 of the bound.

--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -71,10 +71,12 @@
 
 // directoryState is the state that is published to other tasks.
 type directoryState struct {
-	Version   catalog.Version
-	Offset    int64
-	Catalog   *catalog.Catalog
-	Endpoints []catalog.Endpoint
+	Version catalog.Version
+	// ConfigBytes is the size of the record of the configuration.
+	ConfigBytes int
+	Offset      int64
+	Catalog     *catalog.Catalog
+	Endpoints   []catalog.Endpoint
 }
 
 // directoryTask owns the configuration and the instance list, as read from the
@@ -226,7 +228,7 @@
 func (t *directoryTask) state() directoryState {
 	s := directoryState{Offset: t.offset, Catalog: t.catalog, Endpoints: t.directory.Endpoints()}
 	if t.catalog != nil {
-		s.Version = t.catalog.Version
+		s.Version, s.ConfigBytes = t.catalog.Version, len(t.config.Value)
 	}
 	return s
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -64,8 +64,9 @@
 	isCarrier  bool
 	// election decides whether this instance reads the store for its data centre.
 	election *storereader.Election
-	// instances is the number of the other instances, as last known.
-	instances int
+	// instances is the number of the other instances, carriers that of the carriers of all
+	// data centres, as last known.
+	instances, carriers int
 	// configLag and listLag measure how long this instance has been behind its peers.
 	configLag, listLag lag
 	// pullDelay is the random delay of the next pull of list changes.
@@ -187,7 +188,7 @@
 	listAge, sentAt := t.process.list.age(), task.BootTime()
 	state := t.process.directory.published.Load()
 	m := &cornelholdv1.InstanceReport{
-		ConfigVersion: int64(state.Version), ListOffset: state.Offset, WallMs: time.Now().UnixMilli(),
+		ConfigVersion: int64(state.Version), ConfigBytes: int64(state.ConfigBytes), ListOffset: state.Offset, WallMs: time.Now().UnixMilli(),
 		LeaseOffset: summary.leaseOffset, ListHealthyMs: t.process.list.healthyFor().Milliseconds(),
 		ListAgeMs: listAge.Milliseconds(), StoreLost: t.election.StoreUnavailable(now), SentMs: sentAt.Milliseconds(),
 	}
@@ -251,7 +252,7 @@
 
 // othersKnown distributes the sums over the other instances.
 func (t *peersTask) othersKnown(ctx context.Context, o exchange.Others) {
-	t.instances = o.Reached.Instances
+	t.instances, t.carriers = o.Reached.Instances, len(o.CarrierNodes)
 	t.process.gateway.Post(ctx, gateway.OthersReported{
 		Reached: o.Reached, Lost: o.Lost, Relays: o.Carrier, RelayNodes: o.CarrierNodes,
 	})
--- a/internal/edge/pulls.go
+++ b/internal/edge/pulls.go
@@ -13,8 +13,15 @@
 
 const (
 	// configPullDelay is how long an instance waits for the store to deliver a newer
-	// configuration before it pulls it from a peer.
+	// configuration before it pulls it from a peer, if it is too large to be pulled by
+	// all at once.
 	configPullDelay = 200 * time.Millisecond
+	// configPullShare is the share of the bound within which a configuration must be
+	// active that its transfer from one peer to all that pull from it may take.
+	// configReadShare is the share after which an instance that still lacks it reads the
+	// store.
+	configPullShare = 0.1
+	configReadShare = 0.3
 	// minPullInterval is the minimum time between two pulls.
 	minPullInterval = 400 * time.Millisecond
 	// pullJitterPerPeer times the number of other instances, at most maxPullJitter, bounds the
@@ -33,10 +40,12 @@
 // reportedState is how much of the store a peer has read, as its report states.
 type reportedState struct {
 	// sentAt is the local boot time at which the report was sent, as estimated.
-	sentAt     time.Duration
-	version    catalog.Version
-	listOffset int64
-	dataCentre fleet.DataCentre
+	sentAt  time.Duration
+	version catalog.Version
+	// configBytes is the size of the peer's configuration, 0 if it is not known.
+	configBytes int64
+	listOffset  int64
+	dataCentre  fleet.DataCentre
 	// listCompleteAt is the local boot time at which the peer's list was complete. It
 	// is valid if listAgeKnown is set.
 	listCompleteAt time.Duration
@@ -52,7 +61,7 @@
 	delay, known := from.delay.Observe(milliseconds(m.GetSentMs()), now)
 	return reportedState{
 		sentAt:  now - delay,
-		version: catalog.Version(m.GetConfigVersion()), listOffset: m.GetListOffset(),
+		version: catalog.Version(m.GetConfigVersion()), listOffset: m.GetListOffset(), configBytes: m.GetConfigBytes(),
 		dataCentre:     fleet.DataCentre(m.GetDataCentre()),
 		listCompleteAt: now - delay - milliseconds(m.GetListAgeMs()), listAgeKnown: known && m.GetSentMs() > 0,
 		healthyFor: milliseconds(m.GetListHealthyMs()),
@@ -92,7 +101,7 @@
 // that another instance has read.
 func (t *peersTask) pullIfBehind(ctx context.Context, now time.Duration, from netip.Addr, reported reportedState) {
 	state := t.process.directory.published.Load()
-	configNeeded := t.needsConfigPull(now, state.Version, reported.version)
+	configNeeded := t.needsConfigPull(now, state.Version, reported)
 	listNeeded := t.needsListPull(now, state.Offset, reported)
 	t.process.confirmList(ctx)
 	wanted := t.puller.usagePulls.Load() == 0 || listNeeded || configNeeded
@@ -106,18 +115,33 @@
 	}()
 }
 
-// needsConfigPull reports whether this instance has been behind on the configuration
-// for more than configPullDelay. It first triggers a read of the store.
-func (t *peersTask) needsConfigPull(now time.Duration, own, peer catalog.Version) bool {
-	behindFor, behind := t.configLag.observe(now, int64(own), int64(peer))
+// needsConfigPull reports whether the configuration is pulled from a peer. One that would
+// take long to send to all that pull from the peer is read from the store first.
+func (t *peersTask) needsConfigPull(now time.Duration, own catalog.Version, reported reportedState) bool {
+	behindFor, behind := t.configLag.observe(now, int64(own), int64(reported.version))
 	if !behind {
 		return false
 	}
-	if !t.configLag.storeReadTriggered && !t.process.list.isReader.Load() {
+	pullDelay, readDelay := configPullDelay, time.Duration(0)
+	if t.isQuickToPull(reported.configBytes) {
+		pullDelay, readDelay = 0, shareOf(t.process.deployment.Bounds.ConfigApply, configReadShare)
+	}
+	if behindFor >= readDelay && !t.configLag.storeReadTriggered && !t.process.list.isReader.Load() {
 		t.configLag.storeReadTriggered = true
 		triggerRead(t.process.configTrigger)
 	}
-	return behindFor > configPullDelay
+	return behindFor >= pullDelay
+}
+
+// isQuickToPull reports whether a peer with a link like that of this instance can send a
+// number of bytes quickly to all instances that turn to it: those that a carrier feeds.
+func (t *peersTask) isQuickToPull(bytes int64) bool {
+	if bytes <= 0 || t.carriers == 0 {
+		return false
+	}
+	receivers := (t.instances + t.carriers) / t.carriers
+	limit := shareOf(t.process.deployment.Bounds.ConfigApply, configPullShare).Seconds() * t.process.deployment.LinkBytesPerSecond
+	return float64(bytes)*float64(receivers) <= limit
 }
 
 // needsListPull reports whether list changes are pulled from a peer. The reader of
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -142,7 +142,7 @@
 	group.Go("peers", p.peers.run)
 	group.Go("join", p.peers.joinThroughStore)
 	group.Go("duties", p.duties.run)
-	group.Go("recall allowances", p.restoreQuotaUse)
+	group.Go("restore quota use", p.restoreQuotaUse)
 	group.Go("snapshots", func(ctx context.Context) error {
 		return serveHTTP(ctx, listeners.snapshots, snapshotHandler(p))
 	})
