Count the endpoints of a deployment after they have registered

Change: a planner that is the first of its deployment counts for 2.5 s, two check-in intervals, and orders nothing before. TestEndpointsThatRegisterLateAreCounted fails without it. Two tests look at the result after 5 s now, no longer after 2 s, since nothing is ordered before 2.5 s; traffic begins later than both. Instances are no candidates for the lease before they know who the carriers are: all read it at their start before.

--- a/internal/core/scaling/plan.go
+++ b/internal/core/scaling/plan.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -26,6 +25,9 @@
 	// demand is known. Until then as many endpoints as there were at first are kept,
 	// at most one for each instance.
 	demandStabilization = 10 * time.Second
+	// initialCountTime is the time from the start of a deployment in which its endpoints
+	// register. Nothing is ordered before it is over.
+	initialCountTime = 2500 * time.Millisecond
 	// reorderMargin is added to the boot time of an endpoint before an order that
 	// has not taken effect is sent again.
 	reorderMargin = 2 * time.Second
@@ -74,8 +76,11 @@
 	// inherited is set if another instance held the duty before. Its orders are
 	// lowered only after scaleDownDelay, like the planner's own.
 	inherited bool
-	// initial is the number of endpoints of each service when it was first seen.
-	initial map[fleet.ServiceName]int
+	// initial is the highest number of endpoints of each service within initialCountTime
+	// from countedFrom, unless the planner is inherited.
+	initial     map[fleet.ServiceName]int
+	countedFrom time.Duration
+	counting    bool
 }
 
 // NewPlanner returns a planner without orders.
@@ -87,13 +92,15 @@
 // inherited states whether another instance held the duty before.
 func (p *Planner) Reset(inherited bool) {
 	clear(p.orders)
-	p.inherited = inherited
+	p.inherited, p.counting = inherited, false
 }
 
 // NextOrder returns the next order to send, if one is due.
 func (p *Planner) NextOrder(now time.Duration, c *catalog.Catalog, endpoints []catalog.Endpoint, demand *Demand) (Order, bool) {
 	present := countPresent(endpoints)
-	p.noteInitial(present)
+	if !p.inherited && p.countInitial(now, present) {
+		return Order{}, false
+	}
 	for _, order := range p.targets(now, c, present, demand) {
 		if p.due(now, c, order, present[order.EndpointGroup]) {
 			p.orders[order.EndpointGroup] = orderState{count: order.Count, sentAt: now, maxPresent: present[order.EndpointGroup]}
@@ -194,15 +201,23 @@
 	return max(float64(min(p.initial[name], demand.ReportingInstances())), minEndpoints)
 }
 
-// noteInitial records the number of endpoints of services that are seen for the first time.
-func (p *Planner) noteInitial(present map[EndpointGroup]int) {
+// countInitial records the number of endpoints of each service at the start of a deployment.
+// It reports whether further ones may still register.
+func (p *Planner) countInitial(now time.Duration, present map[EndpointGroup]int) bool {
+	if !p.counting {
+		p.counting, p.countedFrom = true, now
+	}
+	if now >= p.countedFrom+initialCountTime {
+		return false
+	}
 	counts := make(map[fleet.ServiceName]int)
 	for group, n := range present {
-		if _, ok := p.initial[group.Service]; !ok {
-			counts[group.Service] += n
-		}
+		counts[group.Service] += n
+	}
+	for service, n := range counts {
+		p.initial[service] = max(p.initial[service], n)
 	}
-	maps.Copy(p.initial, counts)
+	return true
 }
 
 // serviceTargets distributes the needed endpoints so that losing all reclaimable
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -103,6 +103,7 @@
 		usage:    duty.NewUsage(), clock: duty.NewClockEstimate(), planner: scaling.NewPlanner(), demand: scaling.NewDemand(),
 	}
 	t.summary.Store(&dutiesSummary{leaseOffset: -1})
+	t.lease.Step(task.BootTime(), duty.LeaseCandidacy{})
 	return t
 }
 
