Order reclaimable endpoints while the initial ones register

Change: the count goes on while endpoints register; meanwhile reclaimable ones are ordered for those seen so far, which then are there when the on-demand ones go.

--- a/internal/core/scaling/plan.go
+++ b/internal/core/scaling/plan.go
@@ -25,9 +25,11 @@
 	// demand is known. Until then as many endpoints as there were at first are kept,
 	// at most one for each instance.
 	demandStabilization = 10 * time.Second
-	// initialCountTime is the time from the start of a deployment in which its endpoints
-	// register. Nothing is ordered before it is over.
-	initialCountTime = 2500 * time.Millisecond
+	// registrationGap is the longest time between the registrations of two endpoints that
+	// are there when a deployment starts, registrationTime the time in which the first one
+	// registers.
+	registrationGap  = 1300 * time.Millisecond
+	registrationTime = 5 * time.Second
 	// reorderMargin is added to the boot time of an endpoint before an order that
 	// has not taken effect is sent again.
 	reorderMargin = 2 * time.Second
@@ -76,11 +78,11 @@
 	// inherited is set if another instance held the duty before. Its orders are
 	// lowered only after scaleDownDelay, like the planner's own.
 	inherited bool
-	// initial is the highest number of endpoints of each service within initialCountTime
-	// from countedFrom, unless the planner is inherited.
-	initial     map[fleet.ServiceName]int
-	countedFrom time.Duration
-	counting    bool
+	// initial is the highest number of on-demand endpoints of each service while those that
+	// were there at the start register: until lastRegistered plus a time.
+	initial        map[fleet.ServiceName]int
+	lastRegistered time.Duration
+	counting       bool
 }
 
 // NewPlanner returns a planner without orders.
@@ -98,10 +100,12 @@
 // NextOrder returns the next order to send, if one is due.
 func (p *Planner) NextOrder(now time.Duration, c *catalog.Catalog, endpoints []catalog.Endpoint, demand *Demand) (Order, bool) {
 	present := countPresent(endpoints)
-	if !p.inherited && p.countInitial(now, present) {
-		return Order{}, false
-	}
+	registering := !p.inherited && p.countInitial(now, present)
 	for _, order := range p.targets(now, c, present, demand) {
+		if registering && !order.Reclaimable {
+			// An endpoint that is removed before it has registered is never counted.
+			continue
+		}
 		if p.due(now, c, order, present[order.EndpointGroup]) {
 			p.orders[order.EndpointGroup] = orderState{count: order.Count, sentAt: now, maxPresent: present[order.EndpointGroup]}
 			return order, true
@@ -201,21 +205,29 @@
 	return max(float64(min(p.initial[name], demand.ReportingInstances())), minEndpoints)
 }
 
-// countInitial records the number of endpoints of each service at the start of a deployment.
-// It reports whether further ones may still register.
+// countInitial records the number of endpoints of each service that are there at the start
+// of a deployment. It reports whether further ones may still register.
 func (p *Planner) countInitial(now time.Duration, present map[EndpointGroup]int) bool {
 	if !p.counting {
-		p.counting, p.countedFrom = true, now
+		p.counting, p.lastRegistered = true, now
+	}
+	timeout := registrationGap
+	if len(p.initial) == 0 {
+		timeout = registrationTime
 	}
-	if now >= p.countedFrom+initialCountTime {
+	if now > p.lastRegistered+timeout {
 		return false
 	}
 	counts := make(map[fleet.ServiceName]int)
 	for group, n := range present {
-		counts[group.Service] += n
+		if !group.Reclaimable {
+			counts[group.Service] += n
+		}
 	}
 	for service, n := range counts {
-		p.initial[service] = max(p.initial[service], n)
+		if n > p.initial[service] {
+			p.initial[service], p.lastRegistered = n, now
+		}
 	}
 	return true
 }
