Bound the framing of a response by its body

Cause: the limit of the framing did not depend on the body, so that an endpoint could keep an instance busy with 17 MiB of chunks of one byte, three million. Change: beyond 1 MiB, framing may be as large as the body so far.

--- a/internal/socket/limit.go
+++ b/internal/socket/limit.go
@@ -29,6 +29,9 @@
 // SetLimit sets the number of bytes that may still be read.
 func (l *LimitedReader) SetLimit(bytes int64) { l.remaining = bytes }
 
+// Extend adds to the number of bytes that may still be read.
+func (l *LimitedReader) Extend(bytes int64) { l.remaining += bytes }
+
 // ClearLimit removes the limit.
 func (l *LimitedReader) ClearLimit() { l.remaining = math.MaxInt64 }
 
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -143,6 +143,30 @@
 	}
 }
 
+// TestFramingIsBoundedByBody guards against an endpoint that keeps an instance busy with
+// millions of tiny chunks: framing may not be many times the size of the body.
+func TestFramingIsBoundedByBody(t *testing.T) {
+	// maxSentBytes includes what the buffers of both sockets hold.
+	const maxSentBytes = maxFramingBytes + 6<<20
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	sent := make(chan int, 1)
+	address := serve(t, func(conn net.Conn) {
+		total := 0
+		data := []byte(strings.Repeat("1\r\na\r\n", 1000))
+		_, err := io.WriteString(conn, chunkedHead)
+		for n := 0; err == nil; total += n {
+			n, err = conn.Write(data)
+		}
+		sent <- total
+	})
+	request := Request{Address: address, Method: http.MethodGet, Target: "/", Host: "h", AttemptID: "a"}
+	_, ok := lastEvent(t, ctx, StartExchange(ctx, startPool(t, ctx, task.NewClock()), request)).(Failed)
+	is.True(ok)
+	is.True(<-sent <= maxSentBytes)
+}
+
 // TestManyEndlessResponsesFitIntoMemory guards against an instance that exceeds its memory
 // because many responses without end are buffered at the same time.
 func TestManyEndlessResponsesFitIntoMemory(t *testing.T) {
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -17,8 +17,10 @@
 const (
 	// maxResponseBytes bounds the body of a response that is not a stream.
 	maxResponseBytes = 16 << 20
-	// maxFramingBytes bounds what surrounds a body: chunk sizes and trailers.
+	// maxFramingBytes bounds what surrounds a body, chunk sizes and trailers, beyond
+	// framingRatio bytes for each byte of the body.
 	maxFramingBytes = 1 << 20
+	framingRatio    = 1
 	// maxBufferedBytes bounds the bodies of all responses that are buffered at the
 	// same time, beyond the first uncountedBytes of each.
 	maxBufferedBytes = 32 << 20
@@ -96,11 +98,11 @@
 
 // readFull reads a response that is not a stream into memory.
 func (x *exchange) readFull(ctx context.Context, c *Conn, resp *http.Response, decoded platform.EndpointResponse) (Event, error) {
-	c.limit.SetLimit(maxResponseBytes + maxFramingBytes)
+	c.limit.SetLimit(maxFramingBytes)
 	if resp.ContentLength > maxResponseBytes {
 		return nil, Error.New("response body of %d bytes exceeds the limit of %d bytes", resp.ContentLength, maxResponseBytes)
 	}
-	buffer := bodyBuffer{memory: x.pool.memory, length: resp.ContentLength}
+	buffer := bodyBuffer{memory: x.pool.memory, limit: c.limit, length: resp.ContentLength}
 	body, err := buffer.readAll(resp.Body)
 	if err != nil {
 		return nil, err
@@ -114,6 +116,8 @@
 // that all buffered responses share.
 type bodyBuffer struct {
 	memory *semaphore.Weighted
+	// limit is extended by what each byte of the body permits.
+	limit *socket.LimitedReader
 	// length is the stated length of the body, -1 if it is not known.
 	length   int64
 	reserved int64
@@ -129,6 +133,7 @@
 		}
 		n, err := body.Read(b.data[len(b.data):cap(b.data)])
 		b.data = b.data[:len(b.data)+n]
+		b.limit.Extend(int64(n) * (1 + framingRatio))
 		switch {
 		case errors.Is(err, io.EOF):
 			return b.data, nil
