--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -140,6 +140,7 @@
 			replica.SetFault(replicaFault)
 			return func() { replica.SetFault(userplatform.FaultNone) }
 		}},
+		pauseFault(replica),
 		{"crash of replica " + replica.ID, func(context.Context, time.Duration) func() {
 			replica.Crash()
 			return func() {}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -113,6 +113,7 @@
 	if err != nil {
 		return Result{}, err
 	}
+	violations = append(violations, r.checkStatements(ctx)...)
 	violations = append(violations, r.checkRecovery(ctx)...)
 	violations = append(violations, r.checkPausedProcesses(ctx)...)
 	stopClients()
--- /dev/null
+++ b/internal/soak/statements.go
@@ -0,0 +1,85 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/cornelhold/cornelhold/internal/standin/userplatform"
+)
+
+const (
+	// statementProbes is the number of requests by which a process learns what a replica
+	// states, and then shows whether it heeds it.
+	statementProbes = 20
+	// pauseLength is the pause that a replica asks for, pauseNotice the time until it must
+	// be observed, and maxRequestsInPause the number of requests of each process that may
+	// still arrive.
+	pauseLength        = 3 * time.Second
+	pauseNotice        = 500 * time.Millisecond
+	maxRequestsInPause = 2
+	// leavingBound is the time within which requests must no longer be sent to a replica
+	// that has stated that it leaves.
+	leavingBound = 2 * time.Second
+	streamTarget = "/stream/probe"
+)
+
+// pauseFault makes a replica ask for a pause for as long as the fault lasts.
+func pauseFault(replica *userplatform.Replica) fault {
+	return fault{"pause of replica " + replica.ID, func(_ context.Context, length time.Duration) func() {
+		replica.SetPause(fmt.Sprint(length.Seconds()))
+		return func() { replica.SetPause("") }
+	}}
+}
+
+// checkStatements checks that every process observes the pause that a replica asks for, and
+// leaves one that states that it leaves, although the list calls both ready.
+func (r *run) checkStatements(ctx context.Context) []string {
+	paused, leaving := r.fleet.ModelReplicas[0], r.fleet.ModelReplicas[1]
+	return append(r.checkPause(ctx, paused), r.checkLeaving(ctx, leaving)...)
+}
+
+func (r *run) checkPause(ctx context.Context, replica *userplatform.Replica) []string {
+	replica.SetPause(fmt.Sprint(pauseLength.Seconds()))
+	defer replica.SetPause("")
+	r.probeStreams(ctx)
+	sleep(ctx, pauseNotice)
+	before := replica.RejectedInPause()
+	if before == 0 {
+		return []string{fmt.Sprintf("replica %s got no request and could not ask for a pause", replica.ID)}
+	}
+	r.probeStreams(ctx)
+	if added := replica.RejectedInPause() - before; added > maxRequestsInPause*len(r.fleet.Edges) {
+		return []string{fmt.Sprintf("replica %s got %d requests in the pause that it had asked for", replica.ID, added)}
+	}
+	return nil
+}
+
+func (r *run) checkLeaving(ctx context.Context, replica *userplatform.Replica) []string {
+	replica.SetLeaving()
+	r.probeStreams(ctx)
+	sleep(ctx, leavingBound)
+	before := len(replica.Runs())
+	r.probeStreams(ctx)
+	if added := len(replica.Runs()) - before; added > 0 {
+		return []string{fmt.Sprintf("replica %s got %d requests after it had stated that it leaves", replica.ID, added)}
+	}
+	return nil
+}
+
+// probeStreams sends requests to all processes at the same time.
+func (r *run) probeStreams(ctx context.Context) {
+	key := *r.key.Load()
+	done := make(chan struct{})
+	for _, e := range r.fleet.Edges {
+		go func() {
+			lo.Times(statementProbes, func(int) int { return r.probeTarget(ctx, e, key, streamTarget) })
+			done <- struct{}{}
+		}()
+	}
+	for range r.fleet.Edges {
+		<-done
+	}
+}
