Let all replicas of a service ask for a pause in the soak's check

With one of three pausing, a program that ignores pauses passed the check, as it turned to the others.

--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -34,25 +34,30 @@
 	}}
 }
 
-// checkStatements checks that every process observes the pause that a replica asks for, and
-// leaves one that states that it leaves, although the list calls both ready.
+// checkStatements checks that every process observes the pause that the replicas of a service
+// ask for, and leaves one that states that it leaves, although the list calls all ready.
 func (r *run) checkStatements(ctx context.Context) []string {
-	paused, leaving := r.fleet.ModelReplicas[0], r.fleet.ModelReplicas[1]
-	return append(r.checkPause(ctx, paused), r.checkLeaving(ctx, leaving)...)
+	return append(r.checkPause(ctx), r.checkLeaving(ctx, r.fleet.ModelReplicas[0])...)
 }
 
-func (r *run) checkPause(ctx context.Context, replica *userplatform.Replica) []string {
-	replica.SetPause(fmt.Sprint(pauseLength.Seconds()))
-	defer replica.SetPause("")
+// checkPause makes all replicas of a service ask for a pause, so that there is no other to
+// turn to.
+func (r *run) checkPause(ctx context.Context) []string {
+	replicas := r.fleet.ModelReplicas
+	rejected := func() int { return lo.SumBy(replicas, (*userplatform.Replica).RejectedInPause) }
+	for _, replica := range replicas {
+		replica.SetPause(fmt.Sprint(pauseLength.Seconds()))
+		defer replica.SetPause("")
+	}
 	r.probeStreams(ctx)
 	sleep(ctx, pauseNotice)
-	before := replica.RejectedInPause()
+	before := rejected()
 	if before == 0 {
-		return []string{fmt.Sprintf("replica %s got no request and could not ask for a pause", replica.ID)}
+		return []string{"no replica could ask for a pause"}
 	}
 	r.probeStreams(ctx)
-	if added := replica.RejectedInPause() - before; added > maxRequestsInPause*len(r.fleet.Edges) {
-		return []string{fmt.Sprintf("replica %s got %d requests in the pause that it had asked for", replica.ID, added)}
+	if added := rejected() - before; added > maxRequestsInPause*len(r.fleet.Edges)*len(replicas) {
+		return []string{fmt.Sprintf("replicas got %d requests in the pause that they had asked for", added)}
 	}
 	return nil
 }
