Choose the instances with the widest links as carriers

Cause: ranks ignored bandwidth, and an instance without contact sent digests to all data centres at once, which filled the links of the carriers for good. A new reader went on waiting, for up to 0.55 of the drain bound, before it read. Change: the instances with the highest bandwidth are carriers (the records of instances and datagrams state it); one without contact speaks for its data centre only after a while; the reader is a carrier of a second or more, and reads at once. TestLostContactStartsNoDigests and TestCarriersHaveTheWidestLinks fail without it.

--- a/internal/core/exchange/book.go
+++ b/internal/core/exchange/book.go
@@ -19,8 +19,8 @@
 type book struct {
 	self  Address
 	known map[Address]Instance
-	// ranked are the addresses of each data centre in the order of their ranks.
-	ranked map[fleet.DataCentre][]Address
+	// ranked are the instances of each data centre in the order of their ranks.
+	ranked map[fleet.DataCentre][]Instance
 	// cursors are the positions of the next probes, sampled that of the next sample.
 	cursors map[fleet.DataCentre]int
 	sampled int
@@ -28,27 +28,27 @@
 
 func newBook(self Address) book {
 	return book{
-		self: self, known: make(map[Address]Instance), ranked: make(map[fleet.DataCentre][]Address),
+		self: self, known: make(map[Address]Instance), ranked: make(map[fleet.DataCentre][]Instance),
 		cursors: make(map[fleet.DataCentre]int),
 	}
 }
 
-// learn adds an instance, or its data centre if that was not known.
+// learn adds an instance, or what was not known of it.
 func (b *book) learn(i Instance) {
 	old, ok := b.known[i.Address]
-	if i.Address == "" || i.Address == b.self || ok && (old.DataCentre == i.DataCentre || i.DataCentre == "") {
+	if i.Address == "" || i.Address == b.self || ok && (old == i || i.DataCentre == "") {
 		return
 	}
 	if !ok && len(b.known) >= maxInstances {
 		return
 	}
 	if ok {
-		b.ranked[old.DataCentre] = slices.DeleteFunc(b.ranked[old.DataCentre], func(a Address) bool { return a == i.Address })
+		b.ranked[old.DataCentre] = slices.DeleteFunc(b.ranked[old.DataCentre], func(r Instance) bool { return r.Address == i.Address })
 	}
 	b.known[i.Address] = i
 	list := b.ranked[i.DataCentre]
-	at, _ := slices.BinarySearchFunc(list, i.Address, compareRanks)
-	b.ranked[i.DataCentre] = slices.Insert(list, at, i.Address)
+	at, _ := slices.BinarySearchFunc(list, i, compareRanks)
+	b.ranked[i.DataCentre] = slices.Insert(list, at, i)
 }
 
 // dataCentres returns the data centres of the known instances in a fixed order.
@@ -67,7 +67,7 @@
 	all := b.ranked[dc]
 	var list []Address
 	for range min(n, len(all)) {
-		list = append(list, all[b.cursors[dc]%len(all)])
+		list = append(list, all[b.cursors[dc]%len(all)].Address)
 		b.cursors[dc]++
 	}
 	return list
@@ -81,7 +81,7 @@
 		if dc == "" || len(all) == 0 || len(list) >= sampleSize {
 			continue
 		}
-		list = append(list, b.known[all[b.sampled%len(all)]])
+		list = append(list, all[b.sampled%len(all)])
 	}
 	b.sampled++
 	return list
--- a/internal/core/exchange/exchange.go
+++ b/internal/core/exchange/exchange.go
@@ -30,6 +30,9 @@
 	// lostTTL is how long a lost instance is counted as such. Until then it may be cut
 	// off and admit requests.
 	lostTTL = 30 * time.Second
+	// aloneTime is the time without contact to its data centre after which an instance
+	// speaks for it.
+	aloneTime = 2 * aliveTTL
 	// sumsPerInterval is the number of messages after which a carrier adds up the sums
 	// again within an interval. With more senders it does so at its ticks only.
 	sumsPerInterval = 48
@@ -128,10 +131,23 @@
 // reaches no other is.
 func (e *Exchange) IsCarrier() bool { return e.isCarrier }
 
+// speaksForDataCentre reports whether this instance sends digests: others report to it, or
+// have not answered for long. An instance that has lost its carriers for a moment does not,
+// since many may at the same time.
+func (e *Exchange) speaksForDataCentre(now time.Duration) bool {
+	return len(e.members.alive(now)) > 0 || len(e.book.ranked[e.options.Self.DataCentre]) == 0 ||
+		now-e.carrierSince > aloneTime
+}
+
+// IsSettled reports whether this instance has been a carrier for some time.
+func (e *Exchange) IsSettled(now time.Duration) bool {
+	return e.isCarrier && now-e.carrierSince >= minListedTime
+}
+
 // knowsSums reports whether this instance has been a carrier for long enough that all
 // instances of its data centre report to it, or nobody feeds it.
 func (e *Exchange) knowsSums(now time.Duration) bool {
-	return e.isCarrier && (now-e.carrierSince >= minListedTime || !e.feeds.isFed(now))
+	return e.isCarrier && (e.IsSettled(now) || !e.feeds.isFed(now))
 }
 
 // contains reports whether this instance is one of the carriers.
@@ -172,12 +188,17 @@
 	case b.Holder && !a.Holder:
 		return 1
 	}
-	return compareRanks(a.Address, b.Address)
+	return compareRanks(a.Instance, b.Instance)
 }
 
-// compareRanks orders instances by their rank, which is the same everywhere.
-func compareRanks(a, b Address) int {
-	return cmp.Or(cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))), cmp.Compare(a, b))
+// compareRanks orders instances by their rank, which is the same everywhere: those with the
+// highest bandwidth come first.
+func compareRanks(a, b Instance) int {
+	return cmp.Or(
+		cmp.Compare(b.Bandwidth, a.Bandwidth),
+		cmp.Compare(xxhash.Sum64String(string(a.Address)), xxhash.Sum64String(string(b.Address))),
+		cmp.Compare(a.Address, b.Address),
+	)
 }
 
 func (e *Exchange) tick(now time.Duration, t Tick) []Action {
@@ -196,7 +217,9 @@
 		return append(actions, e.sendCarriers(now, message)...)
 	}
 	own := e.ownGroup(now, t.Own)
-	actions = append(actions, e.sendDigests(now, own, message)...)
+	if e.speaksForDataCentre(now) {
+		actions = append(actions, e.sendDigests(now, own, message)...)
+	}
 	actions = append(actions, e.sendFeeds(now, own, message)...)
 	if e.knowsSums(now) {
 		actions = append(actions, e.others(now))
@@ -262,14 +285,14 @@
 // reported. Groups of instances that a partition has separated, or that formed around
 // different instances, join in this way.
 func (e *Exchange) silentInstances(now time.Duration, carriers []Carrier) []Address {
-	last := carriers[len(carriers)-1].Address
+	last := carriers[len(carriers)-1].Instance
 	var silent []Address
-	for _, a := range e.book.ranked[e.options.Self.DataCentre] {
-		if compareRanks(a, last) >= 0 {
+	for _, i := range e.book.ranked[e.options.Self.DataCentre] {
+		if compareRanks(i, last) >= 0 {
 			break
 		}
-		if !e.members.isAlive(now, a) {
-			silent = append(silent, a)
+		if !e.members.isAlive(now, i.Address) {
+			silent = append(silent, i.Address)
 		}
 	}
 	var probes []Address
--- a/internal/core/exchange/exchange_test.go
+++ b/internal/core/exchange/exchange_test.go
@@ -251,7 +251,7 @@
 	}
 	is.Equal(s.nodes[restarted].others.Reached.Tally.Used["team"].Total(), 20.0) // with that of its earlier boot
 	s.runUntil(s.now + quotaWindow)
-	is.Equal(s.nodes[0].others.Reached.Tally.Used["team"].Total(), 18.0)
+	is.Equal(s.nodes[len(s.nodes)-1].others.Reached.Tally.Used["team"].Total(), 18.0)
 }
 
 // TestHolderOfDutiesIsCarrier guards against duties that are performed by an instance to
@@ -273,3 +273,32 @@
 	}
 	is.Equal(carriers, CarriersPerDataCentre)
 }
+
+// TestCarriersHaveTheWidestLinks guards against carriers whose links are full with feeds and
+// digests, so that the instances which they feed lose contact (hzk-dial-large scale-1).
+func TestCarriersHaveTheWidestLinks(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(8, 80, 4)
+	s.runUntil(startTime)
+	for _, n := range s.nodes {
+		for _, other := range s.nodes {
+			if n.exchange.IsCarrier() && !other.exchange.IsCarrier() && n.instance.DataCentre == other.instance.DataCentre {
+				is.True(n.instance.Bandwidth >= other.instance.Bandwidth)
+			}
+		}
+	}
+}
+
+// TestLostContactStartsNoDigests guards against digests to all other data centres from many
+// instances that have lost their carriers for a moment, whose links these then fill.
+func TestLostContactStartsNoDigests(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(9, 120, 3)
+	s.runUntil(startTime)
+	s.cut = func(from, to *node) bool { return from.instance.DataCentre == to.instance.DataCentre }
+	s.remoteMessages = 0
+	const length = 2 * time.Second
+	s.runUntil(s.now + length)
+	const pairs = 3 * 2
+	is.True(s.remoteMessages <= int(length/Interval+1)*pairs*CarriersPerDataCentre*CarriersPerDataCentre)
+}
--- a/internal/core/exchange/messages.go
+++ b/internal/core/exchange/messages.go
@@ -25,6 +25,9 @@
 	Address    Address
 	Node       string
 	DataCentre fleet.DataCentre
+	// Bandwidth is that of its network link in bytes a second. Instances with the highest
+	// one are preferred as carriers.
+	Bandwidth int64
 }
 
 // Carrier is a carrier of a data centre. Holder is set while it holds the lease of the
--- a/internal/core/exchange/simulation_test.go
+++ b/internal/core/exchange/simulation_test.go
@@ -88,7 +88,7 @@
 	for i := range n {
 		instance := Instance{
 			Address: Address(fmt.Sprintf("10.%d.0.%d", i%dcs, i)), Node: fmt.Sprint("edge-", i),
-			DataCentre: fleet.DataCentre(fmt.Sprint("dc-", i%dcs)),
+			DataCentre: fleet.DataCentre(fmt.Sprint("dc-", i%dcs)), Bandwidth: int64(i % 20),
 		}
 		s.nodes = append(s.nodes, &node{instance: instance})
 		s.byAddress[instance.Address] = i
--- a/internal/edge/exchangecodec.go
+++ b/internal/edge/exchangecodec.go
@@ -15,6 +15,7 @@
 func encodeExchange(m exchange.Message, into *cornelholdv1.InstanceReport) {
 	into.Node, into.Boot, into.Ip = m.Sender.Node, m.Boot, string(m.Sender.Address)
 	into.DataCentre, into.UptimeMs = string(m.Sender.DataCentre), m.Uptime.Milliseconds()
+	into.Bandwidth = m.Sender.Bandwidth
 	into.Leaving, into.Held = m.Leaving, m.Holder
 	into.Carriers = lo.Map(m.Carriers, func(c exchange.Carrier, _ int) *cornelholdv1.InstanceAddress {
 		a := encodeInstance(c.Instance, 0)
@@ -43,6 +44,7 @@
 	e := exchange.Message{
 		Sender: exchange.Instance{
 			Address: exchange.Address(from), Node: m.GetNode(), DataCentre: fleet.DataCentre(m.GetDataCentre()),
+			Bandwidth: m.GetBandwidth(),
 		},
 		Boot: m.GetBoot(), Uptime: age(m.GetUptimeMs()), Leaving: m.GetLeaving(), Holder: m.GetHeld(),
 		Carriers: lo.Map(m.GetCarriers(), func(a *cornelholdv1.InstanceAddress, _ int) exchange.Carrier {
@@ -66,12 +68,13 @@
 }
 
 func encodeInstance(i exchange.Instance, _ int) *cornelholdv1.InstanceAddress {
-	return &cornelholdv1.InstanceAddress{Address: string(i.Address), Node: i.Node, DataCentre: string(i.DataCentre)}
+	return &cornelholdv1.InstanceAddress{Address: string(i.Address), Node: i.Node, DataCentre: string(i.DataCentre), Bandwidth: i.Bandwidth}
 }
 
 func decodeInstance(a *cornelholdv1.InstanceAddress, _ int) exchange.Instance {
 	return exchange.Instance{
 		Address: exchange.Address(a.GetAddress()), Node: a.GetNode(), DataCentre: fleet.DataCentre(a.GetDataCentre()),
+		Bandwidth: a.GetBandwidth(),
 	}
 }
 
--- a/internal/edge/exchangecodec_test.go
+++ b/internal/edge/exchangecodec_test.go
@@ -52,7 +52,7 @@
 // on the way, and against the part for one receiver of a feed that is not merged.
 func TestExchangeIsDecodedAsEncoded(t *testing.T) {
 	is := is.New(t)
-	sender := exchange.Instance{Address: "10.1.0.14", Node: "n", DataCentre: "dc"}
+	sender := exchange.Instance{Address: "10.1.0.14", Node: "n", DataCentre: "dc", Bandwidth: 2500000}
 	want := exchange.Message{
 		Sender: sender, Boot: "b", Uptime: 1500000000, Leaving: true, Holder: true,
 		Carriers: []exchange.Carrier{{Instance: sender, Holder: true}}, Known: []exchange.Instance{{Address: "10.2.0.1", Node: "m", DataCentre: "other"}},
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -86,6 +88,7 @@
 	t.exchange = exchange.New(exchange.Options{
 		Self: exchange.Instance{
 			Address: exchange.Address(p.deployment.IP), Node: p.deployment.Node, DataCentre: p.deployment.DataCentre,
+			Bandwidth: int64(p.deployment.LinkBytesPerSecond),
 		},
 		Boot: boot, QuotaWindow: p.deployment.Bounds.QuotaWindow, StartedAt: t.startedAt,
 	})
@@ -175,8 +178,13 @@
 	} else {
 		t.election.StoreRead()
 	}
-	isReader := t.isCarrier && t.election.IsReader(now)
+	isReader := t.exchange.IsSettled(now) && t.election.IsReader(now)
 	if t.process.list.isReader.Swap(isReader) != isReader {
+		if isReader {
+			// Both followers may wait for as long as an instance that is no reader does.
+			triggerRead(t.process.configTrigger)
+			triggerRead(t.process.listTrigger)
+		}
 		t.process.log.WithFields(log.Fields{"reads": isReader, "store_lost": t.election.StoreUnavailable(now)}).Info("reader of the store changed")
 	}
 }
@@ -331,9 +339,7 @@
 
 // joinThroughStore registers this instance in the store and posts the others to the task.
 func (t *peersTask) joinThroughStore(ctx context.Context) error {
-	record := platform.Record{
-		Key: t.process.deployment.Node, Value: []byte(t.process.deployment.IP + " " + string(t.process.deployment.DataCentre)),
-	}
+	record := platform.Record{Key: t.process.deployment.Node, Value: formatInstance(t.process.deployment)}
 	for registered := false; ctx.Err() == nil; {
 		if !registered {
 			_, err := t.process.store.Append(ctx, platform.TopicMembers, record)
@@ -348,12 +354,21 @@
 	return nil
 }
 
-// parseInstances decodes the records of instances: an address and, except in those of older
-// versions, a data centre. Malformed ones are left out.
+// formatInstance returns the content of the record of an instance: its address, data centre
+// and bandwidth.
+func formatInstance(d platform.Deployment) []byte {
+	return fmt.Appendf(nil, "%s %s %d", d.IP, d.DataCentre, int64(d.LinkBytesPerSecond))
+}
+
+// parseInstances decodes the records of instances. Those of older versions have an address
+// only. Malformed ones are left out.
 func parseInstances(records []platform.Record) []exchange.Instance {
 	return lo.FilterMap(records, func(r platform.Record, _ int) (exchange.Instance, bool) {
-		address, dc, _ := strings.Cut(string(r.Value), " ")
-		a, err := netip.ParseAddr(address)
-		return exchange.Instance{Address: exchange.Address(a.String()), Node: r.Key, DataCentre: fleet.DataCentre(dc)}, err == nil
+		fields := append(strings.Fields(string(r.Value)), "", "", "")
+		a, err := netip.ParseAddr(fields[0])
+		bandwidth, _ := strconv.ParseInt(fields[2], 10, 64) // 0 if it is not stated
+		return exchange.Instance{
+			Address: exchange.Address(a.String()), Node: r.Key, DataCentre: fleet.DataCentre(fields[1]), Bandwidth: bandwidth,
+		}, err == nil
 	})
 }
