--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cornelhold/cornelhold/internal/core/exchange"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/quarantine"
 )
@@ -20,8 +21,9 @@
 	// directSettleTime is the time from a crash until all instances know the suspects of
 	// the others if those report to each other, relayedSettleTime if the reports pass two
 	// relays. One report may be lost on the way.
-	directSettleTime  = 500 * time.Millisecond
-	relayedSettleTime = 900 * time.Millisecond
+	directSettleTime  = 2*exchange.Interval + settleMargin
+	relayedSettleTime = (exchange.ReportHops+1)*exchange.Interval + settleMargin
+	settleMargin      = 100 * time.Millisecond
 	// decisionInterval is the minimum time between two searches for causes.
 	decisionInterval = 200 * time.Millisecond
 	// maxSuspectTraits bounds the suspects of one request.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/netip"
 	"slices"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -23,7 +20,6 @@
 	"github.com/cornelhold/cornelhold/internal/core/storereader"
 	"github.com/cornelhold/cornelhold/internal/core/transit"
 	"github.com/cornelhold/cornelhold/internal/task"
-	"github.com/cornelhold/cornelhold/platform"
 )
 
 const (
@@ -189,75 +185,6 @@
 	}
 }
 
-// ownState returns the part of a datagram that describes this instance.
-func (t *peersTask) ownState(now time.Duration, crashes gateway.CrashReport, summary dutiesSummary) *cornelholdv1.InstanceReport {
-	// The age is read before the state, so that the state is at least as new as the
-	// reported age.
-	listAge, sentAt := t.process.list.age(), task.BootTime()
-	state := t.process.directory.published.Load()
-	m := &cornelholdv1.InstanceReport{
-		ConfigVersion: int64(state.Version), ConfigBytes: int64(state.ConfigBytes), ListOffset: state.Offset, WallMs: time.Now().UnixMilli(),
-		LeaseOffset: summary.leaseOffset, ListHealthyMs: t.process.list.healthyFor().Milliseconds(),
-		ListAgeMs: listAge.Milliseconds(), StoreLost: t.election.StoreUnavailable(now), SentMs: sentAt.Milliseconds(),
-	}
-	encodeCrashes(crashes, t.process.clock.Now(), m)
-	return m
-}
-
-// send sends a message of the exchange together with the state of this instance.
-func (t *peersTask) send(a exchange.Send, state *cornelholdv1.InstanceReport, summary dutiesSummary) {
-	m := proto.CloneOf(state)
-	encodeExchange(a.Message, m)
-	if m.Report != nil {
-		m.Windows = lo.Map(summary.own, encodeWindow)
-	}
-	if m.Digest != nil {
-		m.Digest.Windows = lo.Map(summary.centre, encodeWindow)
-	}
-	if data, ok := t.encode(m); ok {
-		for _, to := range a.To {
-			t.write(data, to)
-		}
-	}
-}
-
-// sendFeed sends a feed. What differs by receiver is appended to the encoded message, which
-// is the same as a merge of both.
-func (t *peersTask) sendFeed(a exchange.SendFeed, state *cornelholdv1.InstanceReport, summary dutiesSummary) {
-	m := proto.CloneOf(state)
-	encodeExchange(a.Message, m)
-	m.Feed.Clocks = encodeClocks(summary.clocks)
-	data, ok := t.encode(m)
-	if !ok {
-		return
-	}
-	for i, to := range a.To {
-		own, ok := t.encode(&cornelholdv1.InstanceReport{Feed: &cornelholdv1.DeploymentFeed{Included: a.Included[i]}})
-		if ok {
-			t.write(slices.Concat(data, own), to)
-		}
-	}
-}
-
-func (t *peersTask) encode(m *cornelholdv1.InstanceReport) ([]byte, bool) {
-	data, err := proto.Marshal(m)
-	if err != nil || len(data) > maxDatagram {
-		t.process.log.WithField("bytes", len(data)).WithError(err).Warn("peer report could not be encoded or is too large")
-		return nil, false
-	}
-	return data, true
-}
-
-func (t *peersTask) write(data []byte, to exchange.Address) {
-	address, err := netip.ParseAddr(string(to))
-	if err != nil {
-		t.process.metrics.malformed.WithLabelValues("peer").Inc()
-		return
-	}
-	// A lost datagram is superseded by the next one.
-	_, _ = t.conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(address, uint16(t.process.deployment.FirstPeerPort)))
-}
-
 // othersKnown distributes the sums over the other instances.
 func (t *peersTask) othersKnown(ctx context.Context, o exchange.Others) {
 	t.instances, t.carriers = o.Reached.Instances, len(o.CarrierNodes)
@@ -336,39 +263,3 @@
 	}
 	return u
 }
-
-// joinThroughStore registers this instance in the store and posts the others to the task.
-func (t *peersTask) joinThroughStore(ctx context.Context) error {
-	record := platform.Record{Key: t.process.deployment.Node, Value: formatInstance(t.process.deployment)}
-	for registered := false; ctx.Err() == nil; {
-		if !registered {
-			_, err := t.process.store.Append(ctx, platform.TopicMembers, record)
-			registered = err == nil
-		}
-		batch, err := t.process.store.Newest(ctx, platform.TopicMembers)
-		if err == nil && registered {
-			return t.discovered.Send(ctx, parseInstances(batch.Records))
-		}
-		sleep(ctx, time.Second)
-	}
-	return nil
-}
-
-// formatInstance returns the content of the record of an instance: its address, data centre
-// and bandwidth.
-func formatInstance(d platform.Deployment) []byte {
-	return fmt.Appendf(nil, "%s %s %d", d.IP, d.DataCentre, int64(d.LinkBytesPerSecond))
-}
-
-// parseInstances decodes the records of instances. Those of older versions have an address
-// only. Malformed ones are left out.
-func parseInstances(records []platform.Record) []exchange.Instance {
-	return lo.FilterMap(records, func(r platform.Record, _ int) (exchange.Instance, bool) {
-		fields := append(strings.Fields(string(r.Value)), "", "", "")
-		a, err := netip.ParseAddr(fields[0])
-		bandwidth, _ := strconv.ParseInt(fields[2], 10, 64) // 0 if it is not stated
-		return exchange.Instance{
-			Address: exchange.Address(a.String()), Node: r.Key, DataCentre: fleet.DataCentre(fields[1]), Bandwidth: bandwidth,
-		}, err == nil
-	})
-}
