--- a/internal/core/exchange/exchange_test.go
+++ b/internal/core/exchange/exchange_test.go
@@ -140,7 +140,7 @@
 				s.start(i)
 			}
 		}
-		s.runUntil(s.now + lostTTL + startTime)
+		s.runUntil(s.now + 2*startTime)
 		checkComplete(t, s)
 	})
 }
