--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,8 @@
 
 	// brokenOff is the share of streams that it sends without a length and breaks off.
 	brokenOff float64
+	// crashes ends it as it begins to run a request that crashes replicas; nil if none does.
+	crashes func(*replica)
 
 	listener net.Listener
 	mutex    sync.Mutex
@@ -94,7 +97,7 @@
 	if err != nil {
 		return err
 	}
-	next := &replica{service: old.service, zone: old.zone, slots: old.slots, work: old.work, events: old.events, interval: old.interval}
+	next := &replica{service: old.service, zone: old.zone, slots: old.slots, work: old.work, events: old.events, interval: old.interval, crashes: old.crashes}
 	f.startReplica(ctx, next, listener)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -156,6 +159,11 @@
 		attempt: attempt, target: request.RequestURI, replica: r.id, lastEvent: request.Header.Get("Last-Event-Id"), at: time.Now(), brokenOff: breaksOff,
 	})
 	r.mutex.Unlock()
+	if r.crashes != nil && strings.HasPrefix(request.RequestURI, crashingTarget) {
+		time.Sleep(crashTime)
+		r.crashes(r)
+		return errCrashed
+	}
 	head += "Replica-Signature: " + r.id + "." + attempt + "\r\n"
 	time.Sleep(r.work)
 	if r.events == 0 {
@@ -210,6 +218,15 @@
 	return errBrokenOff
 }
 
+// crashingTarget is the target of the request that crashes replicas, crashTime the time that
+// a replica runs it.
+const (
+	crashingTarget = "/chat/crashing"
+	crashTime      = 30 * time.Millisecond
+)
+
+var errCrashed = errors.New("the replica has crashed")
+
 var errBrokenOff = errors.New("the answer is broken off")
 
 func (r *replica) brokenOffShare() float64 {
