--- a/internal/core/gateway/crash_property_test.go
+++ b/internal/core/gateway/crash_property_test.go
@@ -35,6 +35,9 @@
 		if w.random.Float64() < 0.008 {
 			w.disturb()
 		}
+		if w.losses > 0 && w.random.Float64() < w.losses*float64(worldTick)/float64(worldLength) {
+			w.restartAll()
+		}
 	}
 	if w.lateSends > maxLateSends {
 		t.Fatalf("%d sends after crash %d and the contact time, of %d crashes by requests", w.lateSends, w.allowed, len(w.crashTimes))
@@ -76,6 +79,26 @@
 	})
 }
 
+// TestCrashingRequestIsRefusedAfterLossOfAll guards against a request that crashes endpoints
+// again after each loss of all instances, because what they knew of it was lost with them (rule
+// BUDGET), at any moment of a loss.
+func TestCrashingRequestIsRefusedAfterLossOfAll(t *testing.T) {
+	checkHistories(t, func(t *rapid.T, relays int) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		w := newCrashWorld(random, 2+random.IntN(8), 8+random.IntN(8), 3)
+		w.relays = relays
+		w.losses = 4
+		w.crashes = func(r Request) bool { return r.Fingerprint == crashingFingerprint }
+		id := fleet.Fingerprint(1000)
+		sound := func() Request {
+			id++
+			return Request{Path: []string{"/idempotent/x", "/unsafe/x"}[random.IntN(2)], Fingerprint: id}
+		}
+		next := func() Request { return Request{Path: "/idempotent/x", Fingerprint: crashingFingerprint} }
+		playRequests(t, w, sound, next)
+	})
+}
+
 // TestOnlyCrashingPartIsRefused guards against requests with one part in their prompts that
 // crash one endpoint after the other, no two alike, and against the refusal of sound ones
 // that share their other parts.
--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -37,10 +37,13 @@
 	maxReportedCauseTraits = 512
 )
 
+// CrashEvidenceTTL is how long a crash counts.
+const CrashEvidenceTTL = time.Hour
+
 // crashLimits bounds the evidence. The span of the crashes covers the time until peers
 // have reported clearances.
 var crashLimits = quarantine.Limits{
-	Threshold: 3, MinSpan: 400 * time.Millisecond, BusyThreshold: 5, Background: time.Minute, TTL: time.Hour, ClearMemory: 10 * time.Second, MaxEvents: 256, MaxSuspects: 128,
+	Threshold: 3, MinSpan: 400 * time.Millisecond, BusyThreshold: 5, Background: time.Minute, TTL: CrashEvidenceTTL, ClearMemory: 10 * time.Second, MaxEvents: 256, MaxSuspects: 128,
 }
 
 // crashEvidence is what an instance knows of crashes: the attempts that were lost, the
@@ -57,12 +60,13 @@
 	// decideAt is when it is next.
 	undecided bool
 	decideAt  time.Duration
+	persisted persistedCrashes
 }
 
 func newCrashEvidence() *crashEvidence {
 	return &crashEvidence{
 		losses: make(lossLog), table: quarantine.NewTable(crashLimits), register: quarantine.NewRegister(),
-		clears: make(map[quarantine.Trait]clearReport),
+		clears: make(map[quarantine.Trait]clearReport), persisted: newPersistedCrashes(),
 	}
 }
 
@@ -180,6 +184,7 @@
 		return nil
 	}
 	m.crashes.addOwn(i, at, traits)
+	m.crashes.persisted.witness(i, at)
 	m.addSuspects(now, at, crashEvent(i.id, i.started), traits)
 	return traits
 }
@@ -187,7 +192,15 @@
 // addSuspects adds evidence of this instance or a peer.
 func (m *Machine) addSuspects(now, at time.Duration, event quarantine.Event, traits []quarantine.Trait) {
 	m.crashes.register.Crashed(at, traits)
-	if m.crashes.table.Add(now, at, event, traits) && !m.crashes.undecided {
+	if m.crashes.table.Add(now, at, event, traits) {
+		m.suspectsAdded(now)
+	}
+}
+
+// suspectsAdded schedules a search for causes.
+func (m *Machine) suspectsAdded(now time.Duration) {
+	m.crashes.persisted.changed = true
+	if !m.crashes.undecided {
 		m.crashes.undecided, m.crashes.decideAt = true, now+m.settleTime()
 	}
 }
@@ -201,12 +214,18 @@
 	settled := now - m.settleTime()
 	for _, cause := range m.crashes.table.Causes(settled) {
 		if m.crashes.register.Quarantine(cause) {
-			m.notes = append(m.notes, CauseQuarantined{Traits: cause.Traits, Crashes: cause.Crashes})
+			m.causeAdded(cause.Traits, cause.Crashes, CauseDecided)
 		}
 	}
 	m.crashes.undecided, m.crashes.decideAt = m.crashes.table.Newest() > settled, now+decisionInterval
 }
 
+// causeAdded records that a cause is new to this instance.
+func (m *Machine) causeAdded(traits []quarantine.Trait, crashes int, source CauseSource) {
+	m.crashes.persisted.changed = true
+	m.notes = append(m.notes, CauseQuarantined{Traits: traits, Crashes: crashes, Source: source})
+}
+
 // settleTime returns how long it takes until the suspects of a crash are known everywhere.
 func (m *Machine) settleTime() time.Duration {
 	if m.reportsDirectly() {
@@ -232,5 +251,9 @@
 	for _, e := range lifted {
 		m.notes = append(m.notes, TraitLifted{Trait: t, Traits: e.Traits})
 	}
-	return suspected || len(lifted) > 0
+	if !suspected && len(lifted) == 0 {
+		return false
+	}
+	m.crashes.persisted.changed = true
+	return true
 }
--- a/internal/core/gateway/crashreport.go
+++ b/internal/core/gateway/crashreport.go
@@ -134,7 +134,7 @@
 	for _, e := range r.Quarantined {
 		m.contradict(now, e.Traits, e.CrashedAt)
 		if m.crashes.register.Adopt(e) {
-			m.notes = append(m.notes, CauseQuarantined{Traits: e.Traits, Crashes: e.Crashes, Reported: true})
+			m.causeAdded(e.Traits, e.Crashes, CauseReported)
 		}
 	}
 }
--- a/internal/core/gateway/crashworld_test.go
+++ b/internal/core/gateway/crashworld_test.go
@@ -38,6 +38,9 @@
 	relays int
 	// dark is the share of crashes that break no connection.
 	dark float64
+	// losses is the mean number of losses of all instances in a history.
+	losses float64
+	store  worldStore
 
 	// crashTimes holds the times of the crashes by a request, lateSends the number of its
 	// sends after contact time has passed since the allowed crash.
@@ -82,7 +85,7 @@
 }
 
 func newCrashWorld(random *rand.Rand, instances, endpoints, allowed int) *crashWorld {
-	w := &crashWorld{random: random, attempts: make(map[worldID]*worldAttempt), requests: make(map[RequestID]Request), repeated: make(map[fleet.Fingerprint]int), allowed: allowed}
+	w := &crashWorld{random: random, store: newWorldStore(), attempts: make(map[worldID]*worldAttempt), requests: make(map[RequestID]Request), repeated: make(map[fleet.Fingerprint]int), allowed: allowed}
 	for _, e := range testEndpoints(endpoints, func(int) bool { return false }) {
 		w.endpoints = append(w.endpoints, &worldEndpoint{entry: e})
 	}
@@ -93,7 +96,7 @@
 	return w
 }
 
-// restartInstance replaces an instance by one that knows nothing.
+// restartInstance replaces an instance by one that knows what is in the store only.
 func (w *crashWorld) restartInstance(i int) {
 	o := options
 	o.Node = fmt.Sprint("n", i)
@@ -102,6 +105,8 @@
 	m.Step(w.now, SetEndpoints{Endpoints: w.list()})
 	m.Step(w.now, UsageRestored{})
 	w.instances[i].machine, w.instances[i].startAt = m, w.now
+	w.store.lose(i)
+	w.step(w.instances[i], w.store.restore(i))
 	maps.DeleteFunc(w.attempts, func(id worldID, _ *worldAttempt) bool { return id.instance == i })
 }
 
@@ -136,6 +141,8 @@
 			w.refused(w.requests[a.ID], a.Refusal)
 		case CheckEndpoint:
 			w.check(i, a)
+		case PersistCrashes, PersistCause, RemoveCause:
+			w.store.write(w.now, i.index, a)
 		}
 	}
 }
@@ -194,6 +201,7 @@
 // advance plays one tick.
 func (w *crashWorld) advance() {
 	w.now += worldTick
+	w.store.advance(w.now)
 	for _, id := range w.sortedAttempts() {
 		if a, ok := w.attempts[id]; ok {
 			w.advanceAttempt(id, a)
@@ -310,6 +318,13 @@
 // isRelay reports whether an instance relays reports. Without relays all report to all.
 func (w *crashWorld) isRelay(i int) bool { return w.relays == 0 || i < w.relays }
 
+// restartAll replaces all instances at once.
+func (w *crashWorld) restartAll() {
+	for i := range w.instances {
+		w.restartInstance(i)
+	}
+}
+
 // disturb causes a trouble that is not the fault of a request.
 func (w *crashWorld) disturb() {
 	e := w.endpoints[w.random.IntN(len(w.endpoints))]
--- a/internal/core/gateway/listage_test.go
+++ b/internal/core/gateway/listage_test.go
@@ -26,6 +26,7 @@
 	m.Step(0, SetCatalog{Catalog: testCatalog()})
 	m.Step(0, SetEndpoints{Endpoints: testEndpoints(2, func(int) bool { return false })})
 	m.Step(0, UsageRestored{})
+	m.Step(0, CrashesRestored{})
 	m.Step(0, ListConfirmed{})
 	return m
 }
@@ -201,6 +202,7 @@
 	m.Step(0, SetCatalog{Catalog: testCatalog()})
 	m.Step(0, SetEndpoints{Endpoints: testEndpoints(4, func(int) bool { return false })})
 	m.Step(0, UsageRestored{})
+	m.Step(0, CrashesRestored{})
 	arrive(m, 0, 1, "/idempotent/x")
 	for _, failure := range []Failure{FailureConnectionLost, FailureDial, FailureNotSentInTime} {
 		send, ok := m.Step(0, AttemptFailed{ID: 1, Failure: failure})[0].(Send)
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -101,14 +101,17 @@
 // Catalog returns the active configuration, nil before the first one.
 func (m *Machine) Catalog() *catalog.Catalog { return m.catalog }
 
-// Ready reports whether configuration, endpoints and the usage before a restart
-// have been received.
-func (m *Machine) Ready() bool { return m.catalog != nil && m.hasEndpoints && m.usageRestored }
+// Ready reports whether configuration, endpoints, and the usage and crash evidence from before
+// a restart have been received.
+func (m *Machine) Ready() bool {
+	return m.catalog != nil && m.hasEndpoints && m.usageRestored && !m.crashes.persisted.awaited
+}
 
 // Step processes one message at the local monotonic time now. Observations for the
 // log follow the other actions.
 func (m *Machine) Step(now time.Duration, msg Message) []Action {
 	actions := append(m.process(now, msg), m.releaseSuspects(now)...)
+	actions = append(actions, m.persistCrashes(now)...)
 	actions = append(actions, m.notes...)
 	m.notes = nil
 	return actions
@@ -149,6 +152,10 @@
 		m.othersReported(now, msg)
 	case CrashesReported:
 		m.crashReported(now, msg.Report)
+	case CrashesRestored:
+		m.crashesRestored(now, msg)
+	case CrashesUnavailable:
+		m.crashes.persisted.awaited = false
 	case UsageRestored:
 		m.usageRestored = true
 		m.quota.Restore(now, msg.Age, msg.Used)
--- a/internal/core/gateway/machine_test.go
+++ b/internal/core/gateway/machine_test.go
@@ -57,6 +57,7 @@
 	m.Step(0, SetCatalog{Catalog: testCatalog()})
 	m.Step(0, SetEndpoints{Endpoints: testEndpoints(n, func(int) bool { return false })})
 	m.Step(0, UsageRestored{})
+	m.Step(0, CrashesRestored{})
 	return m
 }
 
--- a/internal/core/gateway/messages.go
+++ b/internal/core/gateway/messages.go
@@ -163,20 +163,33 @@
 	Age  time.Duration
 }
 
-func (RequestArrived) message()  {}
-func (AttemptFailed) message()   {}
-func (EndpointChecked) message() {}
-func (EndpointLeaving) message() {}
-func (EndpointPaused) message()  {}
-func (ResponseStarted) message() {}
-func (RequestFinished) message() {}
-func (SetCatalog) message()      {}
-func (SetEndpoints) message()    {}
-func (ListConfirmed) message()   {}
-func (ListUnreachable) message() {}
-func (OthersReported) message()  {}
-func (CrashesReported) message() {}
-func (UsageRestored) message()   {}
+// CrashesRestored delivers the crash evidence in the store from before the start of this
+// instance: the crashes that this instance (Own) and others witnessed, and the causes.
+type CrashesRestored struct {
+	Own, Others []Crash
+	Causes      []quarantine.Entry
+}
+
+// CrashesUnavailable reports that the crash evidence could not be read in time. The machine
+// does not wait for it any more, and persists nothing until CrashesRestored arrives.
+type CrashesUnavailable struct{}
+
+func (RequestArrived) message()     {}
+func (AttemptFailed) message()      {}
+func (EndpointChecked) message()    {}
+func (EndpointLeaving) message()    {}
+func (EndpointPaused) message()     {}
+func (ResponseStarted) message()    {}
+func (RequestFinished) message()    {}
+func (SetCatalog) message()         {}
+func (SetEndpoints) message()       {}
+func (ListConfirmed) message()      {}
+func (ListUnreachable) message()    {}
+func (OthersReported) message()     {}
+func (CrashesReported) message()    {}
+func (UsageRestored) message()      {}
+func (CrashesRestored) message()    {}
+func (CrashesUnavailable) message() {}
 
 // Action is an output of the machine.
 type Action interface{ action() }
@@ -258,14 +271,47 @@
 	Suspects []quarantine.Trait
 }
 
+// CauseSource is how an instance learned of a cause.
+type CauseSource uint8
+
+// Sources of a cause.
+const (
+	// CauseDecided: this instance concluded it from the crashes.
+	CauseDecided CauseSource = iota
+	// CauseReported: a peer reported it.
+	CauseReported
+	// CauseRestored: it was in the store at the start.
+	CauseRestored
+)
+
+// String returns the name used in logs.
+func (s CauseSource) String() string { return [...]string{"decided", "reported", "restored"}[s] }
+
 // CauseQuarantined reports for the log that requests with all of the traits are refused
-// from now on. Reported is set if a peer concluded it.
+// from now on.
 type CauseQuarantined struct {
-	Traits   []quarantine.Trait
-	Crashes  int
-	Reported bool
+	Traits  []quarantine.Trait
+	Crashes int
+	Source  CauseSource
+}
+
+// TrialStarted reports for the log that one request with the traits is sent, to learn whether
+// it still crashes endpoints.
+type TrialStarted struct {
+	Traits          []quarantine.Trait
+	Crashes, Trials int
 }
 
+// PersistCrashes replaces this instance's record of the crashes that it witnessed. Without
+// crashes the record is removed.
+type PersistCrashes struct{ Crashes []Crash }
+
+// PersistCause replaces the record of a cause.
+type PersistCause struct{ Entry quarantine.Entry }
+
+// RemoveCause removes the record of a cause.
+type RemoveCause struct{ Traits []quarantine.Trait }
+
 // TraitLifted reports for the log that a request with a trait was executed, which was
 // among the traits of a quarantined cause.
 type TraitLifted struct {
@@ -303,6 +349,10 @@
 func (EndpointEnded) action()    {}
 func (CauseQuarantined) action() {}
 func (TraitLifted) action()      {}
+func (TrialStarted) action()     {}
+func (PersistCrashes) action()   {}
+func (PersistCause) action()     {}
+func (RemoveCause) action()      {}
 func (LeavingNoticed) action()   {}
 func (PauseNoticed) action()     {}
 func (CheckEndpoint) action()    {}
--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -34,7 +34,11 @@
 func (m *Machine) quarantined(now time.Duration, o *openRequest) (*fleet.Refusal, string) {
 	m.quarantineCauses(now)
 	e := m.crashes.register.Match(o.traits)
-	if e == nil || m.ownsTrial(e.Traits[0]) && m.crashes.register.StartTrial(now, e) {
+	if e == nil {
+		return nil, ""
+	}
+	if m.ownsTrial(e.Traits[0]) && m.crashes.register.StartTrial(now, e) {
+		m.notes = append(m.notes, TrialStarted{Traits: e.Traits, Crashes: e.Crashes, Trials: e.Trials})
 		return nil, ""
 	}
 	refusal := fleet.Refuse(fleet.RefusedQuarantined, max(e.Until-now, retryAfter), "endpoints crashed repeatedly while they ran this request or others with parts of its prompt; change it")
--- a/internal/core/gateway/report.go
+++ b/internal/core/gateway/report.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
@@ -46,6 +47,10 @@
 		Lost: r.Lost.Instances, LostUsed: r.Lost.Tally.Used, Requested: r.Reached.Tally.Requested,
 	})
 	m.addLoads(-1)
+	if !slices.Equal(m.others.relayNodes, r.RelayNodes) {
+		// Another instance may own the record of a cause from now on.
+		m.crashes.persisted.changed = true
+	}
 	m.others = others{
 		instances: r.Reached.Instances + r.Lost.Instances, loads: r.Reached.Tally.Loads, at: now,
 		relays: r.Relays, relayNodes: r.RelayNodes,
--- a/internal/core/quarantine/cause.go
+++ b/internal/core/quarantine/cause.go
@@ -29,7 +29,7 @@
 // of these has another suspect that may have been in as many. Traits that were suspects of the
 // same crashes are one cause together. Crashes that a cause explains are no evidence against
 // other traits. A cause is doubtful up to BusyThreshold if endpoints crash for other reasons
-// too; so is a whole request whose crashes are not spread over MinSpan.
+// too, or if one of its crashes was restored; so is a whole request whose crashes are not spread over MinSpan.
 func (t *Table) Causes(before time.Duration) []Cause {
 	i := newInference(t, before)
 	var causes []Cause
@@ -125,9 +125,18 @@
 }
 
 // isDoubtful reports whether the crashes may be a coincidence: endpoints that fail together,
-// or a request that was running whenever one crashed for another reason.
+// or a request that was running whenever one crashed for another reason. Of restored crashes
+// it is not known what else crashed at their time.
 func (i *inference) isDoubtful(events []Event) bool {
-	return !i.lasts(events) || len(events) < i.table.limits.BusyThreshold && i.others(events) >= len(events)
+	if !i.lasts(events) {
+		return true
+	}
+	busy := i.anyRestored(events) || i.others(events) >= len(events)
+	return busy && len(events) < i.table.limits.BusyThreshold
+}
+
+func (i *inference) anyRestored(events []Event) bool {
+	return slices.ContainsFunc(events, func(e Event) bool { return i.table.events[e].restored })
 }
 
 // lasts reports whether the crashes are spread over MinSpan. Several endpoints that fail
--- a/internal/core/quarantine/register.go
+++ b/internal/core/quarantine/register.go
@@ -90,12 +90,15 @@
 	if r.size >= maxEntries {
 		return false
 	}
-	e.onTrial, e.trialAt = false, 0
+	e.onTrial, e.trialAt = false, Never
 	r.entries[e.Traits[0]] = append(r.entries[e.Traits[0]], &e)
 	r.size++
 	return true
 }
 
+// Contains reports whether an entry has exactly the traits.
+func (r *Register) Contains(traits []Trait) bool { return r.find(traits) != nil }
+
 func (r *Register) find(traits []Trait) *Entry {
 	for _, e := range r.entries[traits[0]] {
 		if slices.Equal(e.Traits, traits) {
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -32,6 +32,9 @@
 	// heardAt is when this instance first heard of it.
 	heardAt  time.Duration
 	suspects map[Trait]bool
+	// restored is set if it was read from a record, which names fewer suspects and none of the
+	// other crashes of its time.
+	restored bool
 }
 
 // Table holds crashes and their suspects, and finds the traits that cause them. Several
@@ -70,6 +73,15 @@
 	return changed
 }
 
+// Restore records a crash from before the start of this instance, as Add does.
+func (t *Table) Restore(now, at time.Duration, event Event, suspects []Trait) bool {
+	changed := t.Add(now, at, event, suspects)
+	if c, ok := t.events[event]; ok && changed {
+		c.restored = true
+	}
+	return changed
+}
+
 func (t *Table) addSuspect(now, at time.Duration, event Event, trait Trait) bool {
 	c, ok := t.events[event]
 	if ok {
--- /dev/null
+++ b/internal/core/writeback/writeback.go
@@ -0,0 +1,81 @@
+// Package writeback decides when changed records are appended to a keyed topic of the store. A
+// Buffer holds the newest value of each key until it is stored, so that changes in quick
+// succession cost one append, and an outage loses none. It is a state machine without input or
+// output; the current time is passed in.
+package writeback
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// minInterval is the minimum time between two appends.
+	minInterval = 200 * time.Millisecond
+	// firstRetry is the delay after a failed append. It doubles with each further failure up
+	// to maxRetry.
+	firstRetry = 500 * time.Millisecond
+	maxRetry   = 8 * time.Second
+)
+
+// Record is the value of a key. An empty value removes the key.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// Buffer holds the records that are not stored yet. At most one append is under way.
+type Buffer struct {
+	pending  map[string][]byte
+	inFlight []Record
+	notUntil time.Duration
+	retry    time.Duration
+}
+
+// New returns an empty buffer.
+func New() *Buffer { return &Buffer{pending: make(map[string][]byte), retry: firstRetry} }
+
+// Put replaces the value of a key.
+func (b *Buffer) Put(key string, value []byte) { b.pending[key] = value }
+
+// Wait returns the time until the next append. It reports false if there is nothing to append,
+// or one is under way.
+func (b *Buffer) Wait(now time.Duration) (time.Duration, bool) {
+	if b.inFlight != nil || len(b.pending) == 0 {
+		return 0, false
+	}
+	return max(b.notUntil-now, 0), true
+}
+
+// Next returns the records to append now, ordered by key. Finished must be called with the
+// result.
+func (b *Buffer) Next(now time.Duration) []Record {
+	if wait, ok := b.Wait(now); !ok || wait > 0 {
+		return nil
+	}
+	for key, value := range b.pending {
+		b.inFlight = append(b.inFlight, Record{Key: key, Value: value})
+	}
+	slices.SortFunc(b.inFlight, func(x, y Record) int { return cmp.Compare(x.Key, y.Key) })
+	clear(b.pending)
+	return b.inFlight
+}
+
+// Finished ends an append. Records that were not stored, as far as is known, are appended
+// again, but for those that have a newer value by now.
+func (b *Buffer) Finished(now time.Duration, stored bool) {
+	if stored {
+		b.notUntil, b.retry = now+minInterval, firstRetry
+	} else {
+		failed := make(map[string][]byte, len(b.inFlight))
+		for _, r := range b.inFlight {
+			failed[r.Key] = r.Value
+		}
+		maps.Copy(failed, b.pending)
+		b.pending = failed
+		b.notUntil, b.retry = now+b.retry, min(2*b.retry, maxRetry)
+	}
+	b.inFlight = nil
+}
--- a/internal/e2e/edgefleet_test.go
+++ b/internal/e2e/edgefleet_test.go
@@ -64,12 +64,18 @@
 			t.Fatal(err)
 		}
 	}
+	f.awaitReady()
+	return f
+}
+
+// awaitReady waits until all processes are ready.
+func (f *edgeFleet) awaitReady() {
+	f.t.Helper()
 	for _, e := range f.Edges {
 		f.eventually(10*time.Second, "an edge process to be ready", func() bool {
 			return procs.Status("http://"+e.ReadyAddress+"/readyz") == http.StatusOK
 		})
 	}
-	return f
 }
 
 // stop ends the processes and prints their logs if the test failed.
--- a/internal/edge/crashcodec_test.go
+++ b/internal/edge/crashcodec_test.go
@@ -29,7 +29,7 @@
 		peer.Quarantined = append(peer.Quarantined, quarantine.Entry{Traits: traits, Crashes: 5, CrashedAt: time.Second, Until: time.Hour})
 	}
 	m.Step(time.Second, gateway.CrashesReported{Report: peer})
-	crashEndpoints(m, 100)
+	crashEndpoints(m, 100, 1000)
 	report := m.Report(3 * time.Second)
 	is.True(len(report.Crashes.Crashes) > 0)
 	is.True(len(report.Crashes.Quarantined) > 0)
@@ -39,8 +39,9 @@
 	t.Logf("%d bytes", proto.Size(&message))
 }
 
-// crashEndpoints lets n endpoints crash with ten long prompts each.
-func crashEndpoints(m *gateway.Machine, n int) {
+// crashEndpoints lets n endpoints crash with ten long prompts each, of the given number of
+// different requests. It returns the actions that follow.
+func crashEndpoints(m *gateway.Machine, n, requests int) []gateway.Action {
 	var list []catalog.Endpoint
 	for i := range n {
 		list = append(list, catalog.Endpoint{
@@ -53,8 +54,9 @@
 	})})
 	m.Step(time.Second, gateway.SetEndpoints{Endpoints: list})
 	m.Step(time.Second, gateway.UsageRestored{})
+	m.Step(time.Second, gateway.CrashesRestored{})
 	for id := range 10 * n {
-		r := gateway.Request{Host: "h", Path: "/", Fingerprint: fleet.Fingerprint(id), Random: float64(id%97) / 97}
+		r := gateway.Request{Host: "h", Path: "/", Fingerprint: fleet.Fingerprint(id % requests), Random: float64(id%97) / 97}
 		for k := range 80 {
 			r.Parts = append(r.Parts, fleet.PromptPart{ID: uint64(1_000_000 + 80*id + k), Tokens: 1})
 		}
@@ -63,5 +65,5 @@
 	for i := range list {
 		list[i].Started = 2
 	}
-	m.Step(2*time.Second, gateway.SetEndpoints{Endpoints: list})
+	return m.Step(2*time.Second, gateway.SetEndpoints{Endpoints: list})
 }
--- a/internal/edge/crashlog.go
+++ b/internal/edge/crashlog.go
@@ -27,8 +27,12 @@
 		}).Info("endpoint asked for a pause")
 	case gateway.CauseQuarantined:
 		t.log.WithFields(log.Fields{
-			"cause": quarantine.JoinTraits(a.Traits), "crashes": a.Crashes, "reported": a.Reported,
+			"cause": quarantine.JoinTraits(a.Traits), "crashes": a.Crashes, "source": a.Source.String(),
 		}).Warn("requests quarantined")
+	case gateway.TrialStarted:
+		t.log.WithFields(log.Fields{
+			"cause": quarantine.JoinTraits(a.Traits), "crashes": a.Crashes, "trials": a.Trials,
+		}).Info("quarantined request on trial")
 	case gateway.TraitLifted:
 		t.log.WithFields(log.Fields{"trait": a.Trait.String(), "cause": quarantine.JoinTraits(a.Traits)}).Info("quarantine lifted")
 	}
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -40,6 +40,8 @@
 	started task.Mailbox[gateway.CountStarted]
 	// readList triggers a read of the instance list.
 	readList func()
+	// persist changes the records of crash evidence.
+	persist func(gateway.Action)
 	// limits and ready are copies for tasks that only read them.
 	limits atomic.Pointer[catalog.Limits]
 	ready  atomic.Bool
@@ -51,6 +53,7 @@
 		mailbox: task.NewMailbox[gatewayMessage](gatewayMailbox),
 		reports: task.NewMailbox[reportRequest](4),
 		replies: make(map[gateway.RequestID]chan<- gateway.Action), readList: func() {},
+		persist: func(gateway.Action) {},
 	}
 }
 
@@ -101,6 +104,8 @@
 		t.readList()
 	case gateway.CheckEndpoint:
 		t.checkEndpoint(a)
+	case gateway.PersistCrashes, gateway.PersistCause, gateway.RemoveCause:
+		t.persist(a)
 	default:
 		t.observe(a)
 	}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -26,6 +26,8 @@
 	// endpointEnds counts the incarnations of endpoints that ended.
 	endpointEnds *prometheus.CounterVec
 	quarantined  prometheus.Gauge
+	// crashRecords counts the appends of crash evidence to the store.
+	crashRecords *prometheus.CounterVec
 	log          log.Interface
 }
 
@@ -62,8 +64,11 @@
 		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "cornelhold_quarantined_causes", Help: "Causes of crashes, whose requests are refused.",
 		}),
+		crashRecords: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cornelhold_crash_record_appends_total", Help: "Appends of crash evidence to the store, by result.",
+		}, []string{"result"}),
 	}
-	registry.MustRegister(m.requests, m.firstByte, m.total, m.sendDelay, m.listAge, m.stalls, m.malformed, m.droppedLog, m.endpointEnds, m.quarantined)
+	registry.MustRegister(m.requests, m.firstByte, m.total, m.sendDelay, m.listAge, m.stalls, m.malformed, m.droppedLog, m.endpointEnds, m.quarantined, m.crashRecords)
 	return m
 }
 
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -58,6 +58,7 @@
 	directory  *directoryTask
 	duties     *dutiesTask
 	peers      *peersTask
+	crashes    *crashRecordsTask
 	pool       *upstream.Pool
 	store      *platform.Store
 	started    task.Mailbox[gateway.CountStarted]
@@ -111,6 +112,8 @@
 		DrainBound: d.Bounds.Drain,
 	}, p.started)
 	p.gateway.readList = p.readOutdatedList
+	p.crashes = newCrashRecordsTask(p)
+	p.gateway.persist = p.crashes.submit
 	p.directory = newDirectoryTask(p.clock, logger, m, p.gateway)
 	seed := rand.Uint64()
 	boot := strconv.FormatUint(seed, 36)
@@ -143,6 +146,7 @@
 	group.Go("join", p.peers.joinThroughStore)
 	group.Go("duties", p.duties.run)
 	group.Go("restore quota use", p.restoreQuotaUse)
+	group.Go("crash records", p.crashes.run)
 	group.Go("snapshots", func(ctx context.Context) error {
 		return serveHTTP(ctx, listeners.snapshots, snapshotHandler(p))
 	})
