Bound the appends of crash records by the store's writes

Cause: in histories with a crash a second each instance replaced its record with every report of a peer, five times a second; 810 instances would have taken ten times the writes that the store accepts.

Change: a record names the suspects among the instance's own requests only, and the time between two appends follows from the number of instances and the store's writes a second (a tenth of them for all together; the first append after a quiet time is immediate). The settings' writes-per-s is read for it.

Result: TestAppendsOfManyInstancesFitIntoStore failed before (5 appends a second for each of 810 instances); TestCrashingRequestIsRefusedAfterLossOfAll and TestRefusalOutlivesLossOfAllEdges still pass.

--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -184,7 +184,7 @@
 		return nil
 	}
 	m.crashes.addOwn(i, at, traits)
-	m.crashes.persisted.witness(i, at)
+	m.crashes.persisted.witness(i, at, traits)
 	m.addSuspects(now, at, crashEvent(i.id, i.started), traits)
 	return traits
 }
--- a/internal/core/gateway/crashreport.go
+++ b/internal/core/gateway/crashreport.go
@@ -52,14 +52,20 @@
 
 // addOwn records suspects that this instance reports.
 func (c *crashEvidence) addOwn(i incarnation, at time.Duration, traits []quarantine.Trait) {
-	k := slices.IndexFunc(c.own, func(o ownCrash) bool { return o.incarnation == i })
+	c.own = addCrash(c.own, i, at, traits)
+}
+
+// addCrash adds suspects of the end of an incarnation to a list of crashes.
+func addCrash(list []ownCrash, i incarnation, at time.Duration, traits []quarantine.Trait) []ownCrash {
+	k := slices.IndexFunc(list, func(o ownCrash) bool { return o.incarnation == i })
 	if k < 0 {
-		k = len(c.own)
-		c.own = append(c.own, ownCrash{incarnation: i, at: at, traits: make(map[quarantine.Trait]bool)})
+		k = len(list)
+		list = append(list, ownCrash{incarnation: i, at: at, traits: make(map[quarantine.Trait]bool)})
 	}
 	for _, t := range traits {
-		c.own[k].traits[t] = true
+		list[k].traits[t] = true
 	}
+	return list
 }
 
 // report returns the recent crashes and clearances, the newest first, and all quarantined
--- a/internal/core/gateway/persist.go
+++ b/internal/core/gateway/persist.go
@@ -36,12 +36,9 @@
 
 func newPersistedCrashes() persistedCrashes { return persistedCrashes{awaited: true} }
 
-// witness records that requests of this instance are suspects of a crash.
-func (p *persistedCrashes) witness(i incarnation, at time.Duration) {
-	if slices.ContainsFunc(p.witnessed, func(w ownCrash) bool { return w.incarnation == i }) {
-		return
-	}
-	p.witnessed = append(p.witnessed, ownCrash{incarnation: i, at: at})
+// witness records that requests of this instance with the traits are suspects of a crash.
+func (p *persistedCrashes) witness(i incarnation, at time.Duration, traits []quarantine.Trait) {
+	p.witnessed = addCrash(p.witnessed, i, at, traits)
 	if len(p.witnessed) > crashLimits.MaxEvents {
 		p.witnessed = p.witnessed[1:]
 	}
@@ -58,7 +55,7 @@
 		}
 	}
 	for _, c := range msg.Own {
-		p.witness(incarnation{id: c.Endpoint, started: c.Started}, c.At)
+		p.witness(incarnation{id: c.Endpoint, started: c.Started}, c.At, c.Suspects)
 	}
 	for _, c := range slices.Concat(msg.Own, msg.Others) {
 		if m.crashes.table.Restore(now, c.At, crashEvent(c.Endpoint, c.Started), c.Suspects) {
@@ -91,7 +88,7 @@
 		if len(crashes) == maxPersistedCrashes {
 			break
 		}
-		suspects := m.repeatedSuspects(crashEvent(w.incarnation.id, w.incarnation.started))
+		suspects := m.repeatedSuspects(w)
 		if len(suspects) > 0 {
 			crashes = append(crashes, Crash{Endpoint: w.incarnation.id, Started: w.incarnation.started, At: w.at, Suspects: suspects})
 		}
@@ -99,9 +96,10 @@
 	return crashes
 }
 
-func (m *Machine) repeatedSuspects(event quarantine.Event) []quarantine.Trait {
+func (m *Machine) repeatedSuspects(w ownCrash) []quarantine.Trait {
+	event := crashEvent(w.incarnation.id, w.incarnation.started)
 	suspects := slices.DeleteFunc(m.crashes.table.Suspects(event), func(t quarantine.Trait) bool {
-		return t.Kind != quarantine.WholeRequest || m.crashes.table.Count(t) < suspectedCrashes
+		return t.Kind != quarantine.WholeRequest || !w.traits[t] || m.crashes.table.Count(t) < suspectedCrashes
 	})
 	return suspects[:min(len(suspects), maxPersistedSuspects)]
 }
--- a/internal/core/writeback/writeback.go
+++ b/internal/core/writeback/writeback.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// minInterval is the minimum time between two appends.
-	minInterval = 200 * time.Millisecond
+	// writeShare is the share of the store's writes that the appends of all instances together
+	// may take. Lists, leases and the use of quotas need the rest.
+	writeShare = 0.1
 	// firstRetry is the delay after a failed append. It doubles with each further failure up
 	// to maxRetry.
 	firstRetry = 500 * time.Millisecond
@@ -30,6 +31,7 @@
 type Buffer struct {
 	pending  map[string][]byte
 	inFlight []Record
+	interval time.Duration
 	notUntil time.Duration
 	retry    time.Duration
 }
@@ -37,6 +39,12 @@
 // New returns an empty buffer.
 func New() *Buffer { return &Buffer{pending: make(map[string][]byte), retry: firstRetry} }
 
+// SetRate sets the writes per second that the store accepts and the number of instances that
+// share them. The time between two appends follows from both.
+func (b *Buffer) SetRate(writesPerSecond float64, instances int) {
+	b.interval = time.Duration(float64(instances) / (writeShare * writesPerSecond) * float64(time.Second))
+}
+
 // Put replaces the value of a key.
 func (b *Buffer) Put(key string, value []byte) { b.pending[key] = value }
 
@@ -67,7 +75,7 @@
 // again, but for those that have a newer value by now.
 func (b *Buffer) Finished(now time.Duration, stored bool) {
 	if stored {
-		b.notUntil, b.retry = now+minInterval, firstRetry
+		b.notUntil, b.retry = now+b.interval, firstRetry
 	} else {
 		failed := make(map[string][]byte, len(b.inFlight))
 		for _, r := range b.inFlight {
--- a/internal/core/writeback/writeback_test.go
+++ b/internal/core/writeback/writeback_test.go
@@ -17,7 +17,9 @@
 func TestNewestValuesAreStored(t *testing.T) {
 	proptest.Check(t, proptest.Bounds{Seed: 20261206, Checks: 200}, func(t *rapid.T) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		const interval = 225 * time.Millisecond
 		b := New()
+		b.SetRate(400, 9)
 		newest, stored := make(map[string]string), make(map[string]string)
 		var inFlight []Record
 		lastAppend := -time.Hour
@@ -45,7 +47,7 @@
 				if inFlight != nil {
 					t.Fatal("two appends at a time")
 				}
-				if now-lastAppend < minInterval {
+				if now-lastAppend < interval {
 					t.Fatalf("appends %v apart", now-lastAppend)
 				}
 				inFlight, lastAppend = next, now
@@ -85,3 +87,21 @@
 	}
 	is.True(appends <= 12)
 }
+
+// TestAppendsOfManyInstancesFitIntoStore guards against instances that together take the
+// store's writes from leases and lists while many endpoints crash.
+func TestAppendsOfManyInstancesFitIntoStore(t *testing.T) {
+	is := is.New(t)
+	const instances, writesPerSecond = 810, 400.0
+	b := New()
+	b.SetRate(writesPerSecond, instances)
+	appends := 0
+	for now := time.Duration(0); now < time.Minute; now += 10 * time.Millisecond {
+		b.Put("k", []byte("v"))
+		if b.Next(now) != nil {
+			appends++
+			b.Finished(now, true)
+		}
+	}
+	is.True(float64(instances*appends)/60 <= 0.2*writesPerSecond)
+}
--- a/internal/edge/crashrecords.go
+++ b/internal/edge/crashrecords.go
@@ -29,16 +29,27 @@
 type crashRecordsTask struct {
 	process  *process
 	log      log.Interface
-	mailbox  task.Mailbox[gateway.Action]
+	mailbox  task.Mailbox[any]
 	appended task.Mailbox[error]
 	buffer   *writeback.Buffer
 }
 
 func newCrashRecordsTask(p *process) *crashRecordsTask {
-	return &crashRecordsTask{
+	t := &crashRecordsTask{
 		process: p, log: p.log, buffer: writeback.New(),
-		mailbox: task.NewMailbox[gateway.Action](crashRecordsMailbox), appended: task.NewMailbox[error](1),
+		mailbox: task.NewMailbox[any](crashRecordsMailbox), appended: task.NewMailbox[error](1),
 	}
+	t.buffer.SetRate(p.deployment.StoreWritesPerSecond, 1)
+	return t
+}
+
+// instancesKnown is the number of instances of the deployment.
+type instancesKnown int
+
+// submitInstances passes the number of instances to the task.
+func (t *crashRecordsTask) submitInstances(n int) {
+	// A number that is dropped because the mailbox is full only makes appends more frequent.
+	t.mailbox.TrySend(instancesKnown(n))
 }
 
 // submit passes a change to the task.
@@ -64,14 +75,23 @@
 		case <-ctx.Done():
 			return nil
 		case <-timer.C():
-		case action := <-t.mailbox.Receive():
-			t.put(action)
+		case msg := <-t.mailbox.Receive():
+			t.handle(msg)
 		case err := <-t.appended.Receive():
 			t.finished(err)
 		}
 	}
 }
 
+func (t *crashRecordsTask) handle(msg any) {
+	switch m := msg.(type) {
+	case instancesKnown:
+		t.buffer.SetRate(t.process.deployment.StoreWritesPerSecond, int(m))
+	case gateway.Action:
+		t.put(m)
+	}
+}
+
 // put replaces the record that an action concerns.
 func (t *crashRecordsTask) put(action gateway.Action) {
 	times := recordTimes{now: t.process.clock.Now(), wall: time.Now()}
