Spare the retry reserve of a restarted instance for one window (BUDGET)

What callers would see: nothing themselves; a service whose endpoints fail gets more repeats than the operator allows after a loss of instances.

Evidence: TestSharedBudgetHoldsOverRestarts failed with the budget as it was in its first history (88 extra attempts in a window without requests, 56 allowed).

Change: an instance uses its part of the reserve only once a window has passed since its start, unless the deployment starts for the first time (setting bootstrap). The share of its own requests is not affected. The stand-in fleet sets bootstrap as the users' platform does.

Result: the test passes, and TestRestartedInstanceSparesRetryReserve shows it for the gateway.

--- a/internal/core/budget/shared_test.go
+++ b/internal/core/budget/shared_test.go
@@ -10,16 +10,42 @@
 // TestSharedBudgetHolds guards against more extra attempts in a window than the
 // rule BUDGET allows for all instances together.
 func TestSharedBudgetHolds(t *testing.T) {
-	const ratio, slack = 0.2, 56.0
-	const span = 10 * time.Second
+	checkSharedBudget(t, func(*rapid.T, time.Duration, []*Shared) {})
+}
+
+// TestSharedBudgetHoldsOverRestarts guards against instances that use the reserve once more
+// after a restart, which is over the limit if all of them are restarted at once or one after
+// the other (rule BUDGET).
+func TestSharedBudgetHoldsOverRestarts(t *testing.T) {
+	checkSharedBudget(t, func(t *rapid.T, now time.Duration, budgets []*Shared) {
+		all := rapid.IntRange(0, 49).Draw(t, "restart all") == 0
+		for i := range budgets {
+			if all || rapid.IntRange(0, 49).Draw(t, "restart") == 0 {
+				budgets[i] = NewShared(testRatio*0.8, testSpan, now+testSpan)
+			}
+		}
+	})
+}
+
+const (
+	testRatio, testSlack = 0.2, 56.0
+	testSpan             = 10 * time.Second
+)
+
+// checkSharedBudget plays instances that use all that their budgets allow. disturb may replace
+// budgets.
+func checkSharedBudget(t *testing.T, disturb func(t *rapid.T, now time.Duration, budgets []*Shared)) {
+	t.Helper()
+	const ratio, slack, span = testRatio, testSlack, testSpan
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 9).Draw(t, "instances")
 		budgets := make([]*Shared, n)
 		for i := range budgets {
-			budgets[i] = NewShared(ratio*0.8, span)
+			budgets[i] = NewShared(ratio*0.8, span, 0)
 		}
 		var requests, extraAttempts []time.Duration
 		for now := time.Duration(0); now < 25*time.Second; now += 100 * time.Millisecond {
+			disturb(t, now, budgets)
 			for range rapid.IntRange(0, 10).Draw(t, "requests") {
 				budgets[rapid.IntRange(0, n-1).Draw(t, "at")].RecordRequest(now)
 				requests = append(requests, now)
--- a/internal/core/gateway/crashworld_test.go
+++ b/internal/core/gateway/crashworld_test.go
@@ -99,7 +99,7 @@
 // restartInstance replaces an instance by one that knows what is in the store only.
 func (w *crashWorld) restartInstance(i int) {
 	o := options
-	o.Node = fmt.Sprint("n", i)
+	o.Node, o.FirstStart = fmt.Sprint("n", i), w.now == 0
 	m := New(o)
 	m.Step(w.now, SetCatalog{Catalog: testCatalog()})
 	m.Step(w.now, SetEndpoints{Endpoints: w.list()})
--- a/internal/core/gateway/listage_test.go
+++ b/internal/core/gateway/listage_test.go
@@ -213,3 +213,32 @@
 	_, refused := m.Step(0, AttemptFailed{ID: 2, Failure: FailureConnectionLost})[0].(Refuse)
 	is.True(refused) // the budget is used up
 }
+
+// TestRestartedInstanceSparesRetryReserve guards against instances that use the retry reserve
+// once more after each restart (rule BUDGET).
+func TestRestartedInstanceSparesRetryReserve(t *testing.T) {
+	for name, test := range map[string]struct {
+		firstStart bool
+		at         time.Duration
+		retried    bool
+	}{
+		"first start":         {true, time.Second, true},
+		"restart":             {false, time.Second, false},
+		"restart long before": {false, options.RetryWindow, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			o := options
+			o.FirstStart = test.firstStart
+			m := New(o)
+			m.Step(0, SetCatalog{Catalog: testCatalog()})
+			m.Step(0, SetEndpoints{Endpoints: testEndpoints(4, func(int) bool { return false })})
+			m.Step(0, UsageRestored{})
+			m.Step(0, CrashesRestored{})
+			r := Request{Host: "h", Path: "/idempotent/x", Key: "key", HasKey: true, Deadline: 2 * time.Second}
+			m.Step(test.at, RequestArrived{ID: 1, Request: r})
+			_, retried := m.Step(test.at, AttemptFailed{ID: 1, Failure: FailureErrorResponse})[0].(Send)
+			is.Equal(retried, test.retried)
+		})
+	}
+}
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -21,6 +21,9 @@
 	// over all instances: a share of its requests plus a fixed number.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// FirstStart is set if no instance of the deployment has run before, so that no retries
+	// were used.
+	FirstStart bool
 	// DrainBound is the time within which requests must no longer reach a draining
 	// endpoint; 0 means no bound.
 	DrainBound time.Duration
@@ -75,9 +78,11 @@
 	open          map[RequestID]*openRequest
 	quota         *quota.Meter
 	budgets       map[fleet.ServiceName]*budget.Shared
-	crashes       *crashEvidence
-	others        others
-	demand        map[fleet.ServiceName]*window.Sum
+	// reserveFrom is the time from which retries beyond the ratio are allowed.
+	reserveFrom time.Duration
+	crashes     *crashEvidence
+	others      others
+	demand      map[fleet.ServiceName]*window.Sum
 	// notes are the observations of the current step.
 	notes []Action
 	// firstByte is the average time until the first byte of idle engines.
@@ -158,6 +163,10 @@
 		m.crashes.persisted.awaited = false
 	case UsageRestored:
 		m.usageRestored = true
+		if !m.options.FirstStart {
+			// An earlier process of this instance may have used its part of the reserve.
+			m.reserveFrom = now + m.options.RetryWindow
+		}
 		m.quota.Restore(now, msg.Age, msg.Used)
 	}
 	return nil
--- a/internal/core/gateway/machine_test.go
+++ b/internal/core/gateway/machine_test.go
@@ -19,7 +19,7 @@
 var options = Options{
 	Node: "n1", DataCentre: "a",
 	Quota:      quota.Bounds{Window: 8 * time.Second, Overrun: 0.1, Slack: 72_000},
-	RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second,
+	RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second, FirstStart: true,
 }
 
 func route(name string, kind catalog.Kind, attempts int, resumable bool) catalog.Route {
--- a/internal/core/gateway/retry.go
+++ b/internal/core/gateway/retry.go
@@ -151,7 +151,7 @@
 func (m *Machine) budget(s fleet.ServiceName) *budget.Shared {
 	b, ok := m.budgets[s]
 	if !ok {
-		b = budget.NewShared(m.options.RetryRatio*retryRatioShare, m.options.RetryWindow)
+		b = budget.NewShared(m.options.RetryRatio*retryRatioShare, m.options.RetryWindow, m.reserveFrom)
 		m.budgets[s] = b
 	}
 	return b
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -109,7 +109,7 @@
 			Window: d.Bounds.QuotaWindow, Overrun: d.Bounds.QuotaOverrun, Slack: d.Bounds.QuotaSlack,
 		},
 		RetryRatio: d.Bounds.RetryRatio, RetrySlack: d.Bounds.RetrySlack, RetryWindow: d.Bounds.RetryWindow,
-		DrainBound: d.Bounds.Drain,
+		FirstStart: d.FirstStart, DrainBound: d.Bounds.Drain,
 	}, p.started)
 	p.gateway.readList = p.readOutdatedList
 	p.crashes = newCrashRecordsTask(p)
--- a/internal/standin/edgefleet/edgefleet.go
+++ b/internal/standin/edgefleet/edgefleet.go
@@ -3,6 +3,7 @@
 package edgefleet
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -240,6 +241,7 @@
 listen: {front: %q, ready-addr: %q, control: %q}
 port-range: [%d, %d]
 seeds: ["%s"]
+bootstrap: true
 platform: {addr: %q}
 cloud-api: {addr: %q}
 limits: {memory-mb: 284, max-fds: 4100}
@@ -256,6 +258,11 @@
 // Start starts the process, or restarts it after it has ended. Its output is
 // appended to the log.
 func (e *Edge) Start() error {
+	if e.cmd != nil {
+		if err := e.endBootstrap(); err != nil {
+			return err
+		}
+	}
 	out, err := os.OpenFile(e.LogPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return Error.Wrap(err)
@@ -274,6 +281,17 @@
 	return nil
 }
 
+// endBootstrap changes the settings to those of a process whose deployment has run before.
+func (e *Edge) endBootstrap() error {
+	settings, err := os.ReadFile(e.settingsPath)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	settings = bytes.Replace(settings, []byte("bootstrap: true"), []byte("bootstrap: false"), 1)
+	//nolint:gosec // a development tool writes a file that it has named itself
+	return Error.Wrap(os.WriteFile(e.settingsPath, settings, 0o600))
+}
+
 // Signal sends a signal to the process.
 func (e *Edge) Signal(s syscall.Signal) error { return Error.Wrap(e.cmd.Process.Signal(s)) }
 
