Limit the heap of an instance by its memory

What callers would see: beside replicas that send bytes without end to many callers at once, a process comes near to its memory; where that is exceeded, it is killed with the requests of all callers (the users' report: LOST). Bytes in heads and bodies were bounded already, garbage was not.

Cause: nothing told the Go runtime of memory-mb, so that it lets the heap grow to twice of what is in use before it collects.

Change: half of memory-mb is the memory limit of the runtime. The rest is for the program and for bytes that were received and not yet read, which count as memory of the process.

Result: TestEdgeOutlivesManyEndlessResponses/body failed before (192 MiB, 170 allowed) and passes.

--- a/internal/e2e/edge_test.go
+++ b/internal/e2e/edge_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cornelhold/cornelhold/internal/standin/edgefleet"
 	"github.com/cornelhold/cornelhold/internal/standin/userplatform"
 )
 
@@ -169,6 +170,42 @@
 	is.True(peak < maxMemoryBytes)
 }
 
+// maxMemoryShare is the share of the machine's memory in percent that a process may reach
+// beside faulty replicas. The rest is for bytes that were received and not yet read, which
+// count toward the limit.
+const maxMemoryShare = 60
+
+// TestEdgeOutlivesManyEndlessResponses guards against a process that exceeds its memory, and
+// is killed with the requests of all callers, because replicas send bytes without end to many
+// callers at once (rule LOST).
+func TestEdgeOutlivesManyEndlessResponses(t *testing.T) {
+	const callers = 200
+	for name, fault := range map[string]userplatform.Fault{"head": userplatform.FaultEndlessHead, "body": userplatform.FaultEndlessBody} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newEdgeFleet(t, 1)
+			setFault(f.PlainReplicas, fault)
+			setFault(f.ModelReplicas, fault)
+			var conns []net.Conn
+			for range callers {
+				for _, target := range []string{"/check/x", "/stream/x"} {
+					conn, _ := f.sendCall(f.Edges[0], call{method: http.MethodPost, target: target})
+					conns = append(conns, conn)
+				}
+			}
+			for _, conn := range conns {
+				resp, _, err := f.readResponse(conn, http.MethodPost)
+				is.NoErr(err)
+				is.True(resp.StatusCode >= 500)
+			}
+			peak, err := f.Edges[0].PeakMemory()
+			is.NoErr(err)
+			t.Logf("peak memory %d MiB", peak>>20)
+			is.True(peak < edgefleet.MemoryBytes*maxMemoryShare/100)
+		})
+	}
+}
+
 // TestEdgeRunsOnce guards against a request that runs twice although it is not
 // idempotent, and against a refusal of a request that has run (rules TWICE, REFUSED).
 func TestEdgeRunsOnce(t *testing.T) {
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -45,6 +46,10 @@
 	signalBuffer = 4
 	// startedMailbox bounds the started requests that wait to be counted.
 	startedMailbox = 4096
+	// heapShare is the share of the process's memory that the Go runtime uses before it
+	// collects garbage more often. The rest is for the program itself and for bytes that were
+	// received and not yet read, which count as its memory.
+	heapShare = 0.5
 )
 
 // process holds the tasks and the shared state of one process run.
@@ -79,6 +84,7 @@
 	received := make(chan os.Signal, signalBuffer)
 	signal.Notify(received, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(received)
+	limitMemory(d)
 	writer := newLogWriter(os.Stdout)
 	logContext, stopLog := context.WithCancel(context.Background())
 	logged := make(chan struct{})
@@ -96,6 +102,14 @@
 	return err
 }
 
+// limitMemory sets the memory limit of the Go runtime. Garbage that waits for its collection
+// would otherwise double the memory of the process.
+func limitMemory(d platform.Deployment) {
+	if d.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(d.MemoryBytes)))
+	}
+}
+
 func newProcess(d platform.Deployment, logger log.Interface, m *metrics, registry *prometheus.Registry) *process {
 	clock := task.NewClock()
 	p := &process{
--- a/internal/standin/edgefleet/edgefleet.go
+++ b/internal/standin/edgefleet/edgefleet.go
@@ -34,6 +34,9 @@
 	PlainService = "plain"
 	// GracePeriod is the time in which a process must stop after SIGTERM.
 	GracePeriod = 4 * time.Second
+	// memoryMB is the memory of a process in the settings, MemoryBytes the same in bytes.
+	memoryMB    = 284
+	MemoryBytes = memoryMB << 20
 	// firstHostOctet is the last octet of the first process's IP address; further
 	// processes count up from it.
 	firstHostOctet   = 100
@@ -244,10 +247,10 @@
 bootstrap: true
 platform: {addr: %q}
 cloud-api: {addr: %q}
-limits: {memory-mb: 284, max-fds: 4100}
+limits: {memory-mb: %d, max-fds: 4100}
 bounds: {drain-ms: 2000, grace-s: %d, config-apply-ms: 2000, retry-ratio: 0.2, retry-window-s: 10, retry-slack: 56,
   quota-window-s: 8, quota-overrun: 0.1, quota-slack: 72000, lease-ms: 3000, usage-window-s: 1, usage-delay-s: 10}
-`, e.Name, ip, e.FrontAddress, e.ReadyAddress, addressAt(2), f.basePort+3, f.basePort+6, strings.Join(f.seedAddresses, `", "`), store, f.cloudAddress, int(GracePeriod.Seconds()))
+`, e.Name, ip, e.FrontAddress, e.ReadyAddress, addressAt(2), f.basePort+3, f.basePort+6, strings.Join(f.seedAddresses, `", "`), store, f.cloudAddress, memoryMB, int(GracePeriod.Seconds()))
 	if err := os.WriteFile(e.settingsPath, []byte(settings), 0o600); err != nil {
 		return nil, Error.Wrap(err)
 	}
