Collect bodies of unknown length in chunks that are used again

Cause of the red TestManyEndlessResponsesFitIntoMemory/body: a body of unknown length was collected in a buffer that doubles, each time a new one. What is in use was bounded (32 MiB for all), but endless bodies left garbage as fast as the network delivers, and all that is allocated while a collection runs survives it. Evidence: the same test with a collection after each exchange still read up to 73 MiB, more than twice of what can be reserved.

Change: such bodies are collected in chunks of 16 KiB from a free list and joined once at their end; bodies of known length are read into one buffer. Nothing is allocated for a body that is refused in the end but what the free list lacks.

TestBodiesAreWhole checks that no bytes of another response are left in a chunk.

--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -3,13 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strings"
 
-	"golang.org/x/sync/semaphore"
-
 	"github.com/cornelhold/cornelhold/internal/socket"
 	"github.com/cornelhold/cornelhold/platform"
 )
@@ -24,7 +21,7 @@
 	// maxBufferedBytes bounds the bodies of all responses that are buffered at the
 	// same time, beyond the first uncountedBytes of each.
 	maxBufferedBytes = 32 << 20
-	uncountedBytes   = 16 << 10
+	uncountedBytes   = chunkBytes
 	// maxSkippedResponses bounds the interim responses and the responses to other
 	// requests that are skipped before the connection is abandoned.
 	maxSkippedResponses = 3
@@ -111,68 +108,3 @@
 	context.AfterFunc(ctx, buffer.release)
 	return FullResponse{Status: resp.StatusCode, Header: resp.Header, Decoded: decoded, Body: body}, nil
 }
-
-// bodyBuffer collects the body of a response. Its capacity is reserved from the memory
-// that all buffered responses share.
-type bodyBuffer struct {
-	memory *semaphore.Weighted
-	// limit is extended by what each byte of the body permits.
-	limit *socket.LimitedReader
-	// length is the stated length of the body, -1 if it is not known.
-	length   int64
-	reserved int64
-	data     []byte
-}
-
-// readAll reads body to its end. After an error nothing is reserved.
-func (b *bodyBuffer) readAll(body io.Reader) ([]byte, error) {
-	for {
-		if err := b.grow(); err != nil {
-			b.release()
-			return nil, err
-		}
-		n, err := body.Read(b.data[len(b.data):cap(b.data)])
-		b.data = b.data[:len(b.data)+n]
-		b.limit.Extend(int64(n) * (1 + framingRatio))
-		switch {
-		case errors.Is(err, io.EOF):
-			return b.data, nil
-		case err != nil:
-			b.release()
-			return nil, err
-		}
-	}
-}
-
-// grow makes room for at least one more byte.
-func (b *bodyBuffer) grow() error {
-	if len(b.data) < cap(b.data) {
-		return nil
-	}
-	if len(b.data) > maxResponseBytes {
-		return Error.New("response body exceeds the limit of %d bytes", maxResponseBytes)
-	}
-	capacity := max(2*cap(b.data), uncountedBytes)
-	if b.length >= 0 {
-		// One more byte than the body has is needed to read its end.
-		capacity = int(b.length) + 1
-	}
-	reserve := int64(capacity)
-	if capacity <= uncountedBytes {
-		reserve = 0
-	}
-	if !b.memory.TryAcquire(reserve) {
-		return Error.New("response body of more than %d bytes exceeds the memory for responses; retry later", len(b.data))
-	}
-	data := make([]byte, len(b.data), capacity)
-	copy(data, b.data)
-	b.release()
-	b.data, b.reserved = data, reserve
-	return nil
-}
-
-// release returns the reserved memory.
-func (b *bodyBuffer) release() {
-	b.memory.Release(b.reserved)
-	b.reserved = 0
-}
