--- a/internal/e2e/edge_test.go
+++ b/internal/e2e/edge_test.go
@@ -101,12 +101,14 @@
 
 // TestErrorAfterEventsIsNotPassedOn guards against the error of a second replica in the
 // middle of a stream that the first one broke off, and against a stream that then ends as if
-// it were complete (rules ORDER, MIXED).
+// it were complete, also where the second one closes the connection behind its head (rules
+// ORDER, MIXED).
 func TestErrorAfterEventsIsNotPassedOn(t *testing.T) {
 	is := is.New(t)
 	f := newEdgeFleet(t, 1)
 	for _, then := range []userplatform.Fault{
 		userplatform.FaultServerError, userplatform.FaultReject, userplatform.FaultUnsigned, userplatform.FaultReset,
+		userplatform.FaultUnframedHead,
 	} {
 		seen := false
 		for i := range 12 {
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -54,8 +54,9 @@
 	// chosenAt is when the gateway's choice of an endpoint arrived.
 	chosenAt time.Duration
 	started  bool
-	// head is the head of a stream until its first event is delivered.
-	head      *upstream.StreamHead
+	// head is the head of the current attempt's stream until its first event is delivered.
+	head *upstream.StreamHead
+	// delivered is set once the caller got a part of the response, from any attempt.
 	delivered bool
 	splitter  stream.Splitter
 	// errorResponse is an endpoint's error response, which the caller gets if the
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -20,7 +20,7 @@
 }
 
 func (r *request) handleData(ctx context.Context, data []byte) (done, reusable bool) {
-	first := r.splitter.EventCount() == 0 || r.head != nil
+	first := r.splitter.EventCount() == 0 || !r.attemptDelivered()
 	events, err := r.splitter.Push(data)
 	if len(events) > 0 {
 		if first {
@@ -60,11 +60,15 @@
 	return last, last
 }
 
+// attemptDelivered reports whether the caller got an event of the current attempt. Events of
+// earlier attempts do not count.
+func (r *request) attemptDelivered() bool { return r.head == nil }
+
 // handleEnd ends the response, unless the stream was broken off: inside an event, or before
-// the first one if only the end of the connection tells the end of the body.
+// the first one of this attempt if only the end of the connection tells the end of the body.
 func (r *request) handleEnd(ctx context.Context, delimited bool) (done, reusable bool) {
 	rest, complete := r.splitter.End()
-	if !complete || !delimited && !r.delivered {
+	if !complete || !delimited && !r.attemptDelivered() {
 		r.lastError = "the stream ended inside an event or without one"
 		r.failAttempt(ctx, gateway.AttemptFailed{Failure: gateway.FailureConnectionLost})
 		return false, false
