--- a/internal/e2e/edge_test.go
+++ b/internal/e2e/edge_test.go
@@ -208,6 +208,42 @@
 	}
 }
 
+// TestLongBodiesFitIntoMemory guards against callers whose long bodies take a process above its
+// memory, so that it is killed with the requests of all others (rule LOST). Those that do not
+// fit are refused, short requests beside them are served.
+func TestLongBodiesFitIntoMemory(t *testing.T) {
+	const (
+		callers   = 100
+		bodyBytes = 4 << 20
+	)
+	is := is.New(t)
+	f := newEdgeFleet(t, 1)
+	setFault(f.ModelReplicas, userplatform.FaultNoResponse) // so that bodies are held
+	f.Configure(strings.Replace(f.Config(edgefleet.PlainService, "key-1"), `"max-body-bytes":100000`, fmt.Sprintf(`"max-body-bytes":%d`, bodyBytes), 1))
+	time.Sleep(configBound)
+	body := strings.Repeat("a", bodyBytes)
+	var conns []net.Conn
+	for i := range callers {
+		conn, _ := f.sendCall(f.Edges[0], call{method: http.MethodPost, target: fmt.Sprint("/stream/", i), body: body})
+		conns = append(conns, conn)
+		resp, _, _ := f.do(f.Edges[0], call{method: http.MethodPost, target: "/order/short"})
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+	refused := 0
+	for _, conn := range conns {
+		resp, _, _ := f.readResponse(conn, http.MethodPost)
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			is.True(resp.Header.Get("Retry-After") != "")
+			refused++
+		}
+	}
+	peak, err := f.Edges[0].PeakMemory()
+	is.NoErr(err)
+	t.Logf("peak memory %d MiB, %d refused", peak>>20, refused)
+	is.True(refused > 0)
+	is.True(peak < edgefleet.MemoryBytes)
+}
+
 // TestEdgeRunsOnce guards against a request that runs twice although it is not
 // idempotent, and against a refusal of a request that has run (rules TWICE, REFUSED).
 func TestEdgeRunsOnce(t *testing.T) {
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -50,6 +50,10 @@
 	// collects garbage more often. The rest is for the program itself and for bytes that were
 	// received and not yet read, which count as its memory.
 	heapShare = 0.5
+	// bodyShare is the share of the process's memory for the bodies of requests: half of the
+	// heap. defaultBodyMemory is used if the settings do not state the memory.
+	bodyShare         = heapShare / 2
+	defaultBodyMemory = 64 << 20
 )
 
 // process holds the tasks and the shared state of one process run.
@@ -218,10 +222,19 @@
 		Stage:    func() front.Stage { return front.Stage(p.stage.Load()) },
 		TimeLeft: func() time.Duration { return time.Duration(p.deadline.Load()) - p.clock.Now() },
 		Drain:    p.drain, Random: rand.Float64,
-		NextID: func() gateway.RequestID { return gateway.RequestID(p.requests.Add(1)) },
+		NextID:     func() gateway.RequestID { return gateway.RequestID(p.requests.Add(1)) },
+		BodyMemory: bodyMemory(p.deployment),
 	}
 }
 
+// bodyMemory returns the memory for the bodies of requests.
+func bodyMemory(d platform.Deployment) int64 {
+	if d.MemoryBytes <= 0 {
+		return defaultBodyMemory
+	}
+	return int64(bodyShare * float64(d.MemoryBytes))
+}
+
 func (p *process) ready() bool {
 	return p.gateway.ready.Load() && front.Stage(p.stage.Load()) == front.StageServing
 }
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/cornelhold/cornelhold/internal/bodybuffer"
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/socket"
 )
@@ -21,6 +22,9 @@
 	writeTimeout = 10 * time.Second
 	// bodyTimeout bounds the time to read a request's body.
 	bodyTimeout = 20 * time.Second
+	// bodyRetryAfter is the retry delay of a request whose body does not fit into the memory
+	// for bodies. Most are freed within that time.
+	bodyRetryAfter = time.Second
 	// lingerTimeout is how long the rest of a refused request is read, because a
 	// close with unread bytes resets the connection and may lose the refusal.
 	lingerTimeout = time.Second
@@ -38,14 +42,34 @@
 	HeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second,
 }
 
-// incomingRequest is a request that was read, or the error status for one that
-// could not be read.
+// incomingRequest is a request that was read, or the rejection of one that could not be read.
 type incomingRequest struct {
 	request *http.Request
 	body    []byte
 	arrived time.Duration
-	// errorStatus is the status for a malformed or oversized request, else 0.
-	errorStatus int
+	// rejection is nil if the whole request was read.
+	rejection *rejection
+	// release returns the memory of the body.
+	release func()
+}
+
+// rejection is the response to a request that was not read to its end.
+type rejection struct {
+	status     int
+	retryAfter time.Duration
+	remedy     string
+}
+
+func malformed(status int) *rejection {
+	return &rejection{status: status, remedy: "malformed or oversized request"}
+}
+
+// noRoom rejects a request whose body does not fit into the memory for bodies.
+func noRoom() *rejection {
+	return &rejection{
+		status: http.StatusServiceUnavailable, retryAfter: bodyRetryAfter,
+		remedy: "the bodies that this instance is reading leave no room; retry later",
+	}
 }
 
 // connection is the task of one connection of a caller.
@@ -102,7 +126,9 @@
 			return
 		case in := <-c.requests:
 			_ = c.conn.SetReadDeadline(time.Time{})
-			if !c.serve(ctx, in) {
+			reusable := c.serve(ctx, in)
+			in.release()
+			if !reusable {
 				return
 			}
 			c.setIdleDeadline()
@@ -129,9 +155,10 @@
 		select {
 		case c.requests <- in:
 		case <-c.stopped:
+			in.release()
 			return
 		}
-		if in.errorStatus != 0 {
+		if in.rejection != nil {
 			<-c.stopped
 			return
 		}
@@ -161,14 +188,15 @@
 // readRequest reads a complete request. It reports false if the connection failed.
 func (c *connection) readRequest() (incomingRequest, bool) {
 	limits := c.limits()
-	in := incomingRequest{arrived: c.server.options.Clock.Now()}
+	in := incomingRequest{arrived: c.server.options.Clock.Now(), release: func() {}}
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	c.limit.SetLimit(int64(limits.MaxHeaderBytes + headMarginBytes))
 	req, err := http.ReadRequest(c.reader)
 	c.limit.ClearLimit()
 	if err != nil {
-		in.errorStatus = headErrorStatus(err)
-		return in, in.errorStatus != 0
+		status := headErrorStatus(err)
+		in.rejection = malformed(status)
+		return in, status != 0
 	}
 	in.request = req
 	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
@@ -176,15 +204,29 @@
 			return in, false
 		}
 	}
+	return in, c.readBody(&in, limits)
+}
+
+// readBody reads the body of a request. It reports false if the connection failed.
+func (c *connection) readBody(in *incomingRequest, limits catalog.Limits) bool {
 	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	in.body, err = io.ReadAll(io.LimitReader(req.Body, int64(limits.MaxBodyBytes)+1))
+	buffer := bodybuffer.New(bodybuffer.Options{
+		Memory: c.server.bodies, MaxBytes: int64(limits.MaxBodyBytes), Length: in.request.ContentLength,
+	})
+	body, err := buffer.ReadAll(in.request.Body)
 	switch {
-	case err != nil:
-		in.errorStatus = bodyErrorStatus(err)
-	case len(in.body) > limits.MaxBodyBytes:
-		in.errorStatus = http.StatusRequestEntityTooLarge
+	case err == nil:
+		in.body, in.release = body, buffer.Release
+	case errors.Is(err, bodybuffer.ErrNoMemory):
+		in.rejection = noRoom()
+	case errors.Is(err, bodybuffer.ErrTooLarge):
+		in.rejection = malformed(http.StatusRequestEntityTooLarge)
+	default:
+		status := bodyErrorStatus(err)
+		in.rejection = malformed(status)
+		return status != 0
 	}
-	return in, in.errorStatus != 0 || err == nil
+	return true
 }
 
 // headErrorStatus returns the status for a head that could not be read, 0 if the
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -72,20 +72,36 @@
 
 // serve handles one request. It reports whether the connection can serve another.
 func (c *connection) serve(ctx context.Context, in incomingRequest) bool {
-	if in.errorStatus != 0 {
-		r := &request{connection: c, incoming: in, closing: true}
-		r.refuse(in.errorStatus, 0, "malformed or oversized request")
-		c.linger()
+	if in.rejection != nil {
+		c.reject(in)
 		return false
 	}
 	r := newRequest(c, in)
 	reusable := r.run(ctx)
-	r.outcome.Total = c.server.options.Clock.Now() - in.arrived
-	r.outcome.Attempt = r.callerRequest.Attempt
-	c.server.options.Observer.RequestEnded(r.outcome)
+	r.ended()
 	return reusable && !r.closing
 }
 
+// reject responds to a request that was not read to its end, and closes the connection.
+func (c *connection) reject(in incomingRequest) {
+	r := &request{connection: c, incoming: in, closing: true}
+	if in.request != nil {
+		r.callerRequest = platform.DecodeCallerRequest(in.request.Header)
+	}
+	r.outcome.Reason, r.outcome.Detail = "not-read", in.rejection.remedy
+	r.refuse(in.rejection.status, in.rejection.retryAfter, in.rejection.remedy)
+	r.ended()
+	c.linger()
+}
+
+// ended reports the outcome.
+func (r *request) ended() {
+	options := r.connection.server.options
+	r.outcome.Total = options.Clock.Now() - r.incoming.arrived
+	r.outcome.Attempt = r.callerRequest.Attempt
+	options.Observer.RequestEnded(r.outcome)
+}
+
 func newRequest(c *connection, in incomingRequest) *request {
 	r := &request{
 		connection: c, incoming: in, callerRequest: platform.DecodeCallerRequest(in.request.Header), id: c.server.options.NextID(),
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
@@ -93,6 +94,8 @@
 	Random func() float64
 	// NextID returns a new request id.
 	NextID func() gateway.RequestID
+	// BodyMemory bounds the bytes of all request bodies that are held at the same time.
+	BodyMemory int64
 }
 
 // Server accepts the connections of callers.
@@ -100,11 +103,13 @@
 	options  Options
 	listener net.Listener
 	tasks    sync.WaitGroup
+	// bodies is the memory of all request bodies.
+	bodies *semaphore.Weighted
 }
 
 // NewServer returns a server on listener.
 func NewServer(listener net.Listener, o Options) *Server {
-	return &Server{options: o, listener: listener}
+	return &Server{options: o, listener: listener, bodies: semaphore.NewWeighted(o.BodyMemory)}
 }
 
 // acceptRetryDelay is the delay after a failed accept, such as for lack of file
--- a/internal/upstream/bodybuffer_test.go
+++ b/internal/upstream/body_test.go
@@ -12,12 +12,14 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cornelhold/cornelhold/internal/bodybuffer"
 	"github.com/cornelhold/cornelhold/internal/task"
 )
 
 // TestBodiesAreWhole guards against bytes of one response in the body of another, whose memory
 // it uses again, and against missing bytes at the ends of chunks (rule MIXED).
 func TestBodiesAreWhole(t *testing.T) {
+	const chunkBytes = bodybuffer.UncountedBytes
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
 	pool := startPool(t, ctx, task.NewClock())
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/cornelhold/cornelhold/internal/bodybuffer"
 	"github.com/cornelhold/cornelhold/internal/socket"
 	"github.com/cornelhold/cornelhold/platform"
 )
@@ -19,9 +20,8 @@
 	maxFramingBytes = 1 << 20
 	framingRatio    = 1
 	// maxBufferedBytes bounds the bodies of all responses that are buffered at the
-	// same time, beyond the first uncountedBytes of each.
+	// same time, beyond the first bodybuffer.UncountedBytes of each.
 	maxBufferedBytes = 32 << 20
-	uncountedBytes   = chunkBytes
 	// maxSkippedResponses bounds the interim responses and the responses to other
 	// requests that are skipped before the connection is abandoned.
 	maxSkippedResponses = 3
@@ -96,15 +96,15 @@
 // readFull reads a response that is not a stream into memory.
 func (x *exchange) readFull(ctx context.Context, c *Conn, resp *http.Response, decoded platform.EndpointResponse) (Event, error) {
 	c.limit.SetLimit(maxFramingBytes)
-	if resp.ContentLength > maxResponseBytes {
-		return nil, Error.New("response body of %d bytes exceeds the limit of %d bytes", resp.ContentLength, maxResponseBytes)
-	}
-	buffer := bodyBuffer{memory: x.pool.memory, limit: c.limit, length: resp.ContentLength}
-	body, err := buffer.readAll(resp.Body)
+	buffer := bodybuffer.New(bodybuffer.Options{
+		Memory: x.pool.memory, MaxBytes: maxResponseBytes, Length: resp.ContentLength,
+		Received: func(n int) { c.limit.Extend(int64(n) * (1 + framingRatio)) },
+	})
+	body, err := buffer.ReadAll(resp.Body)
 	if err != nil {
 		return nil, err
 	}
 	// The receiver holds the body until it ends the exchange, which cancels ctx.
-	context.AfterFunc(ctx, buffer.release)
+	context.AfterFunc(ctx, buffer.Release)
 	return FullResponse{Status: resp.StatusCode, Header: resp.Header, Decoded: decoded, Body: body}, nil
 }
