Check in the soak that a loss of all processes forgets no crashing request

After the crashing request is stopped, the soak kills all processes at once and lets it come again; over all of it three runs may follow. Two tests share the sending of their requests.

--- a/internal/e2e/edge_test.go
+++ b/internal/e2e/edge_test.go
@@ -127,6 +127,19 @@
 	}
 }
 
+// sendToAll sends requests of a number of callers to both services and returns their
+// connections.
+func (f *edgeFleet) sendToAll(callers int) []net.Conn {
+	var conns []net.Conn
+	for range callers {
+		for _, target := range []string{"/check/x", "/stream/x"} {
+			conn, _ := f.sendCall(f.Edges[0], call{method: http.MethodPost, target: target})
+			conns = append(conns, conn)
+		}
+	}
+	return conns
+}
+
 // TestEdgeSurvivesEndlessResponses guards against replicas that fill the memory of a
 // process with bytes without end, in a head or a body, and against such bytes passed on as
 // a response (rule MIXED).
@@ -154,14 +167,7 @@
 	for _, fault := range faults {
 		setFault(f.PlainReplicas, fault)
 		setFault(f.ModelReplicas, fault)
-		var conns []net.Conn
-		for range callers {
-			for _, target := range []string{"/check/x", "/stream/x"} {
-				conn, _ := f.sendCall(f.Edges[0], call{method: http.MethodPost, target: target})
-				conns = append(conns, conn)
-			}
-		}
-		for _, conn := range conns {
+		for _, conn := range f.sendToAll(callers) {
 			resp, _, err := f.readResponse(conn, http.MethodPost)
 			is.NoErr(err)
 			is.Equal(resp.StatusCode, http.StatusBadGateway)
@@ -188,14 +194,7 @@
 			f := newEdgeFleet(t, 1)
 			setFault(f.PlainReplicas, fault)
 			setFault(f.ModelReplicas, fault)
-			var conns []net.Conn
-			for range callers {
-				for _, target := range []string{"/check/x", "/stream/x"} {
-					conn, _ := f.sendCall(f.Edges[0], call{method: http.MethodPost, target: target})
-					conns = append(conns, conn)
-				}
-			}
-			for _, conn := range conns {
+			for _, conn := range f.sendToAll(callers) {
 				resp, _, err := f.readResponse(conn, http.MethodPost)
 				is.NoErr(err)
 				is.True(resp.StatusCode >= 500)
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -66,7 +66,8 @@
 }
 
 // checkCrashingRequest checks, once all faults have ended, that a request which has crashed
-// crashThreshold replicas is stopped by all processes within contactTime.
+// crashThreshold replicas is stopped by all processes within contactTime, and stays so when all
+// of them are killed.
 func (r *run) checkCrashingRequest(ctx context.Context) ([]string, error) {
 	if err := r.waitUntilReady(ctx); err != nil {
 		return []string{err.Error()}, nil
@@ -82,17 +83,51 @@
 	}
 	sleep(ctx, contactTime)
 	before := r.crashRuns()
-	for range crashRounds {
-		if err := r.sendCrashing(ctx); err != nil {
+	if before < crashThreshold {
+		return nil, nil
+	}
+	if err := r.sendCrashingRounds(ctx); err != nil {
+		return nil, err
+	}
+	if added := r.crashRuns() - before; added > maxRetriesAfter {
+		return []string{fmt.Sprintf("a request that had crashed %d replicas was run %d times more", before, added)}, nil
+	}
+	return r.checkCrashingRequestAfterLoss(ctx, before)
+}
+
+// checkCrashingRequestAfterLoss kills all processes at once and checks that the request, which
+// had crashed before replicas when it was stopped, is not run more often than allowed in all.
+func (r *run) checkCrashingRequestAfterLoss(ctx context.Context, before int) ([]string, error) {
+	for _, e := range r.fleet.Edges {
+		e.Kill()
+	}
+	for _, e := range r.fleet.Edges {
+		if err := e.Start(); err != nil {
 			return nil, err
 		}
 	}
-	if added := r.crashRuns() - before; before >= crashThreshold && added > maxRetriesAfter {
-		return []string{fmt.Sprintf("a request that had crashed %d replicas was run %d times more", before, added)}, nil
+	if err := r.waitUntilReady(ctx); err != nil {
+		return []string{err.Error()}, nil
+	}
+	sleep(ctx, contactTime)
+	if err := r.sendCrashingRounds(ctx); err != nil {
+		return nil, err
+	}
+	if added := r.crashRuns() - before; added > maxRetriesAfter {
+		return []string{fmt.Sprintf("after a loss of all processes, a request that had crashed %d replicas was run %d times more", before, added)}, nil
 	}
 	return nil, nil
 }
 
+func (r *run) sendCrashingRounds(ctx context.Context) error {
+	for range crashRounds {
+		if err := r.sendCrashing(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // sendCrashing sends the crashing request to each process, and starts the replicas again that
 // it crashes.
 func (r *run) sendCrashing(ctx context.Context) error {
