--- a/internal/core/gateway/persist.go
+++ b/internal/core/gateway/persist.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/cornelhold/cornelhold/internal/core/quarantine"
 )
 
@@ -36,9 +38,11 @@
 
 func newPersistedCrashes() persistedCrashes { return persistedCrashes{awaited: true} }
 
-// witness records that requests of this instance with the traits are suspects of a crash.
+// witness records that requests of this instance with the traits are suspects of a crash. Parts
+// of prompts are left out, as records do not name them.
 func (p *persistedCrashes) witness(i incarnation, at time.Duration, traits []quarantine.Trait) {
-	p.witnessed = addCrash(p.witnessed, i, at, traits)
+	requests := lo.Filter(traits, func(t quarantine.Trait, _ int) bool { return t.Kind == quarantine.WholeRequest })
+	p.witnessed = addCrash(p.witnessed, i, at, requests)
 	if len(p.witnessed) > crashLimits.MaxEvents {
 		p.witnessed = p.witnessed[1:]
 	}
@@ -99,7 +103,7 @@
 func (m *Machine) repeatedSuspects(w ownCrash) []quarantine.Trait {
 	event := crashEvent(w.incarnation.id, w.incarnation.started)
 	suspects := slices.DeleteFunc(m.crashes.table.Suspects(event), func(t quarantine.Trait) bool {
-		return t.Kind != quarantine.WholeRequest || !w.traits[t] || m.crashes.table.Count(t) < suspectedCrashes
+		return !w.traits[t] || m.crashes.table.Count(t) < suspectedCrashes
 	})
 	return suspects[:min(len(suspects), maxPersistedSuspects)]
 }
--- a/internal/core/quarantine/cause.go
+++ b/internal/core/quarantine/cause.go
@@ -29,7 +29,8 @@
 // of these has another suspect that may have been in as many. Traits that were suspects of the
 // same crashes are one cause together. Crashes that a cause explains are no evidence against
 // other traits. A cause is doubtful up to BusyThreshold if endpoints crash for other reasons
-// too, or if one of its crashes was restored; so is a whole request whose crashes are not spread over MinSpan.
+// too, or if one of its crashes was restored; so is a whole request whose crashes are not
+// spread over MinSpan.
 func (t *Table) Causes(before time.Duration) []Cause {
 	i := newInference(t, before)
 	var causes []Cause
