--- a/internal/core/gateway/persist_test.go
+++ b/internal/core/gateway/persist_test.go
@@ -90,6 +90,8 @@
 	again := knownCause
 	again.Until += time.Second
 	is.Equal(len(persisted(m.Step(4*time.Second, CrashesReported{Report: CrashReport{Quarantined: []quarantine.Entry{again}}}))), 0)
+	changed := OthersReported{Relays: true, RelayNodes: []string{options.Node}} // records are compared again
+	is.Equal(len(persisted(m.Step(5*time.Second, changed))), 0)
 }
 
 // TestRecordOfLiftedCauseIsRemoved guards against the refusal of a sound request after a
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -23,7 +23,7 @@
 	// bodyTimeout bounds the time to read a request's body.
 	bodyTimeout = 20 * time.Second
 	// bodyRetryAfter is the retry delay of a request whose body does not fit into the memory
-	// for bodies. Most are freed within that time.
+	// for bodies.
 	bodyRetryAfter = time.Second
 	// lingerTimeout is how long the rest of a refused request is read, because a
 	// close with unread bytes resets the connection and may lose the refusal.
