--- a/review/casekit/record.go
+++ b/review/casekit/record.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Package casekit is what the scripts of the second review share.
 package casekit
 
--- a/review/history/main.go
+++ b/review/history/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command history runs three edge processes before stand-ins of the users' platform whose store has kept
 // the usage decisions of many days, kills the holder of the duties, and watches the memory of the others.
 package main
--- a/review/lease/main.go
+++ b/review/lease/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command lease runs three edge processes before stand-ins of the users' platform, restarts the holder of
 // the duties and its successor in turn, and checks in which order the holders call the platform.
 package main
