--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-go build -tags review -o target/review/ ./review/history ./review/lease
+go build -tags review -o target/review/ ./review/second/standin/history ./review/second/standin/lease
--- a/review/history/main.go
+++ b/review/second/standin/history/main.go
@@ -22,7 +22,7 @@
 	"github.com/cornelhold/cornelhold/internal/procs"
 	"github.com/cornelhold/cornelhold/internal/standin/edgefleet"
 	"github.com/cornelhold/cornelhold/internal/standin/userplatform"
-	"github.com/cornelhold/cornelhold/review/casekit"
+	"github.com/cornelhold/cornelhold/review/second/standin/casekit"
 )
 
 const (
--- a/review/history/store.go
+++ b/review/second/standin/history/store.go
@@ -22,7 +22,7 @@
 	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
 	"github.com/cornelhold/cornelhold/internal/standin/edgefleet"
 	"github.com/cornelhold/cornelhold/platform"
-	"github.com/cornelhold/cornelhold/review/casekit"
+	"github.com/cornelhold/cornelhold/review/second/standin/casekit"
 )
 
 const (
