Log what an acquisition of the duties' lease rested on

Cause: "duties taken" named only the fence, so that the logs could not tell whether a holder had taken over a released lease, one that had expired, or its own.

Change: the line also names the newest record before the acquisition, its holder, whether it was a release and how long it had been known.

--- a/internal/core/duty/lease.go
+++ b/internal/core/duty/lease.go
@@ -143,6 +143,9 @@
 	releasing  bool
 	// excluded is set while this instance may not acquire the lease.
 	excluded bool
+	// requested describes the acquisition that was requested last, takeover the one that
+	// gave this instance its newest term.
+	requested, takeover Takeover
 }
 
 // NewLease returns a lease without known records. seed makes the nonces of this
@@ -220,6 +223,9 @@
 	}
 	l.unconfirmed, l.record, l.endOffset, l.synced, l.recordSeenAt = nil, &record, offset+1, true, now
 	l.fence = record.holderFence()
+	if record.Fence == 0 {
+		l.takeover = l.requested
+	}
 	l.validUntil = l.appendSentAt + leaseValidity
 	if record.Released {
 		l.validUntil = 0
@@ -252,19 +258,12 @@
 	case own:
 		return nil
 	case l.available(now):
+		l.requested = l.describeTakeover(now)
 		return l.requestAppend(now, LeaseRecord{})
 	}
 	return nil
 }
 
-// available reports whether this instance may acquire the lease.
-func (l *Lease) available(now time.Duration) bool {
-	if l.endOffset == 0 || (l.record != nil && l.record.Released) {
-		return now >= l.recordSeenAt+l.takeoverJitter
-	}
-	return now >= l.recordSeenAt+takeoverDelay+l.takeoverJitter
-}
-
 func (l *Lease) requestRead(now time.Duration) []LeaseAction {
 	if now < l.nextReadAt {
 		return nil
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -244,7 +244,7 @@
 	}
 	t.held = held
 	if held {
-		t.log.WithField("fence", fence).Info("duties taken")
+		t.logTakeover(fence)
 		t.reporter.Invalidate()
 		t.planner.Reset(fence > 1)
 		t.engines.recorder = enginemodel.NewRecorder()
@@ -253,6 +253,18 @@
 	t.log.WithField("fence", fence).Warn("duties lost")
 }
 
+// logTakeover logs what the acquisition of the lease rested on: the newest record before it,
+// whose it was and how long this instance had known it.
+func (t *dutiesTask) logTakeover(fence int64) {
+	takeover := t.lease.Takeover()
+	fields := log.Fields{"fence": fence, "record_age_ms": takeover.RecordAge.Milliseconds()}
+	if previous := takeover.Previous; previous != nil {
+		fields["previous_holder"], fields["previous_offset"] = previous.Holder.Node, previous.Offset
+		fields["released"] = previous.Released
+	}
+	t.log.WithFields(fields).Info("duties taken")
+}
+
 // performDuties starts the calls that are due for the holder.
 func (t *dutiesTask) performDuties(ctx context.Context, now time.Duration, fence int64) {
 	holder := platform.LeaseHolder{Node: t.process.deployment.Node, Fence: fence, CheckedAt: now}
