Keep holders of the duties from acting in the order A, B, A within lease-ms

Cause: a released lease could be taken over at once, also by the instance that held it before the one that released it. Every other way to the lease takes at least 3.5 s after the last record, and the order was kept by that alone. The same order was possible without a restart, for an instance that lost the lease by expiry while its successor stopped as planned.

Change: an instance that follows another one acquires the lease only lease-ms and the time limit of a call after its own start and after the end of its own last term. A new run does not know when an earlier one acted, but its start is a safe bound. An instance that follows itself, and the first holder of a deployment, need not wait. lease-ms is read from the settings. Other instances still take a released lease over at once.

--- a/internal/core/duty/lease.go
+++ b/internal/core/duty/lease.go
@@ -11,11 +11,12 @@
 )
 
 const (
+	// callTimeout bounds the time in which a call of the holder arrives or fails.
+	callTimeout = time.Second
 	// renewInterval is the time between two renewals by the holder.
 	renewInterval = 800 * time.Millisecond
-	// leaseValidity is how long the holder may act after it sent a renewal. A call
-	// of the holder takes up to a second, so all calls have ended before another
-	// instance can take over.
+	// leaseValidity is how long the holder may act after it sent a renewal. All its
+	// calls have ended callTimeout later, before another instance can take over.
 	leaseValidity = 2 * time.Second
 	// takeoverDelay is how long an instance must have seen no newer record before
 	// it takes over the lease.
@@ -117,12 +118,15 @@
 func (AppendLease) leaseAction() {}
 
 // Lease is the view of one instance on the lease of the duties. Times come from a
-// clock that keeps running while the machine is suspended. Invariant: the holder
+// clock that keeps running while the machine is suspended. Invariants: the holder
 // acts only within leaseValidity after it sent its newest record, and another
 // instance appends only after takeoverDelay without a newer record, so that two
-// holders never act at the same time.
+// holders never act at the same time. An instance that follows another one acts only
+// ReacquireInterval after the end of its own last term.
 type Lease struct {
 	self           Holder
+	startedAt      time.Duration
+	reacquireDelay time.Duration
 	takeoverJitter time.Duration
 	record         *LeaseRecord
 	endOffset      int64
@@ -148,14 +152,29 @@
 	requested, takeover Takeover
 }
 
-// NewLease returns a lease without known records. seed makes the nonces of this
-// run distinct from those of others.
-func NewLease(self Holder, seed uint64) *Lease {
-	hash := xxhash.Sum64String(self.Node)
-	return &Lease{
-		self: self, nonce: seed,
+// LeaseOptions configures a Lease.
+type LeaseOptions struct {
+	Self Holder
+	// Seed makes the nonces of this run distinct from those of others.
+	Seed uint64
+	// StartedAt is when this run of the instance started.
+	StartedAt time.Duration
+	// ReacquireInterval is the minimum time between the last call of one term of an instance
+	// and the first of its next one, if another instance held the lease in between; 0 if there is none.
+	ReacquireInterval time.Duration
+}
+
+// NewLease returns a lease without known records.
+func NewLease(o LeaseOptions) *Lease {
+	hash := xxhash.Sum64String(o.Self.Node)
+	l := &Lease{
+		self: o.Self, nonce: o.Seed, startedAt: o.StartedAt,
 		takeoverJitter: time.Duration(hash%takeoverJitterSteps) * takeoverJitterStep,
 	}
+	if o.ReacquireInterval > 0 {
+		l.reacquireDelay = callTimeout + o.ReacquireInterval
+	}
+	return l
 }
 
 // Fence returns the fencing token under which the instance may act at now; ok
--- a/internal/core/duty/lease_test.go
+++ b/internal/core/duty/lease_test.go
@@ -19,6 +19,8 @@
 	// minReacquireInterval is the period of rule ONE: within it, holders must not
 	// act in the order A, B, A.
 	minReacquireInterval = 3 * time.Second
+	// restartDelay is the time after which a killed process is started again.
+	restartDelay = 500 * time.Millisecond
 )
 
 // leaseStore simulates the conditional append of the platform's store.
@@ -50,7 +52,14 @@
 	suspendedUntil   time.Duration
 	downUntil        time.Duration
 	partitionedUntil time.Duration
-	pending          []pendingReply
+	// stopAt is when the process is asked to stop and killAt when it is killed, both 0 if
+	// nothing is planned.
+	stopAt, killAt time.Duration
+	// callsUntil is when the last call of the process is answered, lastUse the index of its
+	// last use of the lease.
+	callsUntil time.Duration
+	lastUse    int
+	pending    []pendingReply
 }
 
 type pendingReply struct {
@@ -67,28 +76,31 @@
 	now    time.Duration
 }
 
-// leaseUse is a moment at which a node was allowed to act as the holder.
+// leaseUse is a moment at which a node was allowed to act as the holder. Calls that it sent
+// until then arrive by arrivesBy.
 type leaseUse struct {
-	at    time.Duration
-	node  int
-	fence int64
+	at, arrivesBy time.Duration
+	node          int
+	fence         int64
 }
 
 func (w *leaseSimulation) restart(i int) {
 	n := w.nodes[i]
 	n.boot++
 	holder := Holder{Node: fmt.Sprint("n", i), Boot: fmt.Sprint(n.boot)}
-	n.lease = NewLease(holder, uint64(i*1000+n.boot)<<20)
-	n.pending = nil
+	n.lease = NewLease(LeaseOptions{
+		Self: holder, Seed: uint64(i*1000+n.boot) << 20, StartedAt: max(w.now, n.downUntil), ReacquireInterval: minReacquireInterval,
+	})
+	n.pending, n.stopAt, n.killAt, n.callsUntil = nil, 0, 0, 0
 }
 
-// perform executes an action on the store. Responses take up to 300 ms and may be
-// lost; an append whose response is lost may take effect seconds later.
+// perform executes an action on the store. Responses take up to 300 ms, mostly less, and may
+// be lost; an append whose response is lost may take effect seconds later.
 func (w *leaseSimulation) perform(n *leaseNode, action LeaseAction) {
 	reply := func(msg LeaseMessage, after time.Duration) {
 		n.pending = append(n.pending, pendingReply{w.now + after, msg})
 	}
-	delay := time.Duration(w.random.IntN(300)) * time.Millisecond
+	delay := time.Duration(w.random.IntN(w.random.IntN(300)+1)) * time.Millisecond
 	failed := w.store.down || w.now < n.partitionedUntil
 	switch a := action.(type) {
 	case ReadLease:
@@ -120,13 +132,13 @@
 	}
 }
 
-// injectFault suspends, restarts or partitions a random node, or starts or ends an
+// injectFault suspends, restarts, stops or partitions a random node, or starts or ends an
 // outage of the store.
 func (w *leaseSimulation) injectFault() {
 	n := w.random.IntN(len(w.nodes))
 	node := w.nodes[n]
 	length := time.Duration(500+w.random.IntN(8000)) * time.Millisecond
-	switch w.random.IntN(6) {
+	switch w.random.IntN(7) {
 	case 0:
 		node.suspendedUntil = w.now + length
 	case 1:
@@ -136,13 +148,36 @@
 		node.partitionedUntil = w.now + length
 	case 3:
 		w.store.down = !w.store.down
+	case 4:
+		w.planStops()
 	default:
 		w.store.down = false
 	}
 }
 
+// planStops stops all processes in turn, each of which is killed while it stops.
+func (w *leaseSimulation) planStops() {
+	gap := time.Duration(500+w.random.IntN(2000)) * time.Millisecond
+	stopTime := time.Duration(500+w.random.IntN(4000)) * time.Millisecond
+	for i, n := range w.random.Perm(len(w.nodes)) {
+		w.nodes[n].stopAt = w.now + time.Duration(i)*gap
+		w.nodes[n].killAt = w.nodes[n].stopAt + stopTime
+	}
+}
+
+// restartKilled restarts a process that was killed while it stopped.
+func (w *leaseSimulation) restartKilled(i int) {
+	n := w.nodes[i]
+	if n.killAt == 0 || w.now < n.killAt {
+		return
+	}
+	n.downUntil = w.now + restartDelay
+	w.restart(i)
+}
+
 func (w *leaseSimulation) step() {
 	for i, n := range w.nodes {
+		w.restartKilled(i)
 		if w.now < n.suspendedUntil || w.now < n.downUntil {
 			continue
 		}
@@ -159,10 +194,7 @@
 		for _, p := range due {
 			w.apply(n, p.msg)
 		}
-		w.apply(n, LeaseTick{})
-		if fence, ok := n.lease.Fence(w.now); ok {
-			w.uses = append(w.uses, leaseUse{w.now, i, fence})
-		}
+		w.act(i)
 		// Two of three reports between instances are lost.
 		for j, other := range w.nodes {
 			reachable := w.now >= other.suspendedUntil && w.now >= other.downUntil && w.now >= n.partitionedUntil && w.now >= other.partitionedUntil
@@ -174,14 +206,42 @@
 	}
 }
 
+// act makes a process check its timeouts and act if it may. One that stops does not act any
+// more, and releases the lease once its calls are answered.
+func (w *leaseSimulation) act(i int) {
+	n := w.nodes[i]
+	stopping := n.killAt != 0 && w.now >= n.stopAt
+	if stopping && w.now >= n.callsUntil {
+		if n.callsUntil > 0 {
+			w.uses[n.lastUse].arrivesBy = n.callsUntil
+		}
+		w.apply(n, LeaseRelease{})
+		return
+	}
+	w.apply(n, LeaseTick{})
+	if fence, ok := n.lease.Fence(w.now); ok && !stopping {
+		n.callsUntil = max(n.callsUntil, w.now+w.callTime())
+		n.lastUse = len(w.uses)
+		w.uses = append(w.uses, leaseUse{at: w.now, arrivesBy: w.now + maxCallTime, node: i, fence: fence})
+	}
+}
+
+// callTime returns the time that a call takes.
+func (w *leaseSimulation) callTime() time.Duration {
+	if w.random.IntN(10) == 0 {
+		return time.Duration(w.random.Int64N(int64(maxCallTime)))
+	}
+	return 10 * time.Millisecond
+}
+
 func (w *leaseSimulation) apply(n *leaseNode, msg LeaseMessage) {
 	for _, a := range n.lease.Step(w.now, msg) {
 		w.perform(n, a)
 	}
 }
 
-// check compares each use of the lease with those of other nodes. A call may
-// arrive up to maxCallTime after it was sent, and no call with a lower fencing
+// check compares each use of the lease with those of other nodes. A call without an answer
+// may arrive up to maxCallTime after it was sent, and no call with a lower fencing
 // token may arrive after one with a higher token.
 func (w *leaseSimulation) check() {
 	last := make(map[int]leaseUse)
@@ -191,7 +251,7 @@
 			if a.fence <= newest.fence {
 				w.t.Fatalf("node %d acts with fencing token %d after node %d with %d", a.node, a.fence, newest.node, newest.fence)
 			}
-			if a.at < newest.at+maxCallTime {
+			if a.at < newest.arrivesBy {
 				w.t.Fatalf("node %d acts %v after node %d, whose calls may still arrive", a.node, a.at-newest.at, newest.node)
 			}
 			if previous, ok := last[a.node]; ok && a.at-previous.at < minReacquireInterval {
@@ -202,9 +262,10 @@
 	}
 }
 
-// TestAtMostOneHolderActs guards against two holders of the duties (rule ONE)
-// under suspended and killed processes, network partitions, store outages, lost
-// responses and appends that take effect seconds later.
+// TestAtMostOneHolderActs guards against two holders of the duties, and against holders that
+// act in the order A, B, A within a short time (rule ONE), under suspended, killed and stopped
+// processes, network partitions, store outages, lost responses and appends that take effect
+// seconds later.
 func TestAtMostOneHolderActs(t *testing.T) {
 	totalUses := 0
 	proptest.Check(t, proptest.Bounds{Seed: 20261204, Checks: 400}, func(t *rapid.T) {
@@ -263,7 +324,7 @@
 // large deployment, and against a holder that loses the lease with its candidacy.
 func TestOnlyCandidatesAcquireLease(t *testing.T) {
 	is := is.New(t)
-	l := NewLease(Holder{Node: "n", Boot: "b"}, 1)
+	l := NewLease(LeaseOptions{Self: Holder{Node: "n", Boot: "b"}, Seed: 1})
 	is.Equal(len(l.Step(0, LeaseCandidacy{})), 0)
 	is.Equal(len(l.Step(10*time.Second, LeaseTick{})), 0)
 	is.Equal(len(l.Step(10*time.Second, LeaseReported{Offset: 4, Held: true})), 0)
--- a/internal/core/duty/takeover.go
+++ b/internal/core/duty/takeover.go
@@ -23,8 +23,22 @@
 
 // available reports whether this instance may acquire the lease.
 func (l *Lease) available(now time.Duration) bool {
-	if l.endOffset == 0 || (l.record != nil && l.record.Released) {
-		return now >= l.recordSeenAt+l.takeoverJitter
+	if l.endOffset == 0 {
+		return now >= l.takeoverJitter
+	}
+	freeAt := l.recordSeenAt
+	if l.record == nil || !l.record.Released {
+		freeAt += takeoverDelay
+	}
+	return now >= max(freeAt, l.earliestTerm())+l.takeoverJitter
+}
+
+// earliestTerm returns when this instance may act again, so that holders don't act in the order
+// A, B, A within a short time. A run of the instance does not know when an earlier one acted
+// last, only that this was before its own start. An instance that follows itself may act at once.
+func (l *Lease) earliestTerm() time.Duration {
+	if l.record != nil && l.record.Holder.Node == l.self.Node {
+		return 0
 	}
-	return now >= l.recordSeenAt+takeoverDelay+l.takeoverJitter
+	return max(l.startedAt, l.validUntil) + l.reacquireDelay
 }
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -103,7 +103,10 @@
 	t := &dutiesTask{
 		process: p, log: p.log, origin: duty.Origin{DataCentre: p.deployment.DataCentre, Boot: p.deployment.Node + "/" + boot},
 		mailbox: task.NewMailbox[any](dutyMailbox), store: p.store, cloud: platform.NewCloud(p.deployment.CloudAddr),
-		lease:    duty.NewLease(duty.Holder{Node: p.deployment.Node, Boot: boot}, seed),
+		lease: duty.NewLease(duty.LeaseOptions{
+			Self: duty.Holder{Node: p.deployment.Node, Boot: boot}, Seed: seed,
+			StartedAt: task.BootTime(), ReacquireInterval: p.deployment.Bounds.ReacquireInterval,
+		}),
 		reporter: duty.NewReporter(max(p.deployment.Bounds.UsageWindow, time.Second)),
 		usage:    duty.NewUsage(), clock: duty.NewClockEstimate(), planner: scaling.NewPlanner(), demand: scaling.NewDemand(),
 		engines: engineRecords{recorder: enginemodel.NewRecorder()},
