Release the duties' lease only after the calls of its holder have ended

The waiting times before a takeover keep calls of two holders apart, and a release removes them all. A stopping holder released the lease at once, although a call may take up to a second.

Change: a holder that stops acts no more, and releases the lease once none of its calls under the lease is pending; each ends by its time limit of 1 s.

--- a/internal/core/duty/lease.go
+++ b/internal/core/duty/lease.go
@@ -88,8 +88,9 @@
 // LeaseTick makes the state machine check its timeouts.
 type LeaseTick struct{}
 
-// LeaseRelease releases the lease permanently.
-type LeaseRelease struct{}
+// LeaseRelease makes this instance stop acting as the holder, and releases the lease once none
+// of its calls is pending. It is repeated until then.
+type LeaseRelease struct{ CallsPending bool }
 
 func (LeaseRead) leaseMessage()         {}
 func (LeaseReadFailed) leaseMessage()   {}
@@ -120,8 +121,8 @@
 // Lease is the view of one instance on the lease of the duties. Times come from a
 // clock that keeps running while the machine is suspended. Invariants: the holder
 // acts only within leaseValidity after it sent its newest record, and another
-// instance appends only after takeoverDelay without a newer record, so that two
-// holders never act at the same time. An instance that follows another one acts only
+// instance appends only after takeoverDelay without a newer record, or after a release, which
+// follows the last call, so that two holders never act at the same time. An instance that follows another one acts only
 // ReacquireInterval after the end of its own last term.
 type Lease struct {
 	self           Holder
@@ -145,6 +146,8 @@
 	validUntil time.Duration
 	nonce      uint64
 	releasing  bool
+	// callsPending is set while calls that this instance sent as the holder may still arrive.
+	callsPending bool
 	// excluded is set while this instance may not acquire the lease.
 	excluded bool
 	// requested describes the acquisition that was requested last, takeover the one that
@@ -202,7 +205,7 @@
 	case LeaseReported:
 		l.applyPeerReport(now, msg)
 	case LeaseRelease:
-		l.releasing = true
+		l.releasing, l.callsPending = true, msg.CallsPending
 	case LeaseCandidacy:
 		l.excluded = !msg.Allowed
 	case LeaseTick:
@@ -268,7 +271,7 @@
 		return nil
 	case !l.synced:
 		return l.requestRead(now)
-	case l.releasing && own:
+	case l.releasing && own && !l.callsPending:
 		return l.requestAppend(now, LeaseRecord{Fence: l.record.holderFence(), Released: true})
 	case l.releasing:
 		return nil
--- a/internal/core/duty/lease_test.go
+++ b/internal/core/duty/lease_test.go
@@ -47,6 +47,8 @@
 }
 
 type leaseNode struct {
+	// name determines the jitter of takeovers.
+	name             string
 	lease            *Lease
 	boot             int
 	suspendedUntil   time.Duration
@@ -84,23 +86,28 @@
 	fence         int64
 }
 
+func (w *leaseSimulation) addNode(i int) {
+	w.nodes = append(w.nodes, &leaseNode{name: fmt.Sprint("n", i, "-", w.random.IntN(1000))})
+	w.restart(i)
+}
+
 func (w *leaseSimulation) restart(i int) {
 	n := w.nodes[i]
 	n.boot++
-	holder := Holder{Node: fmt.Sprint("n", i), Boot: fmt.Sprint(n.boot)}
+	holder := Holder{Node: n.name, Boot: fmt.Sprint(n.boot)}
 	n.lease = NewLease(LeaseOptions{
 		Self: holder, Seed: uint64(i*1000+n.boot) << 20, StartedAt: max(w.now, n.downUntil), ReacquireInterval: minReacquireInterval,
 	})
 	n.pending, n.stopAt, n.killAt, n.callsUntil = nil, 0, 0, 0
 }
 
-// perform executes an action on the store. Responses take up to 300 ms, mostly less, and may
-// be lost; an append whose response is lost may take effect seconds later.
+// perform executes an action on the store. Responses take up to 300 ms and may be
+// lost; an append whose response is lost may take effect seconds later.
 func (w *leaseSimulation) perform(n *leaseNode, action LeaseAction) {
 	reply := func(msg LeaseMessage, after time.Duration) {
 		n.pending = append(n.pending, pendingReply{w.now + after, msg})
 	}
-	delay := time.Duration(w.random.IntN(w.random.IntN(300)+1)) * time.Millisecond
+	delay := time.Duration(w.random.IntN(300)) * time.Millisecond
 	failed := w.store.down || w.now < n.partitionedUntil
 	switch a := action.(type) {
 	case ReadLease:
@@ -206,20 +213,19 @@
 	}
 }
 
-// act makes a process check its timeouts and act if it may. One that stops does not act any
-// more, and releases the lease once its calls are answered.
+// act makes a process check its timeouts and act if it may. The calls of a process that
+// releases the lease have arrived once they are answered.
 func (w *leaseSimulation) act(i int) {
 	n := w.nodes[i]
-	stopping := n.killAt != 0 && w.now >= n.stopAt
-	if stopping && w.now >= n.callsUntil {
+	if n.killAt != 0 && w.now >= n.stopAt {
 		if n.callsUntil > 0 {
 			w.uses[n.lastUse].arrivesBy = n.callsUntil
 		}
-		w.apply(n, LeaseRelease{})
-		return
+		w.apply(n, LeaseRelease{CallsPending: w.now < n.callsUntil})
+	} else {
+		w.apply(n, LeaseTick{})
 	}
-	w.apply(n, LeaseTick{})
-	if fence, ok := n.lease.Fence(w.now); ok && !stopping {
+	if fence, ok := n.lease.Fence(w.now); ok {
 		n.callsUntil = max(n.callsUntil, w.now+w.callTime())
 		n.lastUse = len(w.uses)
 		w.uses = append(w.uses, leaseUse{at: w.now, arrivesBy: w.now + maxCallTime, node: i, fence: fence})
@@ -268,11 +274,10 @@
 // seconds later.
 func TestAtMostOneHolderActs(t *testing.T) {
 	totalUses := 0
-	proptest.Check(t, proptest.Bounds{Seed: 20261204, Checks: 400}, func(t *rapid.T) {
+	proptest.Check(t, proptest.Bounds{Seed: 20261204, Checks: 1000}, func(t *rapid.T) {
 		w := &leaseSimulation{t: t, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))}
 		for i := range 3 {
-			w.nodes = append(w.nodes, &leaseNode{})
-			w.restart(i)
+			w.addNode(i)
 		}
 		const tick = 100 * time.Millisecond
 		for w.now = time.Second; w.now < 60*time.Second; w.now += tick {
@@ -301,8 +306,7 @@
 	proptest.Check(t, proptest.Bounds{Seed: 20261204, Checks: 100}, func(t *rapid.T) {
 		w := &leaseSimulation{t: t, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))}
 		for i := range 4 {
-			w.nodes = append(w.nodes, &leaseNode{})
-			w.restart(i)
+			w.addNode(i)
 		}
 		const tick = 100 * time.Millisecond
 		for w.now = time.Second; len(w.uses) == 0; w.now += tick {
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -90,6 +90,8 @@
 	demand   *scaling.Demand
 	state    directoryState
 	held     bool
+	// holderCalls is the number of calls under the lease that await their result.
+	holderCalls int
 	// quotaUse is what all instances used of the quotas as of quotaUseAt.
 	quotaUse   quota.Record
 	quotaUseAt time.Duration
@@ -216,7 +218,7 @@
 	now := task.BootTime()
 	t.clock.Update(now, time.Duration(time.Now().UnixNano()))
 	if t.process.draining() {
-		t.stepLease(ctx, now, duty.LeaseRelease{})
+		t.stepLease(ctx, now, duty.LeaseRelease{CallsPending: t.holderCalls > 0})
 	} else {
 		t.stepLease(ctx, now, duty.LeaseTick{})
 	}
--- a/internal/edge/dutycalls.go
+++ b/internal/edge/dutycalls.go
@@ -23,6 +23,19 @@
 	}()
 }
 
+// callAsHolder runs a call that only the holder of the lease may send. The lease is not
+// released before its result has arrived.
+func (t *dutiesTask) callAsHolder(ctx context.Context, call func() func(now time.Duration)) {
+	t.holderCalls++
+	t.call(ctx, func() func(time.Duration) {
+		apply := call()
+		return func(now time.Duration) {
+			t.holderCalls--
+			apply(now)
+		}
+	})
+}
+
 func (t *dutiesTask) performLease(ctx context.Context, action duty.LeaseAction) {
 	stepWith := func(msg duty.LeaseMessage) func(time.Duration) {
 		return func(now time.Duration) { t.stepLease(ctx, now, msg) }
@@ -72,17 +85,14 @@
 }
 
 func (t *dutiesTask) performReport(ctx context.Context, holder platform.LeaseHolder, action duty.ReporterAction) {
-	t.call(ctx, func() func(time.Duration) {
-		switch a := action.(type) {
-		case duty.ReadDecisions:
-			return t.readDecisions(ctx)
-		case duty.AppendDecision:
-			return t.appendDecision(ctx, a)
-		case duty.SendReport:
-			return t.sendReport(ctx, holder, a)
-		}
-		return func(time.Duration) {}
-	})
+	switch a := action.(type) {
+	case duty.ReadDecisions:
+		t.call(ctx, func() func(time.Duration) { return t.readDecisions(ctx) })
+	case duty.AppendDecision:
+		t.call(ctx, func() func(time.Duration) { return t.appendDecision(ctx, a) })
+	case duty.SendReport:
+		t.callAsHolder(ctx, func() func(time.Duration) { return t.sendReport(ctx, holder, a) })
+	}
 }
 
 func (t *dutiesTask) readDecisions(ctx context.Context) func(time.Duration) {
@@ -136,7 +146,7 @@
 
 func (t *dutiesTask) sendOrder(ctx context.Context, holder platform.LeaseHolder, o scaling.Order) {
 	basis := t.planner.Basis(task.BootTime(), o.Service, t.demand)
-	t.call(ctx, func() func(time.Duration) {
+	t.callAsHolder(ctx, func() func(time.Duration) {
 		err := t.cloud.Scale(ctx, holder, platform.Order{
 			Service: o.Service, DataCentre: o.DataCentre, Reclaimable: o.Reclaimable, Count: o.Count,
 		})
