Treat a response without a length as cut if the connection was reset

Callers got a part of an answer as a complete 200: an endpoint answered a long request at once, without a length, sent a part of the body and reset the connection while the request was still being written (rules MIXED and ORDER).

Cause: the kernel reports a reset to one call only. While a long body is written by a goroutine of its own, that call is a write; the reader then gets io.EOF, which ends a response without a length. Nothing looked at the result of the write, and nothing asked for the state of the connection.

Change: the end of the connection ends a response only if the request was written without an error, and the kernel states that all of it was confirmed and that the connection is not in the state of a reset or a timeout (TCP_INFO). An endpoint that closes its side early but reads the request to its end is waited for. A response to HEAD and others that have no body end with their head.

--- a/internal/e2e/edge_test.go
+++ b/internal/e2e/edge_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cornelhold/cornelhold/internal/standin/edgefleet"
 	"github.com/cornelhold/cornelhold/internal/standin/userplatform"
 )
 
@@ -80,6 +81,28 @@
 	is.Equal(resp.StatusCode, http.StatusBadGateway)
 }
 
+// TestCutAnswerIsNotPassedOn guards against a part of an answer without a length that callers get
+// as the whole one, because its replica reset the connection while a long request was still being
+// written to it (rules MIXED, ORDER).
+func TestCutAnswerIsNotPassedOn(t *testing.T) {
+	const bodyBytes = 8 << 20
+	f := newEdgeFleet(t, 1)
+	f.Configure(strings.Replace(f.Config(edgefleet.PlainService, "key-1"), `"max-body-bytes":100000`, fmt.Sprintf(`"max-body-bytes":%d`, bodyBytes), 1))
+	time.Sleep(configBound)
+	setFault(f.PlainReplicas, userplatform.FaultResetInUpload)
+	setFault(f.ModelReplicas, userplatform.FaultResetInUpload)
+	for _, route := range []string{"check", "order", "stream", "stream-once"} {
+		for i := range 5 {
+			target := fmt.Sprintf("/%s/%d", route, i)
+			conn, _ := f.sendCall(f.Edges[0], call{method: http.MethodPost, target: target, body: strings.Repeat("x", bodyBytes)})
+			resp, body, err := f.readResponse(conn, http.MethodPost)
+			if resp.StatusCode < 300 && err == nil {
+				t.Errorf("%s: got the part %q as a complete answer with status %d", target, body, resp.StatusCode)
+			}
+		}
+	}
+}
+
 // TestStaleRefusalIsNotPassedOn guards against an earlier refusal that a replica sends once
 // more on a kept connection: callers would be told that a request did not run which does,
 // or it would run at a second replica (rules REFUSED, TWICE).
--- a/internal/standin/userplatform/replica.go
+++ b/internal/standin/userplatform/replica.go
@@ -36,6 +36,9 @@
 	FaultUnframedStream
 	// FaultUnframedHead ends such a stream behind its head.
 	FaultUnframedHead
+	// FaultResetInUpload responds without a length before it has read the request's body, and
+	// resets the connection after a part of the response.
+	FaultResetInUpload
 	// FaultStaleResponse sends a response to another request before its own.
 	FaultStaleResponse
 	// FaultStaleRefusal sends refusals before its own response: one of another request and
@@ -226,6 +229,9 @@
 		if err != nil {
 			return
 		}
+		if r.resetInUpload(conn, req) {
+			return
+		}
 		body, err := io.ReadAll(req.Body)
 		if err != nil {
 			return
@@ -240,6 +246,24 @@
 	}
 }
 
+// resetInUpload applies FaultResetInUpload, if it is selected, and reports whether it did.
+func (r *Replica) resetInUpload(conn net.Conn, req *http.Request) bool {
+	var selected bool
+	r.do(func(s *replicaState) { selected = s.fault == FaultResetInUpload })
+	if !selected {
+		return false
+	}
+	contentType, part := "text/plain", "answer of"
+	if isStream(req) {
+		contentType, part = "text/event-stream", Event(1)
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nReplica-Signature: %s\r\nContent-Type: %s\r\n\r\n%s",
+		req.Header.Get("Attempt-Id"), r.ID, contentType, part)
+	time.Sleep(r.EventInterval)
+	resetConn(conn)
+	return true
+}
+
 // respond serves one request and reports whether the connection stays open.
 func (r *Replica) respond(conn net.Conn, req *http.Request, body string) bool {
 	attempt := req.Header.Get("Attempt-Id")
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/cornelhold/cornelhold/internal/socket"
 	"github.com/cornelhold/cornelhold/platform"
 )
 
@@ -234,12 +235,29 @@
 	} else {
 		last, err = x.readFull(ctx, c, resp, decoded)
 	}
+	if err == nil && !isDelimited(resp) {
+		err = confirmEnd(ctx, c, written)
+	}
 	if err != nil {
 		return x.failure(err), false
 	}
 	return last, x.reusable(c, resp, written)
 }
 
+// confirmEnd checks that the connection whose end is that of the response was closed in good
+// order, after the endpoint had received the whole request. Otherwise the response may be cut.
+func confirmEnd(ctx context.Context, c *Conn, written <-chan error) error {
+	select {
+	case err := <-written:
+		if err != nil {
+			return Error.New("the request could not be written to its end, so that the response may be cut: %w", err)
+		}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return socket.ConfirmEnd(ctx, c.conn)
+}
+
 func (x *exchange) failure(cause error) Event {
 	reset := !errors.Is(cause, context.Canceled)
 	var network net.Error
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -64,9 +64,9 @@
 	return err
 }
 
-// isDelimited reports whether a response states where its body ends.
+// isDelimited reports whether a response states where its body ends, or has none.
 func isDelimited(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
 }
 
 func isStream(resp *http.Response) bool {
