Take no answer whose status is outside 100 to 599

Callers got "HTTP/1.1 0 Failed" from an endpoint that answered with status 000, which is no answer in the protocol (rule MIXED).

Cause: the parser of net/http takes any three digits for a status, also 000 and +20; the exchange checked only for interim responses, and the front passed on what is neither a success nor a failure.

Change: a status below 100 or above 599 ends the exchange as a violation of the protocol: the connection is closed, and the request is sent again or answered with 502 as its route allows.

--- a/internal/e2e/edge_test.go
+++ b/internal/e2e/edge_test.go
@@ -103,6 +103,19 @@
 	}
 }
 
+// TestInvalidStatusIsNotPassedOn guards against an answer with status 000, which is none of HTTP, and
+// that callers get as an answer of their request (rule MIXED).
+func TestInvalidStatusIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	f := newEdgeFleet(t, 1)
+	setFault(f.PlainReplicas, userplatform.FaultInvalidStatus)
+	setFault(f.ModelReplicas, userplatform.FaultInvalidStatus)
+	for _, route := range []string{"check", "order", "stream", "stream-once"} {
+		resp, _, _ := f.do(f.Edges[0], call{method: http.MethodPost, target: "/" + route + "/x"})
+		is.Equal(resp.StatusCode, http.StatusBadGateway)
+	}
+}
+
 // TestStaleRefusalIsNotPassedOn guards against an earlier refusal that a replica sends once
 // more on a kept connection: callers would be told that a request did not run which does,
 // or it would run at a second replica (rules REFUSED, TWICE).
--- a/internal/standin/userplatform/replica.go
+++ b/internal/standin/userplatform/replica.go
@@ -22,6 +22,8 @@
 	FaultNone Fault = iota
 	// FaultServerError responds with status 500.
 	FaultServerError
+	// FaultInvalidStatus responds with status 000.
+	FaultInvalidStatus
 	// FaultReject responds with status 503 and Not-Executed, without executing the
 	// request.
 	FaultReject
@@ -294,6 +296,8 @@
 		return writeResponse(conn, "503 Service Unavailable", head+"Not-Executed: 1\r\n", "")
 	case FaultServerError:
 		return writeResponse(conn, "500 Internal Server Error", signed, "failed")
+	case FaultInvalidStatus:
+		return writeResponse(conn, "000 Failed", signed, "failed")
 	case FaultReset:
 		resetConn(conn)
 		return false
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -27,6 +27,9 @@
 	maxSkippedResponses = 3
 	// maxSkippedBodyBytes bounds the body of a skipped response.
 	maxSkippedBodyBytes = 1 << 20
+	// minStatus and maxStatus bound the status codes of HTTP. The parser of net/http takes any
+	// three digits.
+	minStatus, maxStatus = 100, 599
 	// streamBufferBytes is the size of the read buffer for stream data.
 	streamBufferBytes = 8192
 )
@@ -40,7 +43,10 @@
 		if err != nil {
 			return nil, platform.EndpointResponse{}, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+			return nil, platform.EndpointResponse{}, Error.New("got status %03d, want one from %d to %d", resp.StatusCode, minStatus, maxStatus)
+		}
+		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		decoded := platform.DecodeEndpointResponse(resp.StatusCode, resp.Header)
