Reject statuses outside 100 to 599 in the clients of router and controller

A call of a plain service that got an answer with status 000 was recorded and passed on as completed, with that status; an order with such an answer counted as accepted.

The parser of net/http takes any three digits, and the clients took all below 300, or all below 500, for an answer.

Change: the clients of engines, plain services and the platform share one transport, internal/httpclient, which fails for such a status; the result of a call is then unknown.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -15,7 +15,7 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/request"
-	"github.com/cornelhold/cornelhold/internal/socket"
+	"github.com/cornelhold/cornelhold/internal/httpclient"
 )
 
 // Error is the class of errors of endpoint calls.
@@ -57,22 +57,21 @@
 // NewClientWithIdleTimeout returns an engine client that abandons a stream
 // after the given time without any byte.
 func NewClientWithIdleTimeout(silence time.Duration) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 	return &Client{
 		idleTimeout: silence,
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: maxIdlePerHost,
-			IdleConnTimeout:     idleConnTimeout,
-
-			MaxResponseHeaderBytes: socket.MaxResponseHeadBytes,
-		}},
+		http:        &http.Client{Transport: newPooledTransport(dial)},
 		// Probes, cancels and exports use new connections, since a pooled one
 		// may be unresponsive.
-		noKeepAlive: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: socket.MaxResponseHeadBytes}},
+		noKeepAlive: &http.Client{Transport: httpclient.NewTransport(httpclient.Options{Dial: dial})},
 	}
 }
 
+// newPooledTransport returns a transport that keeps connections to endpoints for further requests.
+func newPooledTransport(dial httpclient.Dial) *httpclient.Transport {
+	return httpclient.NewTransport(httpclient.Options{Dial: dial, MaxIdlePerHost: maxIdlePerHost, IdleTimeout: idleConnTimeout})
+}
+
 // attemptStream is one running attempt.
 type attemptStream struct {
 	client      *Client
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -14,7 +14,7 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/lease"
 	"github.com/cornelhold/cornelhold/internal/core/order"
-	"github.com/cornelhold/cornelhold/internal/socket"
+	"github.com/cornelhold/cornelhold/internal/httpclient"
 )
 
 // StatePath is where an endpoint reports its state and accepts orders.
@@ -65,10 +65,9 @@
 
 // NewOrderClient returns a client that connects to an endpoint on first use.
 func NewOrderClient() *OrderClient {
-	return &OrderClient{http: &http.Client{Transport: &http.Transport{
-		DialContext: dialWithoutLinger, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout,
-		MaxResponseHeaderBytes: socket.MaxResponseHeadBytes,
-	}}}
+	return &OrderClient{http: &http.Client{Transport: httpclient.NewTransport(httpclient.Options{
+		Dial: dialWithoutLinger, MaxIdlePerHost: 1, IdleTimeout: idleConnTimeout,
+	})}}
 }
 
 // dialWithoutLinger makes the kernel discard unsent bytes when the connection
--- a/internal/engine/plain.go
+++ b/internal/engine/plain.go
@@ -10,7 +10,7 @@
 	"net/url"
 
 	"github.com/cornelhold/cornelhold/internal/core/claim"
-	"github.com/cornelhold/cornelhold/internal/socket"
+	"github.com/cornelhold/cornelhold/internal/httpclient"
 )
 
 // PlainRequest is one call of a plain service.
@@ -32,24 +32,18 @@
 
 // NewPlainClient returns a client of plain services.
 func NewPlainClient() *PlainClient {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 	return &PlainClient{
 		// net/http may replay a request whose reused connection broke, so a call
 		// that is not idempotent gets a connection of its own.
-		singleUse: newPlainHTTPClient(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: socket.MaxResponseHeadBytes}),
-		pooled: newPlainHTTPClient(&http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: maxIdlePerHost,
-			IdleConnTimeout:     idleConnTimeout,
-
-			MaxResponseHeaderBytes: socket.MaxResponseHeadBytes,
-		}),
+		singleUse: newPlainHTTPClient(httpclient.NewTransport(httpclient.Options{Dial: dial})),
+		pooled:    newPlainHTTPClient(newPooledTransport(dial)),
 	}
 }
 
 // newPlainHTTPClient returns a client that follows no redirects: following 307
 // or 308 would send the request a second time.
-func newPlainHTTPClient(transport *http.Transport) *http.Client {
+func newPlainHTTPClient(transport http.RoundTripper) *http.Client {
 	return &http.Client{
 		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -13,7 +13,7 @@
 
 	"github.com/zeebo/errs"
 
-	"github.com/cornelhold/cornelhold/internal/socket"
+	"github.com/cornelhold/cornelhold/internal/httpclient"
 )
 
 // Error classes of platform calls.
@@ -60,13 +60,9 @@
 // NewHTTPClient returns the HTTP client that the platform clients use.
 func NewHTTPClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleTimeout,
-
-		MaxResponseHeaderBytes: socket.MaxResponseHeadBytes,
-	}}
+	return &http.Client{Transport: httpclient.NewTransport(httpclient.Options{
+		Dial: dialer.DialContext, MaxIdlePerHost: maxIdlePerHost, IdleTimeout: idleTimeout,
+	})}
 }
 
 func call(ctx context.Context, client *http.Client, method, url string, body []byte, out any) error {
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/cornelhold/cornelhold/internal/bodybuffer"
+	"github.com/cornelhold/cornelhold/internal/httpclient"
 	"github.com/cornelhold/cornelhold/internal/socket"
 	"github.com/cornelhold/cornelhold/platform"
 )
@@ -27,9 +28,6 @@
 	maxSkippedResponses = 3
 	// maxSkippedBodyBytes bounds the body of a skipped response.
 	maxSkippedBodyBytes = 1 << 20
-	// minStatus and maxStatus bound the status codes of HTTP. The parser of net/http takes any
-	// three digits.
-	minStatus, maxStatus = 100, 599
 	// streamBufferBytes is the size of the read buffer for stream data.
 	streamBufferBytes = 8192
 )
@@ -43,8 +41,8 @@
 		if err != nil {
 			return nil, platform.EndpointResponse{}, err
 		}
-		if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
-			return nil, platform.EndpointResponse{}, Error.New("got status %03d, want one from %d to %d", resp.StatusCode, minStatus, maxStatus)
+		if err := httpclient.CheckStatus(resp.StatusCode); err != nil {
+			return nil, platform.EndpointResponse{}, err
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
