Treat a call's response without a length as cut if the connection was reset

Cause: the same as of the entry instance: the write takes the error of the reset, and net/http sees an ordinary end.

Change: the connections of internal/httpclient report io.EOF in a response only once the whole request was written and the kernel states that the connection was not reset. The exchange of the entry instance uses the same functions for the length and the status of a response.

--- a/internal/engine/cut_test.go
+++ b/internal/engine/cut_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -35,6 +37,38 @@
 	return listener.Addr().String()
 }
 
+// TestCutResponseIsNotCompleted guards against a part of a response that is recorded as the result
+// of a call, because the endpoint reset the connection while the call was still being written.
+func TestCutResponseIsNotCompleted(t *testing.T) {
+	const bodyBytes = 8 << 20
+	reset := func(c *net.TCPConn) {
+		time.Sleep(5 * time.Millisecond)
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}
+	for range 10 {
+		is := is.New(t)
+		call := PlainRequest{Address: answerOnce(t, "200 OK", reset), Operation: "x", Body: make([]byte, bodyBytes)}
+		is.Equal(NewPlainClient().CallOnce(t.Context(), call).Result, claim.CallUnknown)
+	}
+}
+
+// TestResponseWithoutLengthIsCompleted guards against calls whose results count as unknown because
+// their responses end with the connection.
+func TestResponseWithoutLengthIsCompleted(t *testing.T) {
+	is := is.New(t)
+	halfClose := func(c *net.TCPConn) {
+		_ = c.CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
+	}
+	for _, size := range []int{0, 1 << 20} {
+		call := PlainRequest{Address: answerOnce(t, "200 OK", halfClose), Operation: "x", Body: make([]byte, size)}
+		ended := NewPlainClient().CallOnce(t.Context(), call)
+		is.Equal(ended.Result, claim.CallCompleted)
+		is.Equal(string(ended.Response.Body), "part")
+	}
+}
+
 // TestInvalidStatusIsNotCompleted guards against an answer whose status is none of HTTP, and that
 // is recorded as the result of a call.
 func TestInvalidStatusIsNotCompleted(t *testing.T) {
--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -1,11 +1,13 @@
 // Package httpclient makes the HTTP client of the standard library reject what is no complete
-// response: one whose status is none of HTTP.
+// response: one whose status is none of HTTP, and one without a length whose connection was reset.
 package httpclient
 
 import (
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -38,14 +40,32 @@
 // NewTransport returns a transport without open connections.
 func NewTransport(o Options) *Transport {
 	return &Transport{&http.Transport{
-		DialContext: o.Dial, MaxIdleConnsPerHost: o.MaxIdlePerHost, IdleConnTimeout: o.IdleTimeout, DisableKeepAlives: o.MaxIdlePerHost == 0,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := o.Dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return newConfirmedConn(conn), nil
+		},
+		MaxIdleConnsPerHost: o.MaxIdlePerHost, IdleConnTimeout: o.IdleTimeout, DisableKeepAlives: o.MaxIdlePerHost == 0,
 		MaxResponseHeaderBytes: socket.MaxResponseHeadBytes,
 	}}
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(r)
+	// current is the exchange of the latest try: the transport repeats some requests.
+	var current atomic.Pointer[exchange]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			current.Store(&exchange{written: make(chan struct{})})
+			if conn, ok := info.Conn.(*confirmedConn); ok {
+				conn.current.Store(current.Load())
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) { current.Load().requestWritten(info.Err) },
+	}
+	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
@@ -63,3 +83,8 @@
 	}
 	return nil
 }
+
+// IsDelimited reports whether a response states where its body ends, or has none.
+func IsDelimited(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/cornelhold/cornelhold/internal/httpclient"
 	"github.com/cornelhold/cornelhold/internal/socket"
 	"github.com/cornelhold/cornelhold/platform"
 )
@@ -235,7 +236,7 @@
 	} else {
 		last, err = x.readFull(ctx, c, resp, decoded)
 	}
-	if err == nil && !isDelimited(resp) {
+	if err == nil && !httpclient.IsDelimited(resp) {
 		err = confirmEnd(ctx, c, written)
 	}
 	if err != nil {
@@ -317,7 +318,7 @@
 // was delimited, no unread bytes follow it, and the request was written
 // completely. It sets the connection's keep-alive time.
 func (x *exchange) reusable(c *Conn, resp *http.Response, written chan error) bool {
-	if resp.Close || !isDelimited(resp) || c.reader.Buffered() > 0 {
+	if resp.Close || !httpclient.IsDelimited(resp) || c.reader.Buffered() > 0 {
 		return false
 	}
 	select {
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -60,7 +60,7 @@
 
 // skipBody reads and drops the body of a response to another request.
 func skipBody(c *Conn, resp *http.Response, decoded platform.EndpointResponse) error {
-	if !isDelimited(resp) {
+	if !httpclient.IsDelimited(resp) {
 		return Error.New("got a response to request %q of unknown length", decoded.Attempt)
 	}
 	c.limit.SetLimit(maxSkippedBodyBytes + maxFramingBytes)
@@ -68,11 +68,6 @@
 	return err
 }
 
-// isDelimited reports whether a response states where its body ends, or has none.
-func isDelimited(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
-}
-
 func isStream(resp *http.Response) bool {
 	return resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 }
@@ -90,7 +85,7 @@
 		}
 		switch {
 		case err == io.EOF:
-			return StreamEnd{Delimited: isDelimited(resp)}, nil
+			return StreamEnd{Delimited: httpclient.IsDelimited(resp)}, nil
 		case err != nil:
 			return nil, err
 		}
