--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -14,7 +13,6 @@
 
 	"github.com/cornelhold/cornelhold/internal/httpclient"
 	"github.com/cornelhold/cornelhold/internal/socket"
-	"github.com/cornelhold/cornelhold/platform"
 )
 
 // Error is the class of errors of connections to endpoints.
@@ -24,10 +22,6 @@
 	// dialTimeout bounds the opening of a connection; the round trip to endpoints
 	// takes a few milliseconds.
 	dialTimeout = 600 * time.Millisecond
-	// maxInlineBodyBytes is the maximum size of a body that is written before the
-	// response is read. Larger bodies are written concurrently, because an
-	// endpoint may respond before it has read them.
-	maxInlineBodyBytes = 2048
 	// eventBuffer is the number of events buffered for the request task.
 	eventBuffer = 16
 )
@@ -52,79 +46,6 @@
 	MaxIdle time.Duration
 }
 
-// Event is an event of an exchange. The last event is exactly one of
-// FullResponse, StreamEnd and Failed.
-type Event interface{ event() }
-
-// RequestWritten reports that the request was handed to the connection: the head
-// and the body, or only the head if a large body is still being written. It is the
-// first event of an exchange, unless no connection could be opened.
-type RequestWritten struct {
-	// Connect is the time until a connection was available, Write the time that
-	// the write took after that.
-	Connect, Write time.Duration
-	// Reused is set if the connection had served other requests before.
-	Reused bool
-}
-
-// StreamHead is the head of a streamed response. StreamData events follow.
-type StreamHead struct {
-	Status  int
-	Header  http.Header
-	Decoded platform.EndpointResponse
-}
-
-// StreamData is a part of a stream's body.
-type StreamData struct{ Bytes []byte }
-
-// StreamEnd reports that the stream was received completely.
-type StreamEnd struct {
-	// Delimited is set if the response stated where its body ends. Otherwise only the end
-	// of the connection did.
-	Delimited bool
-}
-
-// FullResponse is a complete response that is not a stream.
-type FullResponse struct {
-	Status  int
-	Header  http.Header
-	Decoded platform.EndpointResponse
-	Body    []byte
-}
-
-// Failed ends an exchange without a complete response.
-type Failed struct {
-	Cause error
-	// Sent is set if a byte of the request may have reached the endpoint.
-	Sent bool
-	// DialFailed is set if no connection could be opened, Refused if that is because
-	// nothing listens at the address.
-	DialFailed, Refused bool
-	// NotSentInTime is set if the request was not written because SendBy had passed.
-	NotSentInTime bool
-	// Reset is set if the endpoint closed or reset the connection, or violated
-	// the protocol.
-	Reset bool
-	// Reused is set if the connection had served other requests before.
-	Reused bool
-}
-
-func (RequestWritten) event() {}
-func (StreamHead) event()     {}
-func (StreamData) event()     {}
-func (StreamEnd) event()      {}
-func (FullResponse) event()   {}
-func (Failed) event()         {}
-
-// IsLast reports whether an event ends its exchange.
-func IsLast(e Event) bool {
-	switch e.(type) {
-	case FullResponse, StreamEnd, Failed:
-		return true
-	}
-	return false
-}
-
 type exchange struct {
 	pool    *Pool
 	request Request
@@ -268,52 +189,6 @@
 	return Failed{Cause: Error.Wrap(cause), Sent: x.sent, Reset: reset, Reused: x.reused}
 }
 
-// errLate is the error of a request of which nothing was written, since SendBy has passed.
-var errLate = Error.New("too late to send the request")
-
-// write sends head and body. The returned channel receives the result of the
-// write; a large body is written by a separate goroutine. SendBy is checked again by the
-// goroutine that writes: the process may have been suspended since the connection was there.
-func (x *exchange) write(c *Conn) (chan error, error) {
-	r := x.request
-	var head bytes.Buffer
-	head.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
-		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
-	}
-	if err := r.Header.Write(&head); err != nil {
-		return nil, Error.Wrap(err)
-	}
-	head.WriteString("\r\n")
-	written := make(chan error, 1)
-	if len(r.Body) <= maxInlineBodyBytes {
-		head.Write(r.Body)
-		if x.isLate() {
-			return nil, errLate
-		}
-		x.sent = true
-		_, err := c.conn.Write(head.Bytes())
-		written <- err
-		return written, err
-	}
-	late := make(chan bool, 1)
-	go func() {
-		isLate := x.isLate()
-		late <- isLate
-		if isLate {
-			return
-		}
-		parts := net.Buffers{head.Bytes(), r.Body}
-		_, err := parts.WriteTo(c.conn)
-		written <- err
-	}()
-	if <-late {
-		return nil, errLate
-	}
-	x.sent = true
-	return written, nil
-}
-
 // reusable reports whether the connection can serve another request: the response
 // was delimited, no unread bytes follow it, and the request was written
 // completely. It sets the connection's keep-alive time.
