Share what starts calls of edge tasks and what reads the store in cornelctl

Cause: the tasks of duties and rollouts each had the code that starts a call and brings its result back; two commands of cornelctl had the same flag, check and output.

Change: startCall of internal/edge and storeCommand of internal/cli serve both.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -42,26 +42,14 @@
 // platformCommand shows the configuration and the instance list that the users'
 // store holds.
 func platformCommand(o *options) *cobra.Command {
-	var store string
-	show := &cobra.Command{
+	show := storeCommand(o, &cobra.Command{
 		Use:     "show",
 		Short:   "Show the configuration in force and the endpoints of each service",
 		Example: "  cornelctl platform show --store 10.200.1.7:8225",
-		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if store == "" {
-				return Error.New("no store given; pass --store IP:PORT (platform.addr of the settings file)")
-			}
-			ctx, cancel := o.context(cmd)
-			defer cancel()
-			view, err := readPlatform(ctx, store)
-			if err != nil {
-				return err
-			}
-			return o.print(cmd.OutOrStdout(), view, view.rows())
-		},
-	}
-	show.Flags().StringVar(&store, "store", "", "address of the users' store, IP and port")
+	}, func(ctx context.Context, address string) (storeView, error) {
+		view, err := readPlatform(ctx, address)
+		return storeView{data: view, rows: view.rows()}, err
+	})
 	root := &cobra.Command{Use: "platform", Short: "Read the users' platform that cornelhold-edge runs on"}
 	root.AddCommand(show)
 	return root
--- a/internal/cli/rollout.go
+++ b/internal/cli/rollout.go
@@ -26,30 +26,18 @@
 
 // rolloutCommand shows the rollouts that the users' store holds.
 func rolloutCommand(o *options) *cobra.Command {
-	var store string
-	status := &cobra.Command{
+	status := storeCommand(o, &cobra.Command{
 		Use:     "status",
 		Short:   "Show the last rollout order of each service, its state and the endpoints by version",
 		Example: "  cornelctl rollout status --store 10.200.1.7:8225",
-		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if store == "" {
-				return Error.New("no store given; pass --store IP:PORT (platform.addr of the settings file)")
-			}
-			ctx, cancel := o.context(cmd)
-			defer cancel()
-			rollouts, err := readRollouts(ctx, store)
-			if err != nil {
-				return err
-			}
-			rows := [][]string{{"SERVICE", "TO", "COMPLETE BY", "STATE", "READY ENDPOINTS"}}
-			for _, r := range rollouts {
-				rows = append(rows, []string{r.Service, r.To, r.CompleteBy, r.State, formatReady(r.Ready)})
-			}
-			return o.print(cmd.OutOrStdout(), rollouts, rows)
-		},
-	}
-	status.Flags().StringVar(&store, "store", "", "address of the users' store, IP and port")
+	}, func(ctx context.Context, address string) (storeView, error) {
+		rollouts, err := readRollouts(ctx, address)
+		rows := [][]string{{"SERVICE", "TO", "COMPLETE BY", "STATE", "READY ENDPOINTS"}}
+		for _, r := range rollouts {
+			rows = append(rows, []string{r.Service, r.To, r.CompleteBy, r.State, formatReady(r.Ready)})
+		}
+		return storeView{data: rollouts, rows: rows}, err
+	})
 	root := &cobra.Command{Use: "rollout", Short: "Read the rollouts of services on the users' platform"}
 	root.AddCommand(status)
 	return root
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -60,9 +60,6 @@
 // windowsRequest requests all usage counts.
 type windowsRequest struct{ reply chan<- []usageWindow }
 
-// callFinished carries the result of a call back to the task, which runs apply.
-type callFinished struct{ apply func(now time.Duration) }
-
 // dutiesSummary is the part of the state that is included in datagrams to peers: the own
 // usage counts, those of the data centre, and some wall clocks.
 type dutiesSummary struct {
--- a/internal/edge/dutycalls.go
+++ b/internal/edge/dutycalls.go
@@ -14,13 +14,9 @@
 	"github.com/cornelhold/cornelhold/platform"
 )
 
-// call runs a call to the platform in its own goroutine. The function that it
-// returns applies the result and runs in the task.
+// call starts a call whose result this task applies.
 func (t *dutiesTask) call(ctx context.Context, call func() func(now time.Duration)) {
-	go func() {
-		apply := call()
-		_ = t.mailbox.Send(ctx, callFinished{apply: apply})
-	}()
+	startCall(ctx, t.mailbox, call)
 }
 
 // callAsHolder runs a call that only the holder of the lease may send. The lease is not
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -211,13 +211,9 @@
 	}
 }
 
-// call runs a call to the store in its own goroutine. The function that it returns applies the
-// result and runs in the task.
+// call starts a call to the store whose result this task applies.
 func (t *rolloutsTask) call(ctx context.Context, call func() func(now time.Duration)) {
-	go func() {
-		apply := call()
-		_ = t.mailbox.Send(ctx, callFinished{apply: apply})
-	}()
+	startCall(ctx, t.mailbox, call)
 }
 
 // load reads the records of the rollouts.
