Reformat the invariants of the duties' lease

Cause: the comment had become one long sentence with a line over the usual width. Change: one item for each invariant; no code changed. Result: the tests of the package pass.

--- a/internal/core/duty/lease.go
+++ b/internal/core/duty/lease.go
@@ -30,11 +30,13 @@
 )
 
 // Lease is the view of one instance on the lease of the duties. Times come from a
-// clock that keeps running while the machine is suspended. Invariants: the holder
-// acts only within leaseValidity after it sent its newest record, and another
-// instance appends only after takeoverDelay without a newer record, or after a release, which
-// follows the last call, so that two holders never act at the same time. An instance that follows another one acts only
-// ReacquireInterval after the end of its own last term.
+// clock that keeps running while the machine is suspended. Invariants:
+//
+//   - Two holders never act at the same time: the holder acts only within leaseValidity after
+//     it sent its newest record, and another instance appends only after takeoverDelay without a
+//     newer record, or after a release, which follows the end of the last call.
+//   - Holders don't act in the order A, B, A within ReacquireInterval: an instance that follows
+//     another one acts only that long after the end of its own last term.
 type Lease struct {
 	self           Holder
 	startedAt      time.Duration
