Make two tests of the edge process independent of the machine's load

Cause: the test of cut answers slept for the time within which a configuration must be active, and would send bodies above the old limit if that took longer; the stand-in of the slow platform let a call arrive although its sender had timed out and abandoned it, which a loaded machine can bring about.

Change: the test awaits the new limit; an abandoned call does not arrive. The checks and their bounds are unchanged.

--- a/internal/e2e/edge_duties_test.go
+++ b/internal/e2e/edge_duties_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"bytes"
 	"io"
 	"log"
 	"net"
@@ -43,9 +44,15 @@
 	proxy.ErrorLog = log.New(io.Discard, "", 0) // processes that end abandon their calls
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		holder := r.Header.Get("Lease-Holder")
+		body, _ := io.ReadAll(r.Body) // the end of the connection is noticed only after the body
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		if c.slowHolder.Load() == holder {
 			c.begun.Store(true)
-			time.Sleep(c.delay)
+			select {
+			case <-time.After(c.delay):
+			case <-r.Context().Done():
+				return // the holder has abandoned the call, which does not arrive
+			}
 		}
 		c.record(holder, r.Header.Get("Fencing-Token"))
 		proxy.ServeHTTP(w, r)
--- a/internal/e2e/edge_test.go
+++ b/internal/e2e/edge_test.go
@@ -88,7 +88,10 @@
 	const bodyBytes = 8 << 20
 	f := newEdgeFleet(t, 1)
 	f.Configure(strings.Replace(f.Config(edgefleet.PlainService, "key-1"), `"max-body-bytes":100000`, fmt.Sprintf(`"max-body-bytes":%d`, bodyBytes), 1))
-	time.Sleep(configBound)
+	f.eventually(10*time.Second, "the limit of bodies to be active", func() bool {
+		resp, _, _ := f.do(f.Edges[0], call{method: http.MethodPost, target: "/check/x", body: strings.Repeat("x", 200_000)})
+		return resp.StatusCode == http.StatusOK
+	})
 	setFault(f.PlainReplicas, userplatform.FaultResetInUpload)
 	setFault(f.ModelReplicas, userplatform.FaultResetInUpload)
 	for _, route := range []string{"check", "order", "stream", "stream-once"} {
