--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,7 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases of the third review into target/. It needs no network once the
-# build of the deploy file has run.
+# Builds the stand-ins of the scripts of the third review, besides the programs of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mkdir -p target
-go build -o target/ ./review/third/standin/...
+mkdir -p target/review
+go build -tags review -o target/review/ ./review/third/standin/...
--- a/review/third/standin/drill/cases.go
+++ b/review/third/standin/drill/cases.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -40,18 +42,9 @@
 		return false, drillError.Wrap(err)
 	}
 	if d.trouble {
-		d.log.write("fault", "the store goes away; all machines lose power")
-		d.fleet.store.leave(false)
-		d.fleet.stop()
-		time.Sleep(awayTime)
-		d.log.write("fault", "the store comes back from a copy %s older; lost records %v", copyAge, d.fleet.store.comeBack(copyAge))
-		d.fleet.writeAgain()
-		for _, e := range d.fleet.edges {
-			if err := e.restart(); err != nil {
-				return false, err
-			}
+		if err := d.losePower(copyAge); err != nil {
+			return false, err
 		}
-		d.log.write("fault", "the machines start again")
 	}
 	sleep(ctx, rest)
 	return d.judgeUsage(), nil
@@ -128,7 +121,7 @@
 
 // runCase runs a case by its name. It reports whether the rule was broken.
 func (d *drill) runCase(ctx context.Context, name string) (bool, error) {
-	cases := map[string]func(context.Context) (bool, error){"usage": d.usage, "drain": d.drain, "config": d.config}
+	cases := map[string]func(context.Context) (bool, error){"usage": d.usage, "drain": d.drain, "config": d.config, "fence": d.fence}
 	run, ok := cases[name]
 	if !ok {
 		return false, drillError.New("no case %q; there are %s", name, strings.Join(slices.Sorted(maps.Keys(cases)), ", "))
--- a/review/third/standin/drill/fleet.go
+++ b/review/third/standin/drill/fleet.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -220,6 +222,15 @@
 	return e.start()
 }
 
+// signal sends a signal to the process.
+func (e *edge) signal(s os.Signal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cmd != nil {
+		_ = e.cmd.Process.Signal(s)
+	}
+}
+
 // kill ends the process at once.
 func (e *edge) kill() {
 	e.mu.Lock()
@@ -294,3 +305,13 @@
 
 // zones are those of the site. Each has one machine here.
 var zones = []string{"kyushu-a", "kyushu-b", "kyushu-c"}
+
+// edge returns the machine with a name.
+func (f *fleet) edge(name string) *edge {
+	for _, e := range f.edges {
+		if e.name == name {
+			return e
+		}
+	}
+	return nil
+}
--- a/review/third/standin/drill/journal.go
+++ b/review/third/standin/drill/journal.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/third/standin/drill/main.go
+++ b/review/third/standin/drill/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command drill shows cases of the third review with cornelhold-edge processes on loopback: a
 // stand-in of the platform's store that comes back from an older copy, replicas, and clients. It
 // exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
