--- a/internal/core/catalog/directory.go
+++ b/internal/core/catalog/directory.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 )
 
 // RecoveryGrace is the time after the store's recovery within which a live
@@ -13,7 +14,7 @@
 // the endpoint has gone.
 const RecoveryGrace = 2 * time.Second
 
-// tombstoneTTL is how long the offset of a removed entry is kept, so that a late
+// tombstoneTTL is how long the position of a removed entry is kept, so that a late
 // copy from a peer does not restore the entry.
 const tombstoneTTL = 60 * time.Second
 
@@ -43,8 +44,8 @@
 // Entry is one record of the instance list.
 type Entry struct {
 	ID fleet.EndpointID
-	// Offset is the position of the record in the list's log.
-	Offset int64
+	// Position is the place of the record in the list's log.
+	Position storelog.Position
 	// Endpoint is nil if the record removes the entry or describes no usable
 	// endpoint.
 	Endpoint *Endpoint
@@ -56,7 +57,7 @@
 	endpoint *Endpoint
 	// lastState is the newest state received; it is kept after the removal.
 	lastState *Endpoint
-	offset    int64
+	position  storelog.Position
 	// graceUntil is set while the entry is missing because of an outage of the
 	// store; the endpoint may still be alive until then.
 	graceUntil time.Duration
@@ -93,14 +94,14 @@
 // Records that are not newer than the entry's last one are ignored.
 func (d *Directory) Apply(now time.Duration, e Entry) bool {
 	l, ok := d.entries[e.ID]
-	if ok && e.Offset <= l.offset {
+	if ok && e.Position <= l.position {
 		return false
 	}
 	if !ok {
 		l = &listEntry{}
 		d.entries[e.ID] = l
 	}
-	l.offset = e.Offset
+	l.position = e.Position
 	if e.Endpoint == nil {
 		return d.remove(now, l, e.Removed)
 	}
--- a/internal/core/catalog/directory_test.go
+++ b/internal/core/catalog/directory_test.go
@@ -4,11 +4,12 @@
 	"testing"
 	"time"
 
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 	"github.com/matryer/is"
 )
 
-func heartbeat(offset, started, sequence int64, draining bool) Entry {
-	return Entry{ID: "e-x", Offset: offset, Endpoint: &Endpoint{
+func heartbeat(position storelog.Position, started, sequence int64, draining bool) Entry {
+	return Entry{ID: "e-x", Position: position, Endpoint: &Endpoint{
 		ID: "e-x", Service: "s", Address: "127.0.0.1:1", Started: started, Sequence: sequence, Draining: draining,
 	}}
 }
@@ -36,7 +37,7 @@
 	is.Equal(countUsable(d), 0)
 	d.Apply(time.Second, heartbeat(4, 100, 7, false)) // the same incarnation stays draining
 	is.Equal(countUsable(d), 0)
-	d.Apply(2*time.Second, Entry{ID: "e-x", Offset: 5, Removed: true})
+	d.Apply(2*time.Second, Entry{ID: "e-x", Position: 5, Removed: true})
 	d.Apply(2*time.Second, heartbeat(6, 100, 6, false)) // delayed heartbeat after the removal
 	is.Equal(len(d.Endpoints()), 0)
 	d.Apply(3*time.Second, heartbeat(7, 200, 1, false)) // a new incarnation restarts the sequence
@@ -50,7 +51,7 @@
 	d := NewDirectory()
 	d.Apply(0, heartbeat(1, 100, 5, false))
 	d.StoreRecovered(10 * time.Second)
-	d.Apply(10*time.Second, Entry{ID: "e-x", Offset: 2, Removed: true})
+	d.Apply(10*time.Second, Entry{ID: "e-x", Position: 2, Removed: true})
 	d.CaughtUp()
 	is.Equal(countUsable(d), 1)
 	is.True(d.Endpoints()[0].Lapsed) // used only if there is no other
@@ -68,7 +69,7 @@
 	d.Apply(0, heartbeat(1, 100, 5, false))
 	d.StoreRecovered(10 * time.Second)
 	d.CaughtUp()
-	d.Apply(10*time.Second+time.Millisecond, Entry{ID: "e-x", Offset: 2, Removed: true})
+	d.Apply(10*time.Second+time.Millisecond, Entry{ID: "e-x", Position: 2, Removed: true})
 	is.Equal(countUsable(d), 0)
 }
 
--- a/internal/core/duty/lease.go
+++ b/internal/core/duty/lease.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 )
 
 const (
@@ -43,7 +45,8 @@
 	reacquireDelay time.Duration
 	takeoverJitter time.Duration
 	record         *LeaseRecord
-	endOffset      int64
+	// end is the position of the next record.
+	end storelog.Position
 	// synced is cleared when the store must be read before the next append.
 	synced bool
 	// recordSeenAt is when this instance first saw the newest record.
@@ -99,8 +102,13 @@
 	return l.fence, !l.releasing && now < l.validUntil
 }
 
-// NewestOffset returns the offset of the newest known record, -1 for none.
-func (l *Lease) NewestOffset() int64 { return l.endOffset - 1 }
+// NewestPosition returns the position of the newest known record, -1 for none.
+func (l *Lease) NewestPosition() storelog.Position {
+	if l.end.Offset() == 0 {
+		return -1
+	}
+	return l.end - 1
+}
 
 // Step processes one message at now.
 func (l *Lease) Step(now time.Duration, msg LeaseMessage) []LeaseAction {
@@ -112,7 +120,7 @@
 		l.inFlight = false
 	case LeaseAppended:
 		l.inFlight = false
-		l.applyAppend(now, msg.Offset)
+		l.applyAppend(now, msg.Position)
 	case LeaseAppendFailed:
 		l.inFlight, l.synced = false, false
 	case LeaseReported:
@@ -130,33 +138,33 @@
 }
 
 func (l *Lease) applyRead(now time.Duration, msg LeaseRead) {
-	if msg.End < l.endOffset {
+	if msg.End < l.end {
 		// A peer reported a newer record while the read was in flight.
 		return
 	}
 	l.synced = true
-	if msg.End > l.endOffset || (l.recordSeenAt == 0 && msg.Record != nil) {
+	if msg.End > l.end || (l.recordSeenAt == 0 && msg.Record != nil) {
 		l.recordSeenAt = now
 	}
-	l.endOffset, l.record = msg.End, msg.Record
+	l.end, l.record = msg.End, msg.Record
 	if msg.Record != nil && l.unconfirmed != nil && msg.Record.Nonce == l.unconfirmed.Nonce && msg.Record.Holder == l.self {
-		l.applyAppend(now, msg.Record.Offset)
+		l.applyAppend(now, msg.Record.Position)
 	}
 }
 
 // applyAppend adopts the unconfirmed record as the newest one.
-func (l *Lease) applyAppend(now time.Duration, offset int64) {
+func (l *Lease) applyAppend(now time.Duration, position storelog.Position) {
 	if l.unconfirmed == nil {
 		return
 	}
 	record := *l.unconfirmed
-	record.Offset = offset
-	if offset+1 < l.endOffset {
+	record.Position = position
+	if position+1 < l.end {
 		// Another instance has appended a newer record.
 		l.unconfirmed, l.synced = nil, false
 		return
 	}
-	l.unconfirmed, l.record, l.endOffset, l.synced, l.recordSeenAt = nil, &record, offset+1, true, now
+	l.unconfirmed, l.record, l.end, l.synced, l.recordSeenAt = nil, &record, position+1, true, now
 	l.fence = record.holderFence()
 	if record.Fence == 0 {
 		l.takeover = l.requested
@@ -168,10 +176,10 @@
 }
 
 func (l *Lease) applyPeerReport(now time.Duration, msg LeaseReported) {
-	if msg.Offset < l.endOffset {
+	if msg.Position < l.end {
 		return
 	}
-	l.endOffset, l.recordSeenAt, l.record = msg.Offset+1, now, nil
+	l.end, l.recordSeenAt, l.record = msg.Position+1, now, nil
 	// The record reported by a peer that is not the holder may be a release, so it
 	// has to be read.
 	l.synced = msg.Held
@@ -211,5 +219,5 @@
 	l.nonce++
 	r.Holder, r.Nonce = l.self, l.nonce
 	l.unconfirmed, l.appendSentAt, l.inFlight = &r, now, true
-	return []LeaseAction{AppendLease{At: l.endOffset, Record: r}}
+	return []LeaseAction{AppendLease{At: l.end, Record: r}}
 }
--- a/internal/core/duty/lease_test.go
+++ b/internal/core/duty/lease_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 	"github.com/cornelhold/cornelhold/internal/proptest"
 )
 
@@ -36,14 +37,14 @@
 	action AppendLease
 }
 
-func (s *leaseStore) append(a AppendLease) (int64, bool) {
-	if a.At != int64(len(s.records)) {
+func (s *leaseStore) append(a AppendLease) (storelog.Position, bool) {
+	if a.At != storelog.Position(len(s.records)) {
 		return 0, false
 	}
 	r := a.Record
-	r.Offset = a.At
+	r.Position = a.At
 	s.records = append(s.records, r)
-	return r.Offset, true
+	return r.Position, true
 }
 
 type leaseNode struct {
@@ -115,7 +116,7 @@
 			reply(LeaseReadFailed{}, delay)
 			return
 		}
-		read := LeaseRead{End: int64(len(w.store.records))}
+		read := LeaseRead{End: storelog.Position(len(w.store.records))}
 		if read.End > 0 {
 			r := w.store.records[read.End-1]
 			read.Record = &r
@@ -130,8 +131,8 @@
 			effectDelay := time.Duration(w.random.IntN(6000)) * time.Millisecond
 			w.store.delayed = append(w.store.delayed, delayedAppend{w.now + effectDelay, a})
 		default:
-			if offset, ok := w.store.append(a); ok {
-				reply(LeaseAppended{Offset: offset}, delay)
+			if position, ok := w.store.append(a); ok {
+				reply(LeaseAppended{Position: position}, delay)
 			} else {
 				reply(LeaseAppendFailed{}, delay)
 			}
@@ -207,7 +208,7 @@
 			reachable := w.now >= other.suspendedUntil && w.now >= other.downUntil && w.now >= n.partitionedUntil && w.now >= other.partitionedUntil
 			if i != j && reachable && w.random.IntN(3) == 0 {
 				_, held := n.lease.Fence(w.now)
-				w.apply(other, LeaseReported{Offset: n.lease.NewestOffset(), Held: held})
+				w.apply(other, LeaseReported{Position: n.lease.NewestPosition(), Held: held})
 			}
 		}
 	}
@@ -331,14 +332,16 @@
 	l := NewLease(LeaseOptions{Self: Holder{Node: "n", Boot: "b"}, Seed: 1})
 	is.Equal(len(l.Step(0, LeaseCandidacy{})), 0)
 	is.Equal(len(l.Step(10*time.Second, LeaseTick{})), 0)
-	is.Equal(len(l.Step(10*time.Second, LeaseReported{Offset: 4, Held: true})), 0)
+	is.Equal(len(l.Step(10*time.Second, LeaseReported{Position: 4, Held: true})), 0)
 	is.Equal(len(l.Step(20*time.Second, LeaseTick{})), 0) // the holder is silent
 	is.Equal(l.Step(20*time.Second, LeaseCandidacy{Allowed: true}), []LeaseAction{l.append(5)})
-	l.Step(20*time.Second, LeaseAppended{Offset: 5})
+	l.Step(20*time.Second, LeaseAppended{Position: 5})
 	is.Equal(l.Step(21*time.Second, LeaseCandidacy{}), []LeaseAction{l.append(6)}) // it renews
 	_, held := l.Fence(21 * time.Second)
 	is.True(held)
 }
 
 // append returns the append of the last record that the lease has sent.
-func (l *Lease) append(at int64) AppendLease { return AppendLease{At: at, Record: *l.unconfirmed} }
+func (l *Lease) append(at storelog.Position) AppendLease {
+	return AppendLease{At: at, Record: *l.unconfirmed}
+}
--- a/internal/core/duty/leasemessages.go
+++ b/internal/core/duty/leasemessages.go
@@ -1,12 +1,16 @@
 package duty
 
+import (
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
+)
+
 // Holder identifies one process run of an instance.
 type Holder struct{ Node, Boot string }
 
-// LeaseRecord is one record of the lease. Records are ordered by offset.
+// LeaseRecord is one record of the lease. Records are ordered by position.
 type LeaseRecord struct {
-	Offset int64
-	Holder Holder
+	Position storelog.Position
+	Holder   Holder
 	// Fence is the fencing token: the offset of the record that acquired the lease
 	// plus one. It is zero in that record itself.
 	Fence int64
@@ -21,33 +25,33 @@
 	if r.Fence != 0 {
 		return r.Fence
 	}
-	return r.Offset + 1
+	return r.Position.Offset() + 1
 }
 
 // LeaseMessage is an input of Lease.
 type LeaseMessage interface{ leaseMessage() }
 
 // LeaseRead is the result of a read: the newest record of the lease, nil if there
-// is none, and in End the offset of the next record.
+// is none, and in End the position of the next record.
 type LeaseRead struct {
 	Record *LeaseRecord
-	End    int64
+	End    storelog.Position
 }
 
 // LeaseReadFailed reports that a read of the store failed.
 type LeaseReadFailed struct{}
 
-// LeaseAppended reports that the record was appended at Offset.
-type LeaseAppended struct{ Offset int64 }
+// LeaseAppended reports that the record was appended at Position.
+type LeaseAppended struct{ Position storelog.Position }
 
 // LeaseAppendFailed reports that an append was refused, conflicted with another
 // append, or got no response and may still take effect.
 type LeaseAppendFailed struct{}
 
-// LeaseReported is the state of the lease as a peer reports it. Offset is that of
+// LeaseReported is the state of the lease as a peer reports it. Position is that of
 // the newest record the peer has seen.
 type LeaseReported struct {
-	Offset int64
+	Position storelog.Position
 	// Held is set if the peer holds the lease.
 	Held bool
 }
@@ -80,9 +84,9 @@
 type ReadLease struct{}
 
 // AppendLease requests an append on the condition that the partition ends at
-// offset At.
+// position At.
 type AppendLease struct {
-	At     int64
+	At     storelog.Position
 	Record LeaseRecord
 }
 
--- a/internal/core/duty/takeover.go
+++ b/internal/core/duty/takeover.go
@@ -15,7 +15,7 @@
 func (l *Lease) Takeover() Takeover { return l.takeover }
 
 func (l *Lease) describeTakeover(now time.Duration) Takeover {
-	if l.endOffset == 0 {
+	if l.end == 0 {
 		return Takeover{}
 	}
 	return Takeover{Previous: l.record, RecordAge: now - l.recordSeenAt}
@@ -23,7 +23,7 @@
 
 // available reports whether this instance may acquire the lease.
 func (l *Lease) available(now time.Duration) bool {
-	if l.endOffset == 0 {
+	if l.end == 0 {
 		return now >= l.takeoverJitter
 	}
 	freeAt := l.recordSeenAt
--- a/internal/core/duty/takeover_test.go
+++ b/internal/core/duty/takeover_test.go
@@ -34,7 +34,7 @@
 			is := is.New(t)
 			l := NewLease(LeaseOptions{Self: self, Seed: 1, StartedAt: startedAt, ReacquireInterval: c.interval})
 			l.Step(startedAt, LeaseTick{})
-			released := LeaseRecord{Offset: 7, Holder: c.releasedBy, Fence: 3, Released: true}
+			released := LeaseRecord{Position: 7, Holder: c.releasedBy, Fence: 3, Released: true}
 			read := LeaseRead{Record: &released, End: 8}
 			acquired := acquiredAt(l, releasedAt, read)
 			is.True(acquired >= startedAt+c.earliest)
@@ -53,7 +53,7 @@
 	is.Equal(acquiredAt(l, acquiredBefore, LeaseRead{}), acquiredBefore)
 	l.Step(acquiredBefore, LeaseAppended{})
 	const lastActed = acquiredBefore + leaseValidity
-	released := LeaseRecord{Offset: 2, Holder: Holder{Node: "b", Boot: "1"}, Fence: 2, Released: true}
+	released := LeaseRecord{Position: 2, Holder: Holder{Node: "b", Boot: "1"}, Fence: 2, Released: true}
 	l.Step(lastActed, LeaseAppendFailed{})
 	acquired := acquiredAt(l, lastActed+takeoverDelay/2, LeaseRead{Record: &released, End: 3})
 	is.True(acquired >= lastActed+minReacquireInterval)
--- a/internal/core/duty/usage.go
+++ b/internal/core/duty/usage.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 )
 
 const (
@@ -168,9 +169,9 @@
 type ReadDecisions struct{}
 
 // AppendDecision requests an append on the condition that the partition ends at
-// offset At.
+// position At.
 type AppendDecision struct {
-	At       int64
+	At       storelog.Position
 	Decision Decision
 }
 
@@ -189,7 +190,7 @@
 	reported     map[int64]bool
 	// first and newest are the lowest and the highest decided window seen.
 	first, newest int64
-	endOffset     int64
+	end           storelog.Position
 	// synced is cleared when the decisions must be read before the next action.
 	synced bool
 	// inFlight is set while an action awaits its result.
@@ -228,7 +229,7 @@
 		case ok:
 			return r.start(now, SendReport{Decision: d})
 		case r.needsReport(window, usage):
-			return r.start(now, AppendDecision{At: r.endOffset, Decision: Decision{Window: window, Counts: usage.Total(window)}})
+			return r.start(now, AppendDecision{At: r.end, Decision: Decision{Window: window, Counts: usage.Total(window)}})
 		}
 	}
 	return nil
@@ -244,18 +245,18 @@
 	return []ReporterAction{a}
 }
 
-// DecisionsRead records the decisions in the store; endOffset is the offset of the
+// DecisionsRead records the decisions in the store; end is the position of the
 // next one.
-func (r *Reporter) DecisionsRead(decisions []Decision, endOffset int64) {
-	r.inFlight, r.synced, r.endOffset, r.nextActionAt = false, true, endOffset, 0
+func (r *Reporter) DecisionsRead(decisions []Decision, end storelog.Position) {
+	r.inFlight, r.synced, r.end, r.nextActionAt = false, true, end, 0
 	for _, d := range decisions {
 		r.addDecision(d)
 	}
 }
 
-// DecisionAppended records that a decision was stored at an offset.
-func (r *Reporter) DecisionAppended(d Decision, offset int64) {
-	r.inFlight, r.endOffset, r.nextActionAt = false, offset+1, 0
+// DecisionAppended records that a decision was stored at a position.
+func (r *Reporter) DecisionAppended(d Decision, position storelog.Position) {
+	r.inFlight, r.end, r.nextActionAt = false, position+1, 0
 	r.addDecision(d)
 }
 
--- a/internal/core/duty/usage_test.go
+++ b/internal/core/duty/usage_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 	"github.com/cornelhold/cornelhold/internal/proptest"
 )
 
@@ -29,9 +30,9 @@
 			r.ActionFailed(a)
 			return
 		}
-		r.DecisionsRead(append([]Decision(nil), w.decisions...), int64(len(w.decisions)))
+		r.DecisionsRead(append([]Decision(nil), w.decisions...), storelog.Position(len(w.decisions)))
 	case AppendDecision:
-		appended := a.At == int64(len(w.decisions)) && w.random.IntN(4) > 0
+		appended := a.At == storelog.Position(len(w.decisions)) && w.random.IntN(4) > 0
 		if appended {
 			w.decisions = append(w.decisions, a.Decision)
 		}
--- a/internal/core/gateway/endpoints.go
+++ b/internal/core/gateway/endpoints.go
@@ -92,7 +92,7 @@
 
 // endpointsChanged replaces the list of endpoints, and lets what waits for them go on.
 func (m *Machine) endpointsChanged(now time.Duration, msg SetEndpoints) []Action {
-	m.list.offset = msg.Offset
+	m.list.position = msg.Position
 	m.setEndpoints(now, msg.Endpoints)
 	actions := m.noticeReclaims(now)
 	return append(actions, m.releaseAwaiting(now)...)
--- a/internal/core/gateway/listage.go
+++ b/internal/core/gateway/listage.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
+)
 
 const (
 	// maxChoiceAgeShare is the greatest age of the instance list at the choice of an
@@ -20,8 +24,8 @@
 	// drainBound is the time within which requests must no longer reach a draining
 	// endpoint; 0 means no bound.
 	drainBound time.Duration
-	// offset is the position of the list in its log.
-	offset int64
+	// position is the place of the list in its log.
+	position storelog.Position
 	// completeAt is when the list was last known to be complete, if confirmed is set.
 	completeAt time.Duration
 	confirmed  bool
--- a/internal/core/gateway/machine.go
+++ b/internal/core/gateway/machine.go
@@ -261,7 +261,7 @@
 		ID: id, Endpoint: o.endpoint.Endpoint, Route: o.route, Team: teamName(o.team), DeadlineAt: o.deadlineAt,
 		SendBy: m.drainingSendBy(o.endpoint, m.leavingSendBy(o.endpoint, m.list.sendBy(now))), AttemptTimeout: m.attemptTimeout(now, o), Priority: requestPriority(o),
 		Attempt: o.sends, ExpectedFirstByte: o.estimate.firstByte, Load: o.endpoint.load(), Version: m.catalog.Version, Traits: o.traits,
-		ListOffset: m.list.offset, ListAge: now - m.list.completeAt,
+		ListPosition: m.list.position, ListAge: now - m.list.completeAt,
 	}
 }
 
--- a/internal/core/gateway/messages.go
+++ b/internal/core/gateway/messages.go
@@ -12,6 +12,7 @@
 	"github.com/cornelhold/cornelhold/internal/core/quarantine"
 	"github.com/cornelhold/cornelhold/internal/core/quota"
 	"github.com/cornelhold/cornelhold/internal/core/rollout"
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 	"github.com/cornelhold/cornelhold/internal/core/tally"
 )
 
@@ -129,11 +130,11 @@
 // active one are ignored.
 type SetCatalog struct{ Catalog *catalog.Catalog }
 
-// SetEndpoints replaces the endpoints of the instance list. Offset is the position
+// SetEndpoints replaces the endpoints of the instance list. Position is the place
 // in the list's log up to which the list was read.
 type SetEndpoints struct {
 	Endpoints []catalog.Endpoint
-	Offset    int64
+	Position  storelog.Position
 }
 
 // ListConfirmed reports that the endpoints of the last SetEndpoints were the
@@ -239,10 +240,10 @@
 	Version catalog.Version
 	// Traits are those of the request by which crashes are attributed to it.
 	Traits []quarantine.Trait
-	// ListOffset and ListAge are the position of the instance list that the
+	// ListPosition and ListAge are the position of the instance list that the
 	// decision is based on and the time since it was last complete.
-	ListOffset int64
-	ListAge    time.Duration
+	ListPosition storelog.Position
+	ListAge      time.Duration
 	// Turn is that of the attempt, nil if it needed none.
 	Turn *TurnTaken
 	// Copy, if it has a handle, is the copy with which a moved run goes on.
--- a/internal/core/rollout/leader.go
+++ b/internal/core/rollout/leader.go
@@ -35,7 +35,7 @@
 
 // Read passes an order that was read from its log. The newest of each service counts.
 func (l *Leader) Read(now time.Duration, o Order) {
-	if known, ok := l.orders[o.Service]; ok && known.order.Offset >= o.Offset {
+	if known, ok := l.orders[o.Service]; ok && known.order.Position >= o.Position {
 		return
 	}
 	l.orders[o.Service] = &seenOrder{order: o, readAt: now}
@@ -95,7 +95,7 @@
 		switch {
 		case o.handled || l.saving == service:
 			continue
-		case ok && current.record.Order.Offset >= o.order.Offset:
+		case ok && current.record.Order.Position >= o.order.Position:
 		case ok && current.record.Order.To == o.order.To:
 			actions = append(actions, Ignored{Order: o.order, Reason: ReasonDuplicate})
 		case !known:
@@ -178,7 +178,7 @@
 			r.planned.State = r.planState()
 		}
 		plans = append(plans, Plan{
-			Service: service, To: r.record.Order.To, Withheld: r.record.Withheld, Order: r.record.Order.Offset, Fence: l.fence,
+			Service: service, To: r.record.Order.To, Withheld: r.record.Withheld, Order: r.record.Order.Position, Fence: l.fence,
 			Step: r.record.Step, Revision: r.revision, State: r.planState(), Share: r.share, ConfirmedAt: now,
 		})
 	}
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 )
 
 // Order asks that a service's traffic moves to endpoints of a version.
@@ -18,8 +19,8 @@
 	To      fleet.SoftwareVersion
 	// CompleteBy is the time after the order by which a good version has all traffic.
 	CompleteBy time.Duration
-	// Offset is the position of the order in its log. A later order replaces an earlier one.
-	Offset int64
+	// Position is the place of the order in its log. A later order replaces an earlier one.
+	Position storelog.Position
 }
 
 // State is the state of a rollout.
@@ -80,10 +81,11 @@
 	Service  fleet.ServiceName
 	To       fleet.SoftwareVersion
 	Withheld []fleet.SoftwareVersion
-	// Order is the offset of the order, Fence the fencing token of the holder that made the
-	// plan. It is 0 if only the order is known.
-	Order, Fence int64
-	Step         Step
+	// Order is the position of the order.
+	Order storelog.Position
+	// Fence is the fencing token of the holder that made the plan, 0 if only the order is known.
+	Fence int64
+	Step  Step
 	// Revision counts the changes by one holder, also those of the step.
 	Revision int64
 	State    State
@@ -115,7 +117,7 @@
 // Key identifies the counts of a rollout.
 type Key struct {
 	Service fleet.ServiceName
-	Order   int64
+	Order   storelog.Position
 }
 
 // Key returns the key of the counts of the plan's rollout.
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -281,11 +281,11 @@
 	w.ignored = func(i Ignored) { ignored = append(ignored, i.Reason) }
 	w.run(func() {
 		if w.since() == 3*time.Second {
-			w.leader.Read(w.now, Order{Service: "s", To: "v2", CompleteBy: time.Minute, Offset: 8})
-			w.leader.Read(w.now, Order{Service: "unknown", To: "v2", CompleteBy: time.Minute, Offset: 9})
+			w.leader.Read(w.now, Order{Service: "s", To: "v2", CompleteBy: time.Minute, Position: 8})
+			w.leader.Read(w.now, Order{Service: "unknown", To: "v2", CompleteBy: time.Minute, Position: 9})
 		}
 		if w.since() == 4*time.Second {
-			w.leader.Read(w.now, Order{Service: "s", To: "v9", CompleteBy: time.Minute, Offset: 10})
+			w.leader.Read(w.now, Order{Service: "s", To: "v9", CompleteBy: time.Minute, Position: 10})
 		}
 	})
 	is.Equal(ignored, []Reason{ReasonDuplicate, ReasonUnknownService})
--- a/internal/core/rollout/run.go
+++ b/internal/core/rollout/run.go
@@ -103,7 +103,7 @@
 // resume returns the rollout of a record that was read. known is what this instance knew of the
 // service's rollout, nil for nothing; its last write may have had an unknown outcome.
 func resume(now time.Duration, known *run, read Record) *run {
-	if known == nil || known.record.Order.Offset != read.Order.Offset {
+	if known == nil || known.record.Order.Position != read.Order.Position {
 		return newRun(now, read)
 	}
 	if known.next != nil && known.next.Step == read.Step && known.next.State == read.State {
@@ -132,7 +132,7 @@
 	r.view = viewOf(in, r.record.Order)
 	r.times = timesOf(r.record.Order.CompleteBy, r.view.longest)
 	r.instances, r.lost, r.seen.age, r.delay = in.Instances, in.Lost, in.Age, b.Delay
-	counts := in.Sums[Key{Service: r.record.Order.Service, Order: r.record.Order.Offset}]
+	counts := in.Sums[Key{Service: r.record.Order.Service, Order: r.record.Order.Position}]
 	since := now - r.record.StartedAt
 	least, most := r.sentShares(now)
 	if mean := r.seen.arrived / max(since, windowLength).Seconds(); r.isDirect && mean > 0 {
--- a/internal/core/rollout/world_test.go
+++ b/internal/core/rollout/world_test.go
@@ -89,7 +89,7 @@
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), rate: rate, load: 1, endpoints: endpoints, kind: k, fence: 1, now: time.Second,
 		leader: NewLeader(testBounds),
-		order:  Order{Service: "s", To: "v2", CompleteBy: completeBy, Offset: 5}, readyAt: 2 * time.Second,
+		order:  Order{Service: "s", To: "v2", CompleteBy: completeBy, Position: 5}, readyAt: 2 * time.Second,
 		catalog: catalog.Build(catalog.Catalog{
 			Routes: []catalog.Route{
 				{Name: "a", Targets: []catalog.Target{{Service: "s"}}, LatencyObjective: 150 * time.Millisecond, Timeout: time.Second},
--- a/internal/edge/codec.go
+++ b/internal/edge/codec.go
@@ -10,6 +10,7 @@
 	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
 	"github.com/cornelhold/cornelhold/internal/core/duty"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 	"github.com/cornelhold/cornelhold/internal/core/tally"
 	"github.com/cornelhold/cornelhold/platform"
 )
@@ -112,11 +113,11 @@
 }
 
 func encodeRecord(r platform.Record, _ int) *cornelholdv1.StoreRecord {
-	return &cornelholdv1.StoreRecord{Key: r.Key, Value: r.Value, Offset: r.Offset}
+	return &cornelholdv1.StoreRecord{Key: r.Key, Value: r.Value, Position: int64(r.Position)}
 }
 
 func decodeRecord(r *cornelholdv1.StoreRecord, _ int) platform.Record {
-	return platform.Record{Key: r.GetKey(), Value: r.GetValue(), Offset: r.GetOffset()}
+	return platform.Record{Key: r.GetKey(), Value: r.GetValue(), Position: storelog.Position(r.GetPosition())}
 }
 
 func encodeLease(r duty.LeaseRecord) ([]byte, error) {
@@ -129,10 +130,10 @@
 func decodeLease(r platform.Record) (duty.LeaseRecord, error) {
 	var m cornelholdv1.LeaseRecord
 	if err := proto.Unmarshal(r.Value, &m); err != nil {
-		return duty.LeaseRecord{}, Error.New("malformed lease record at offset %d: %w; it is ignored and the lease is taken over after its timeout", r.Offset, err)
+		return duty.LeaseRecord{}, Error.New("malformed lease record at position %s: %w; it is ignored and the lease is taken over after its timeout", r.Position, err)
 	}
 	return duty.LeaseRecord{
-		Offset: r.Offset, Holder: duty.Holder{Node: m.GetNode(), Boot: m.GetBoot()},
+		Position: r.Position, Holder: duty.Holder{Node: m.GetNode(), Boot: m.GetBoot()},
 		Fence: m.GetFence(), Nonce: m.GetNonce(), Released: m.GetReleased(),
 	}, nil
 }
@@ -147,7 +148,7 @@
 func decodeDecision(r platform.Record) (duty.Decision, error) {
 	var m cornelholdv1.UsageDecision
 	if err := proto.Unmarshal(r.Value, &m); err != nil {
-		return duty.Decision{}, Error.New("malformed usage decision at offset %d: %w; the decision is ignored", r.Offset, err)
+		return duty.Decision{}, Error.New("malformed usage decision at position %s: %w; the decision is ignored", r.Position, err)
 	}
 	return duty.Decision{Window: m.GetWindow(), Counts: decodeCounts(m.GetCounts())}, nil
 }
--- a/internal/edge/crashrecords.go
+++ b/internal/edge/crashrecords.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 	"github.com/cornelhold/cornelhold/internal/core/writeback"
 	"github.com/cornelhold/cornelhold/internal/task"
 	"github.com/cornelhold/cornelhold/platform"
@@ -173,7 +174,7 @@
 
 // removeExpired removes expired records of other instances, which may never return, unless the
 // topic has changed since it was read.
-func (t *crashRecordsTask) removeExpired(ctx context.Context, end int64, keys []string) {
+func (t *crashRecordsTask) removeExpired(ctx context.Context, end storelog.Position, keys []string) {
 	if len(keys) == 0 {
 		return
 	}
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -10,6 +10,7 @@
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 	"github.com/cornelhold/cornelhold/internal/task"
 	"github.com/cornelhold/cornelhold/platform"
 )
@@ -34,12 +35,12 @@
 }
 
 // entriesRead holds records of the instance list. A resync replaces the list:
-// entries older than endOffset that are not among the records were removed.
+// entries older than end that are not among the records were removed.
 type entriesRead struct {
-	records   []platform.Record
-	resync    bool
-	endOffset int64
-	source    string
+	records []platform.Record
+	resync  bool
+	end     storelog.Position
+	source  string
 	// storeHealthy is set for records of a peer whose reads of the store have
 	// succeeded for some time. Entries missing from its list were really removed,
 	// rather than lost in an outage of the store.
@@ -52,20 +53,20 @@
 type storeRecovered struct{}
 
 // snapshotRequest requests what a peer lacks, given the configuration version and
-// the list offset that the peer has.
+// the list position that the peer has.
 type snapshotRequest struct {
-	peerVersion catalog.Version
-	peerOffset  int64
-	reply       chan<- snapshot
+	peerVersion  catalog.Version
+	peerPosition storelog.Position
+	reply        chan<- snapshot
 }
 
 // snapshot is the response to a snapshotRequest: the configuration, unless the peer
-// has it, and the records of the instance list from the peer's offset.
+// has it, and the records of the instance list from the peer's position.
 type snapshot struct {
-	config    *platform.Record
-	records   []platform.Record
-	endOffset int64
-	// complete is set if records holds all entries before endOffset.
+	config  *platform.Record
+	records []platform.Record
+	end     storelog.Position
+	// complete is set if records holds all entries before end.
 	complete bool
 }
 
@@ -74,7 +75,7 @@
 	Version catalog.Version
 	// ConfigBytes is the size of the record of the configuration.
 	ConfigBytes int
-	Offset      int64
+	Position    storelog.Position
 	Catalog     *catalog.Catalog
 	Endpoints   []catalog.Endpoint
 }
@@ -90,13 +91,13 @@
 	config    *platform.Record
 	catalog   *catalog.Catalog
 	// records holds the newest record of each entry, to be sent to peers.
-	records map[fleet.EndpointID]platform.Record
-	offset  int64
-	hasList bool
-	// completeOffset is the offset up to which the newest records of all entries were
+	records  map[fleet.EndpointID]platform.Record
+	position storelog.Position
+	hasList  bool
+	// complete is the position up to which the newest records of all entries were
 	// read. An older record of an entry that is not in records is outdated: the
 	// entry was removed.
-	completeOffset int64
+	complete storelog.Position
 	// localOutage is set if peers read the store while this instance could not.
 	localOutage bool
 	gateway     *gatewayTask
@@ -155,7 +156,7 @@
 	c, err := platform.DecodeCatalog(msg.record.Value)
 	if err != nil {
 		t.metrics.malformed.WithLabelValues("config").Inc()
-		t.log.WithError(err).WithField("offset", msg.record.Offset).Warn("malformed configuration ignored")
+		t.log.WithError(err).WithField("position", msg.record.Position).Warn("malformed configuration ignored")
 		return
 	}
 	if t.catalog != nil && c.Version <= t.catalog.Version {
@@ -164,7 +165,7 @@
 	record := msg.record
 	t.config, t.catalog = &record, c
 	t.log.WithFields(log.Fields{
-		"version": c.Version, "source": msg.source, "offset": record.Offset,
+		"version": c.Version, "source": msg.source, "position": record.Position,
 		"routes": len(c.Routes), "teams": len(c.Teams),
 	}).Info("configuration in force")
 	t.gateway.Post(ctx, gateway.SetCatalog{Catalog: c})
@@ -183,7 +184,7 @@
 	}
 	changed := !t.hasList
 	if msg.resync && msg.source == sourceStore {
-		t.completeOffset = 0
+		t.complete = 0
 	}
 	seen := make(map[fleet.EndpointID]bool, len(msg.records))
 	for _, r := range msg.records {
@@ -191,21 +192,21 @@
 		changed = t.applyEntry(now, r) || changed
 	}
 	if msg.resync {
-		t.completeOffset = max(t.completeOffset, msg.endOffset)
+		t.complete = max(t.complete, msg.end)
 		for id, r := range t.records {
-			if !seen[id] && r.Offset < msg.endOffset {
-				changed = t.applyEntry(now, platform.Record{Key: string(id), Offset: msg.endOffset - 1}) || changed
+			if !seen[id] && r.Position < msg.end {
+				changed = t.applyEntry(now, platform.Record{Key: string(id), Position: msg.end - 1}) || changed
 			}
 		}
 	}
 	t.directory.CaughtUp()
-	t.offset = max(t.offset, msg.endOffset)
+	t.position = max(t.position, msg.end)
 	t.hasList = true
 	if changed {
 		t.publish(ctx, msg.source)
 	}
 	s := *t.published.Load()
-	s.Offset = t.offset
+	s.Position = t.position
 	t.published.Store(&s)
 }
 
@@ -213,20 +214,20 @@
 // endpoints changed.
 func (t *directoryTask) applyEntry(now time.Duration, r platform.Record) bool {
 	previous, ok := t.records[fleet.EndpointID(r.Key)]
-	if (ok && r.Offset <= previous.Offset) || (!ok && r.Offset < t.completeOffset) {
+	if (ok && r.Position <= previous.Position) || (!ok && r.Position < t.complete) {
 		return false
 	}
 	entry, err := platform.DecodeEntry(r)
 	if err != nil {
 		t.metrics.malformed.WithLabelValues("entry").Inc()
-		t.log.WithError(err).WithField("offset", r.Offset).Warn("malformed instance entry ignored")
+		t.log.WithError(err).WithField("position", r.Position).Warn("malformed instance entry ignored")
 	}
 	t.records[entry.ID] = r
 	return t.directory.Apply(now, entry)
 }
 
 func (t *directoryTask) state() directoryState {
-	s := directoryState{Offset: t.offset, Catalog: t.catalog, Endpoints: t.directory.Endpoints()}
+	s := directoryState{Position: t.position, Catalog: t.catalog, Endpoints: t.directory.Endpoints()}
 	if t.catalog != nil {
 		s.Version, s.ConfigBytes = t.catalog.Version, len(t.config.Value)
 	}
@@ -243,23 +244,23 @@
 		}
 	}
 	t.log.WithFields(log.Fields{
-		"source": source, "offset": t.offset, "endpoints": len(s.Endpoints), "draining": draining,
+		"source": source, "position": t.position, "endpoints": len(s.Endpoints), "draining": draining,
 	}).Info("endpoints changed")
-	t.gateway.Post(ctx, gateway.SetEndpoints{Endpoints: s.Endpoints, Offset: s.Offset})
+	t.gateway.Post(ctx, gateway.SetEndpoints{Endpoints: s.Endpoints, Position: s.Position})
 	t.published.Store(&s)
 	t.onChange(s)
 }
 
 // snapshot returns what a peer lacks. It is complete if the peer is behind
-// completeOffset: this instance has no records of entries removed before that
-// offset, so only a full list lets the peer detect their removal.
+// complete: this instance has no records of entries removed before that
+// position, so only a full list lets the peer detect their removal.
 func (t *directoryTask) snapshot(r snapshotRequest) snapshot {
-	s := snapshot{endOffset: t.offset, complete: r.peerOffset < t.completeOffset}
+	s := snapshot{end: t.position, complete: r.peerPosition < t.complete}
 	if t.catalog != nil && t.catalog.Version > r.peerVersion {
 		s.config = t.config
 	}
 	for _, record := range t.records {
-		if s.complete || record.Offset >= r.peerOffset {
+		if s.complete || record.Position >= r.peerPosition {
 			s.records = append(s.records, record)
 		}
 	}
--- a/internal/edge/directory_test.go
+++ b/internal/edge/directory_test.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 	"github.com/cornelhold/cornelhold/internal/task"
 	"github.com/cornelhold/cornelhold/platform"
 )
@@ -22,9 +23,9 @@
 	return newDirectoryTask(clock, logger, m, newGatewayTask(clock, logger, m, gateway.Options{}, task.NewMailbox[gateway.CountStarted](1)))
 }
 
-func entry(id, state string, offset int64) platform.Record {
-	value := fmt.Sprintf(`{"service":"s","addr":"127.0.0.1:80","zone":"a","slots":8,"state":%q,"seq":%d,"born":1}`, state, offset)
-	return platform.Record{Key: id, Value: []byte(value), Offset: offset}
+func entry(id, state string, position storelog.Position) platform.Record {
+	value := fmt.Sprintf(`{"service":"s","addr":"127.0.0.1:80","zone":"a","slots":8,"state":%q,"seq":%d,"born":1}`, state, position)
+	return platform.Record{Key: id, Value: []byte(value), Position: position}
 }
 
 func (t *directoryTask) ids() []string {
@@ -42,18 +43,18 @@
 	is := is.New(t)
 	d := newTestDirectory()
 	d.applyEntries(t.Context(), entriesRead{
-		records: []platform.Record{entry("i-1", "ready", 3), entry("i-2", "ready", 8)}, resync: true, endOffset: 10, source: sourceStore,
+		records: []platform.Record{entry("i-1", "ready", 3), entry("i-2", "ready", 8)}, resync: true, end: 10, source: sourceStore,
 	})
 	d.applyEntries(t.Context(), entriesRead{
-		records: []platform.Record{entry("i-1", "ready", 3), entry("i-gone", "ready", 5)}, endOffset: 9, source: sourcePeer, storeHealthy: true,
+		records: []platform.Record{entry("i-1", "ready", 3), entry("i-gone", "ready", 5)}, end: 9, source: sourcePeer, storeHealthy: true,
 	})
 	is.Equal(d.ids(), []string{"i-1", "i-2"})
 	d.applyEntries(t.Context(), entriesRead{
-		records: []platform.Record{entry("i-new", "ready", 11)}, endOffset: 12, source: sourcePeer, storeHealthy: true,
+		records: []platform.Record{entry("i-new", "ready", 11)}, end: 12, source: sourcePeer, storeHealthy: true,
 	})
 	is.Equal(d.ids(), []string{"i-1", "i-2", "i-new"})
 	d.applyEntries(t.Context(), entriesRead{
-		records: []platform.Record{entry("i-2", "ready", 8), entry("i-late", "ready", 13)}, resync: true, endOffset: 14, source: sourceStore,
+		records: []platform.Record{entry("i-2", "ready", 8), entry("i-late", "ready", 13)}, resync: true, end: 14, source: sourceStore,
 	})
 	is.Equal(d.ids(), []string{"i-2", "i-late"})
 }
@@ -66,27 +67,27 @@
 	is := is.New(t)
 	receiver := newTestDirectory()
 	receiver.applyEntries(t.Context(), entriesRead{
-		records: []platform.Record{entry("i-1", "ready", 3), entry("i-gone", "ready", 5)}, resync: true, endOffset: 6, source: sourceStore,
+		records: []platform.Record{entry("i-1", "ready", 3), entry("i-gone", "ready", 5)}, resync: true, end: 6, source: sourceStore,
 	})
 	sender := newTestDirectory() // i-gone was removed at offset 7
 	sender.applyEntries(t.Context(), entriesRead{
-		records: []platform.Record{entry("i-1", "ready", 3), entry("i-2", "ready", 8)}, resync: true, endOffset: 9, source: sourceStore,
+		records: []platform.Record{entry("i-1", "ready", 3), entry("i-2", "ready", 8)}, resync: true, end: 9, source: sourceStore,
 	})
 	pull := func() {
-		s := sender.snapshot(snapshotRequest{peerOffset: receiver.offset})
+		s := sender.snapshot(snapshotRequest{peerPosition: receiver.position})
 		receiver.applyEntries(t.Context(), entriesRead{
-			records: s.records, endOffset: s.endOffset, resync: s.complete, source: sourcePeer, storeHealthy: true,
+			records: s.records, end: s.end, resync: s.complete, source: sourcePeer, storeHealthy: true,
 		})
 	}
 	pull()
 	is.Equal(receiver.ids(), []string{"i-1", "i-2"})
-	is.Equal(receiver.offset, int64(9))
-	is.True(!sender.snapshot(snapshotRequest{peerOffset: receiver.offset}).complete)
-	sender.applyEntries(t.Context(), entriesRead{records: []platform.Record{{Key: "i-2", Offset: 9}}, endOffset: 10, source: sourceStore})
+	is.Equal(receiver.position, storelog.Position(9))
+	is.True(!sender.snapshot(snapshotRequest{peerPosition: receiver.position}).complete)
+	sender.applyEntries(t.Context(), entriesRead{records: []platform.Record{{Key: "i-2", Position: 9}}, end: 10, source: sourceStore})
 	pull()
 	is.Equal(receiver.ids(), []string{"i-1"})
 	// An older complete snapshot does not remove newer entries.
-	receiver.applyEntries(t.Context(), entriesRead{records: []platform.Record{entry("i-3", "ready", 12)}, endOffset: 13, source: sourceStore})
-	receiver.applyEntries(t.Context(), entriesRead{records: []platform.Record{entry("i-1", "ready", 3)}, endOffset: 9, resync: true, source: sourcePeer, storeHealthy: true})
+	receiver.applyEntries(t.Context(), entriesRead{records: []platform.Record{entry("i-3", "ready", 12)}, end: 13, source: sourceStore})
+	receiver.applyEntries(t.Context(), entriesRead{records: []platform.Record{entry("i-1", "ready", 3)}, end: 9, resync: true, source: sourcePeer, storeHealthy: true})
 	is.Equal(receiver.ids(), []string{"i-1", "i-3"})
 }
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -12,6 +12,7 @@
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/quota"
 	"github.com/cornelhold/cornelhold/internal/core/scaling"
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 	"github.com/cornelhold/cornelhold/internal/core/tally"
 	"github.com/cornelhold/cornelhold/internal/task"
 	"github.com/cornelhold/cornelhold/platform"
@@ -63,10 +64,10 @@
 // dutiesSummary is the part of the state that is included in datagrams to peers: the own
 // usage counts, those of the data centre, and some wall clocks.
 type dutiesSummary struct {
-	own, centre []usageWindow
-	clocks      []duty.ClockReading
-	leaseOffset int64
-	held        bool
+	own, centre   []usageWindow
+	clocks        []duty.ClockReading
+	leasePosition storelog.Position
+	held          bool
 }
 
 // dutiesTask owns the lease, the usage counts and the orders. Calls to the
@@ -110,7 +111,7 @@
 		usage:    duty.NewUsage(), clock: duty.NewClockEstimate(), planner: scaling.NewPlanner(), demand: scaling.NewDemand(),
 		engines: engineRecords{recorder: enginemodel.NewRecorder()},
 	}
-	t.summary.Store(&dutiesSummary{leaseOffset: -1})
+	t.summary.Store(&dutiesSummary{leasePosition: -1})
 	t.lease.Step(task.BootTime(), duty.LeaseCandidacy{})
 	return t
 }
@@ -230,7 +231,7 @@
 
 func (t *dutiesTask) publish(now time.Duration, held bool) {
 	from := t.reporter.Window(t.clock.TrueTime(now)) - reportedWindows + 1
-	summary := dutiesSummary{leaseOffset: t.lease.NewestOffset(), held: held, clocks: t.clock.Readings(now, clockReadings)}
+	summary := dutiesSummary{leasePosition: t.lease.NewestPosition(), held: held, clocks: t.clock.Readings(now, clockReadings)}
 	t.usage.EachOf(t.origin, from, func(number int64, counts duty.Counts) {
 		summary.own = append(summary.own, usageWindow{number: number, origin: t.origin, counts: counts})
 	})
@@ -261,7 +262,7 @@
 	takeover := t.lease.Takeover()
 	fields := log.Fields{"fence": fence, "record_age_ms": takeover.RecordAge.Milliseconds()}
 	if previous := takeover.Previous; previous != nil {
-		fields["previous_holder"], fields["previous_offset"] = previous.Holder.Node, previous.Offset
+		fields["previous_holder"], fields["previous_position"] = previous.Holder.Node, previous.Position
 		fields["released"] = previous.Released
 	}
 	t.log.WithFields(fields).Info("duties taken")
--- a/internal/edge/dutycalls.go
+++ b/internal/edge/dutycalls.go
@@ -10,6 +10,7 @@
 	"github.com/cornelhold/cornelhold/internal/core/duty"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/scaling"
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 	"github.com/cornelhold/cornelhold/internal/task"
 	"github.com/cornelhold/cornelhold/platform"
 )
@@ -68,10 +69,10 @@
 func (t *dutiesTask) appendLease(ctx context.Context, a duty.AppendLease) duty.LeaseMessage {
 	value, err := encodeLease(a.Record)
 	if err == nil {
-		var offset int64
-		offset, err = t.store.AppendAt(ctx, platform.TopicLease, a.At, platform.Record{Key: leaseKey, Value: value})
+		var position storelog.Position
+		position, err = t.store.AppendAt(ctx, platform.TopicLease, a.At, platform.Record{Key: leaseKey, Value: value})
 		if err == nil {
-			return duty.LeaseAppended{Offset: offset}
+			return duty.LeaseAppended{Position: position}
 		}
 	}
 	if !errors.Is(err, platform.ErrConflict) {
@@ -112,12 +113,12 @@
 func (t *dutiesTask) appendDecision(ctx context.Context, a duty.AppendDecision) func(time.Duration) {
 	value, err := encodeDecision(a.Decision, t.process.deployment.Node)
 	if err == nil {
-		var offset int64
+		var position storelog.Position
 		record := platform.Record{Key: platform.WindowKey(a.Decision.Window), Value: value}
-		offset, err = t.store.AppendAt(ctx, platform.TopicUsage, a.At, record)
+		position, err = t.store.AppendAt(ctx, platform.TopicUsage, a.At, record)
 		if err == nil {
 			t.log.WithFields(log.Fields{"window": a.Decision.Window, "counts": a.Decision.Counts}).Info("usage decided")
-			return func(time.Duration) { t.reporter.DecisionAppended(a.Decision, offset) }
+			return func(time.Duration) { t.reporter.DecisionAppended(a.Decision, position) }
 		}
 	}
 	t.log.WithError(err).WithField("window", a.Decision.Window).Warn("usage decision could not be appended to the store")
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 	"github.com/cornelhold/cornelhold/internal/task"
 	"github.com/cornelhold/cornelhold/platform"
 )
@@ -51,9 +52,9 @@
 	// untilRead returns the time until the topic has to be read again, retryDelay
 	// the delay after a failed read.
 	untilRead, retryDelay func() time.Duration
-	// appliedOffset returns the offset up to which records were already applied,
+	// applied returns the position up to which records were already applied,
 	// including those received from peers.
-	appliedOffset func() int64
+	applied func() storelog.Position
 	// onRecords receives the result of each successful read.
 	onRecords func(ctx context.Context, read topicRead)
 	// onOutage is called after each failed read, onRecovery after the first
@@ -81,11 +82,11 @@
 // run follows the topic until ctx ends. It logs the start and the end of each
 // outage of the store.
 func (f *follower) run(ctx context.Context) error {
-	var nextOffset int64
+	var next storelog.Position
 	resync, down, repeated := true, false, false
 	for ctx.Err() == nil {
 		startedAt := task.BootTime()
-		batch, err := f.read(ctx, nextOffset, resync)
+		batch, err := f.read(ctx, next, resync)
 		switch {
 		case errors.Is(err, platform.ErrExpired):
 			f.log.WithField("topic", f.topic).Info("requested records have expired; reading the newest record of each key")
@@ -117,7 +118,7 @@
 		f.onRecords(ctx, topicRead{batch: batch, resync: resync, startedAt: startedAt})
 		resync = false
 		f.waitUntilDue(ctx)
-		nextOffset = max(batch.Next, f.appliedOffset())
+		next = max(batch.Next, f.applied())
 	}
 	return nil
 }
@@ -139,8 +140,8 @@
 }
 
 // read reads the newest record of each key if resync is set, and otherwise the
-// records from nextOffset. A trigger interrupts only the latter.
-func (f *follower) read(ctx context.Context, nextOffset int64, resync bool) (platform.Batch, error) {
+// records from next on. A trigger interrupts only the latter.
+func (f *follower) read(ctx context.Context, next storelog.Position, resync bool) (platform.Batch, error) {
 	if f.slowAfter > 0 {
 		watchCtx, stop := context.WithCancel(ctx)
 		defer stop()
@@ -158,7 +159,7 @@
 		case <-readCtx.Done():
 		}
 	}()
-	batch, err := f.store.Read(readCtx, f.topic, nextOffset, f.wait)
+	batch, err := f.store.Read(readCtx, f.topic, next, f.wait)
 	if err != nil && errors.Is(context.Cause(readCtx), errInterrupted) {
 		return batch, errInterrupted
 	}
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 	"github.com/cornelhold/cornelhold/platform"
 )
 
@@ -33,7 +34,7 @@
 	f := &follower{
 		store: platform.NewStore(strings.TrimPrefix(server.URL, "http://")), topic: "keyed.x",
 		log: &log.Logger{Handler: discard.New()}, untilRead: func() time.Duration { return time.Hour },
-		retryDelay: func() time.Duration { return time.Millisecond }, appliedOffset: func() int64 { return 0 },
+		retryDelay: func() time.Duration { return time.Millisecond }, applied: func() storelog.Position { return 0 },
 		onRecords: func(context.Context, topicRead) { results <- true },
 		onOutage:  func(context.Context) { results <- false }, onRecovery: func(context.Context) {},
 	}
--- a/internal/edge/listreads.go
+++ b/internal/edge/listreads.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 	"github.com/cornelhold/cornelhold/internal/task"
 	"github.com/cornelhold/cornelhold/platform"
 )
@@ -134,7 +135,7 @@
 func (p *process) configFollower() *follower {
 	return &follower{
 		store: p.store, topic: platform.TopicConfig, log: p.log, wait: shareOf(p.deployment.Bounds.ConfigApply, configPollShare),
-		untilRead: p.untilConfigRead, retryDelay: p.storeRetryDelay, appliedOffset: func() int64 { return 0 },
+		untilRead: p.untilConfigRead, retryDelay: p.storeRetryDelay, applied: func() storelog.Position { return 0 },
 		onOutage: func(context.Context) {}, onRecovery: func(context.Context) {}, trigger: p.configTrigger,
 		onRecords: func(ctx context.Context, read topicRead) {
 			if r, ok := platform.ConfigRecord(read.batch.Records); ok {
@@ -148,7 +149,7 @@
 func (p *process) endpointFollower() *follower {
 	return &follower{
 		store: p.store, topic: platform.TopicEndpoints, log: p.log,
-		untilRead: p.untilListRead, retryDelay: p.storeRetryDelay, appliedOffset: func() int64 { return p.directory.published.Load().Offset },
+		untilRead: p.untilListRead, retryDelay: p.storeRetryDelay, applied: func() storelog.Position { return p.directory.published.Load().Position },
 		onRecovery: func(ctx context.Context) {
 			_ = p.directory.mailbox.Send(ctx, storeRecovered{})
 			// A read of the configuration may be waiting on a dead connection.
@@ -162,7 +163,7 @@
 		trigger: p.listTrigger,
 		onRecords: func(ctx context.Context, read topicRead) {
 			applied := p.applyEntries(ctx, entriesRead{
-				records: read.batch.Records, resync: read.resync, endOffset: read.batch.Next, source: sourceStore,
+				records: read.batch.Records, resync: read.resync, end: read.batch.Next, source: sourceStore,
 			})
 			if applied {
 				p.list.recordRead(read.startedAt)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -36,6 +36,8 @@
 	quarantined  prometheus.Gauge
 	// crashRecords counts the appends of crash evidence to the store.
 	crashRecords *prometheus.CounterVec
+	// storeEra is the newest known era of the store.
+	storeEra prometheus.Gauge
 	// leavingStreams counts the streams of endpoints that left, moves the moves of runs.
 	leavingStreams, moves *prometheus.CounterVec
 	// reclaimNotices counts the reclaimable endpoints that leave.
@@ -94,9 +96,6 @@
 		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "cornelhold_quarantined_causes", Help: "Causes of crashes, whose requests are refused.",
 		}),
-		crashRecords: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "cornelhold_crash_record_appends_total", Help: "Appends of crash evidence to the store, by result.",
-		}, []string{"result"}),
 		leavingStreams: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cornelhold_leaving_streams_total", Help: "Streams whose endpoint the cloud took back, by what became of them.",
 		}, []string{"team", "route", "fate"}),
@@ -110,10 +109,22 @@
 	m.addRollouts(registry)
 	m.addTurns(registry)
 	registry.MustRegister(m.reclaimNotices, m.leavingStreams, m.moves, m.requests, m.firstByte, m.firstEvent, m.readRate, m.tokenTime,
-		m.total, m.sendDelay, m.listAge, m.stalls, m.malformed, m.droppedLog, m.endpointEnds, m.quarantined, m.crashRecords)
+		m.total, m.sendDelay, m.listAge, m.stalls, m.malformed, m.droppedLog, m.endpointEnds, m.quarantined)
+	m.addStore(registry)
 	return m
 }
 
+// addStore creates the metrics of what is kept in the store.
+func (m *metrics) addStore(registry *prometheus.Registry) {
+	m.crashRecords = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cornelhold_crash_record_appends_total", Help: "Appends of crash evidence to the store, by result.",
+	}, []string{"result"})
+	m.storeEra = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "cornelhold_store_era", Help: "Newest known era of the store, which rises each time that it comes back from an older copy.",
+	})
+	registry.MustRegister(m.crashRecords, m.storeEra)
+}
+
 // addRollouts creates the metrics of rollouts.
 func (m *metrics) addRollouts(registry *prometheus.Registry) {
 	m.rolloutOrders = prometheus.NewCounterVec(prometheus.CounterOpts{
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -17,6 +17,7 @@
 	"github.com/cornelhold/cornelhold/internal/core/exchange"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 	"github.com/cornelhold/cornelhold/internal/core/storereader"
 	"github.com/cornelhold/cornelhold/internal/core/transit"
 	"github.com/cornelhold/cornelhold/internal/task"
@@ -260,6 +261,7 @@
 	if plans := decodePlans(m.GetRollouts(), t.process.clock.At(reported.sentAt)); len(plans) > 0 {
 		t.process.gateway.Post(ctx, gateway.RolloutsReported{Plans: plans})
 	}
+	t.process.store.LearnEra(storelog.Era(m.GetStoreEra()))
 	t.process.duties.post(newPeerUpdate(&m))
 	if message.NamesSender() {
 		t.election.Observe(now, storereader.Instance{
@@ -292,7 +294,7 @@
 	u := peerUpdate{
 		clocks:  append(decodeClocks(m.GetFeed().GetClocks()), duty.ClockReading{Node: m.GetNode(), Wall: milliseconds(m.GetWallMs())}),
 		windows: append(lo.Map(m.GetWindows(), decodeWindow), lo.Map(m.GetDigest().GetWindows(), decodeWindow)...),
-		lease:   &duty.LeaseReported{Offset: m.GetLeaseOffset(), Held: m.GetHeld()},
+		lease:   &duty.LeaseReported{Position: storelog.Position(m.GetLeasePosition()), Held: m.GetHeld()},
 	}
 	return u
 }
--- a/internal/edge/peersend.go
+++ b/internal/edge/peersend.go
@@ -21,8 +21,8 @@
 	listAge, sentAt := t.process.list.age(), task.BootTime()
 	state := t.process.directory.published.Load()
 	m := &cornelholdv1.InstanceReport{
-		ConfigVersion: int64(state.Version), ConfigBytes: int64(state.ConfigBytes), ListOffset: state.Offset, WallMs: time.Now().UnixMilli(),
-		LeaseOffset: summary.leaseOffset, ListHealthyMs: t.process.list.healthyFor().Milliseconds(),
+		ConfigVersion: int64(state.Version), ConfigBytes: int64(state.ConfigBytes), ListPosition: int64(state.Position), WallMs: time.Now().UnixMilli(),
+		StoreEra: int64(t.process.store.Era()), LeasePosition: int64(summary.leasePosition), ListHealthyMs: t.process.list.healthyFor().Milliseconds(),
 		ListAgeMs: listAge.Milliseconds(), StoreLost: t.election.StoreUnavailable(now), SentMs: sentAt.Milliseconds(),
 	}
 	encodeCrashes(crashes, t.process.clock.Now(), m)
--- a/internal/edge/pulls.go
+++ b/internal/edge/pulls.go
@@ -9,6 +9,7 @@
 	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 )
 
 const (
@@ -43,9 +44,9 @@
 	sentAt  time.Duration
 	version catalog.Version
 	// configBytes is the size of the peer's configuration, 0 if it is not known.
-	configBytes int64
-	listOffset  int64
-	dataCentre  fleet.DataCentre
+	configBytes  int64
+	listPosition storelog.Position
+	dataCentre   fleet.DataCentre
 	// listCompleteAt is the local boot time at which the peer's list was complete. It
 	// is valid if listAgeKnown is set.
 	listCompleteAt time.Duration
@@ -61,7 +62,7 @@
 	delay, known := from.delay.Observe(milliseconds(m.GetSentMs()), now)
 	return reportedState{
 		sentAt:  now - delay,
-		version: catalog.Version(m.GetConfigVersion()), listOffset: m.GetListOffset(), configBytes: m.GetConfigBytes(),
+		version: catalog.Version(m.GetConfigVersion()), listPosition: storelog.Position(m.GetListPosition()), configBytes: m.GetConfigBytes(),
 		dataCentre:     fleet.DataCentre(m.GetDataCentre()),
 		listCompleteAt: now - delay - milliseconds(m.GetListAgeMs()), listAgeKnown: known && m.GetSentMs() > 0,
 		healthyFor: milliseconds(m.GetListHealthyMs()),
@@ -102,7 +103,7 @@
 func (t *peersTask) pullIfBehind(ctx context.Context, now time.Duration, from netip.Addr, reported reportedState) {
 	state := t.process.directory.published.Load()
 	configNeeded := t.needsConfigPull(now, state.Version, reported)
-	listNeeded := t.needsListPull(now, state.Offset, reported)
+	listNeeded := t.needsListPull(now, state.Position, reported)
 	t.process.confirmList(ctx)
 	wanted := t.puller.usagePulls.Load() == 0 || listNeeded || configNeeded
 	if !wanted || now-t.lastPull < minPullInterval || !t.pulling.CompareAndSwap(false, true) {
@@ -146,9 +147,9 @@
 
 // needsListPull reports whether list changes are pulled from a peer. The reader of
 // the data centre pulls only if it cannot read the store or its list is stale.
-func (t *peersTask) needsListPull(now time.Duration, own int64, reported reportedState) bool {
+func (t *peersTask) needsListPull(now time.Duration, own storelog.Position, reported reportedState) bool {
 	list := &t.process.list
-	behindFor, behind := t.listLag.observe(now, own, reported.listOffset)
+	behindFor, behind := t.listLag.observe(now, int64(own), int64(reported.listPosition))
 	if !behind {
 		if !list.isReader.Load() && reported.listAgeKnown {
 			list.recordPeerRead(reported.listCompleteAt, reported.healthyFor)
--- a/internal/edge/rolloutcodec.go
+++ b/internal/edge/rolloutcodec.go
@@ -10,6 +10,7 @@
 	cornelholdv1 "github.com/cornelhold/cornelhold/gen/cornelhold/v1"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/rollout"
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 	"github.com/cornelhold/cornelhold/platform"
 )
 
@@ -20,7 +21,7 @@
 func encodePlans(plans []rollout.Plan, now time.Duration) []*cornelholdv1.RolloutPlan {
 	return lo.Map(plans, func(p rollout.Plan, _ int) *cornelholdv1.RolloutPlan {
 		return &cornelholdv1.RolloutPlan{
-			Service: string(p.Service), To: string(p.To), Withheld: encodeVersions(p.Withheld), OrderOffset: p.Order, Fence: p.Fence,
+			Service: string(p.Service), To: string(p.To), Withheld: encodeVersions(p.Withheld), OrderPosition: int64(p.Order), Fence: p.Fence,
 			Step: uint32(p.Step), Revision: p.Revision, State: uint32(p.State), Share: p.Share, AgeMs: (now - p.ConfirmedAt).Milliseconds(),
 		}
 	})
@@ -30,11 +31,11 @@
 // process clock.
 func decodePlans(plans []*cornelholdv1.RolloutPlan, sentAt time.Duration) []rollout.Plan {
 	return lo.FilterMap(plans[:min(len(plans), maxPeerPlans)], func(p *cornelholdv1.RolloutPlan, _ int) (rollout.Plan, bool) {
-		isPlausible := p.GetService() != "" && p.GetTo() != "" && p.GetOrderOffset() >= 0 && p.GetFence() >= 0 &&
+		isPlausible := p.GetService() != "" && p.GetTo() != "" && p.GetOrderPosition() >= 0 && p.GetFence() >= 0 &&
 			p.GetStep() <= uint32(rollout.StepFull) && p.GetState() <= uint32(rollout.Reverted) && p.GetShare() >= 0 && p.GetShare() <= 1
 		return rollout.Plan{
 			Service: fleet.ServiceName(p.GetService()), To: fleet.SoftwareVersion(p.GetTo()), Withheld: decodeVersions(p.GetWithheld()),
-			Order: p.GetOrderOffset(), Fence: p.GetFence(), Step: rollout.Step(p.GetStep()), Revision: p.GetRevision(),
+			Order: storelog.Position(p.GetOrderPosition()), Fence: p.GetFence(), Step: rollout.Step(p.GetStep()), Revision: p.GetRevision(),
 			State: rollout.State(p.GetState()), Share: p.GetShare(), ConfirmedAt: sentAt - age(p.GetAgeMs()),
 		}, isPlausible
 	})
@@ -51,7 +52,7 @@
 func encodeRolloutCounts(counts map[rollout.Key]rollout.Counts) []*cornelholdv1.RolloutCounts {
 	return lo.MapToSlice(counts, func(k rollout.Key, c rollout.Counts) *cornelholdv1.RolloutCounts {
 		return &cornelholdv1.RolloutCounts{
-			Service: string(k.Service), OrderOffset: k.Order, Old: encodeVersionCounts(c.Old), New: encodeVersionCounts(c.New), Moved: c.Moved,
+			Service: string(k.Service), OrderPosition: int64(k.Order), Old: encodeVersionCounts(c.Old), New: encodeVersionCounts(c.New), Moved: c.Moved,
 		}
 	})
 }
@@ -67,7 +68,7 @@
 
 func decodeRolloutCounts(list []*cornelholdv1.RolloutCounts) map[rollout.Key]rollout.Counts {
 	return lo.Associate(list, func(c *cornelholdv1.RolloutCounts) (rollout.Key, rollout.Counts) {
-		return rollout.Key{Service: fleet.ServiceName(c.GetService()), Order: c.GetOrderOffset()},
+		return rollout.Key{Service: fleet.ServiceName(c.GetService()), Order: storelog.Position(c.GetOrderPosition())},
 			rollout.Counts{Old: decodeVersionCounts(c.GetOld()), New: decodeVersionCounts(c.GetNew()), Moved: plausibleCount(c.GetMoved())}
 	})
 }
@@ -96,7 +97,7 @@
 // encodeRolloutRecord and decodeRolloutRecord translate the durable state of a rollout.
 func encodeRolloutRecord(r rollout.Record, t recordTimes) ([]byte, error) {
 	value, err := proto.Marshal(&cornelholdv1.RolloutRecord{
-		Service: string(r.Order.Service), To: string(r.Order.To), OrderOffset: r.Order.Offset, CompleteByMs: r.Order.CompleteBy.Milliseconds(),
+		Service: string(r.Order.Service), To: string(r.Order.To), OrderPosition: int64(r.Order.Position), CompleteByMs: r.Order.CompleteBy.Milliseconds(),
 		StartedWallMs: t.wall.Add(r.StartedAt - t.now).UnixMilli(), Step: uint32(r.Step), State: uint32(r.State),
 		Exposed: r.Exposed, Withheld: encodeVersions(r.Withheld),
 	})
@@ -106,18 +107,18 @@
 func decodeRolloutRecord(r platform.Record, t recordTimes) (rollout.Record, error) {
 	var m cornelholdv1.RolloutRecord
 	if err := proto.Unmarshal(r.Value, &m); err != nil {
-		return rollout.Record{}, Error.New("malformed rollout record %q at offset %d: %w; the record is ignored", r.Key, r.Offset, err)
+		return rollout.Record{}, Error.New("malformed rollout record %q at position %s: %w; the record is ignored", r.Key, r.Position, err)
 	}
 	if m.GetService() == "" || m.GetTo() == "" || m.GetStep() > uint32(rollout.StepFull) || m.GetState() > uint32(rollout.Reverted) ||
 		m.GetExposed() < 0 || m.GetCompleteByMs() <= 0 || m.GetCompleteByMs() > math.MaxInt64/int64(time.Millisecond) {
-		return rollout.Record{}, Error.New("implausible rollout record %q at offset %d; the record is ignored", r.Key, r.Offset)
+		return rollout.Record{}, Error.New("implausible rollout record %q at position %s; the record is ignored", r.Key, r.Position)
 	}
 	// The start lies in the past whatever the clocks say.
 	started := min(t.now-t.wall.Sub(time.UnixMilli(m.GetStartedWallMs())), t.now)
 	return rollout.Record{
 		Order: rollout.Order{
 			Service: fleet.ServiceName(m.GetService()), To: fleet.SoftwareVersion(m.GetTo()),
-			CompleteBy: milliseconds(m.GetCompleteByMs()), Offset: m.GetOrderOffset(),
+			CompleteBy: milliseconds(m.GetCompleteByMs()), Position: storelog.Position(m.GetOrderPosition()),
 		},
 		StartedAt: started, Step: rollout.Step(m.GetStep()), State: rollout.State(m.GetState()), Exposed: m.GetExposed(),
 		Withheld: decodeVersions(m.GetWithheld()),
--- a/internal/edge/rolloutcodec_test.go
+++ b/internal/edge/rolloutcodec_test.go
@@ -44,7 +44,7 @@
 	is.Equal(decodeTally(encodeTally(t1)).Rollouts, t1.Rollouts)
 	wall := time.UnixMilli(1_900_000_000_000)
 	record := rollout.Record{
-		Order:     rollout.Order{Service: "s", To: "v2", CompleteBy: 12 * time.Second, Offset: 5},
+		Order:     rollout.Order{Service: "s", To: "v2", CompleteBy: 12 * time.Second, Position: 5},
 		StartedAt: 3 * time.Second, Step: rollout.StepCanary, State: rollout.Running, Exposed: 55, Withheld: []fleet.SoftwareVersion{"v3"},
 	}
 	value, err := encodeRolloutRecord(record, recordTimes{now: 5 * time.Second, wall: wall})
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -12,6 +12,7 @@
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
 	"github.com/cornelhold/cornelhold/internal/core/rollout"
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 	"github.com/cornelhold/cornelhold/internal/core/tally"
 	"github.com/cornelhold/cornelhold/internal/task"
 	"github.com/cornelhold/cornelhold/platform"
@@ -55,7 +56,7 @@
 	// holder is the last statement of the duties, recordsEnd the end of the topic of the
 	// records, at which the next append is valid.
 	holder     leadership
-	recordsEnd int64
+	recordsEnd storelog.Position
 	loading    bool
 	loadAt     time.Duration
 	// leads is set while this instance holds the lease, for tasks that only read it.
@@ -128,7 +129,7 @@
 	for _, o := range orders {
 		readAt := t.firstRead(now, o)
 		t.leader.Read(readAt, o)
-		plans = append(plans, rollout.Plan{Service: o.Service, To: o.To, Order: o.Offset, ConfirmedAt: readAt})
+		plans = append(plans, rollout.Plan{Service: o.Service, To: o.To, Order: o.Position, ConfirmedAt: readAt})
 	}
 	if len(plans) > 0 {
 		t.process.gateway.Post(ctx, gateway.RolloutsReported{Plans: plans})
@@ -138,7 +139,7 @@
 // firstRead returns when an order was first read by an instance, as far as known.
 func (t *rolloutsTask) firstRead(now time.Duration, o rollout.Order) time.Duration {
 	for _, p := range t.process.gateway.rolloutPlans() {
-		if p.Fence == 0 && p.Service == o.Service && p.Order == o.Offset {
+		if p.Fence == 0 && p.Service == o.Service && p.Order == o.Position {
 			return min(p.ConfirmedAt, now)
 		}
 	}
@@ -204,7 +205,7 @@
 	case rollout.Ignored:
 		t.process.metrics.rolloutOrders.WithLabelValues(a.Reason.String()).Inc()
 		t.log.WithFields(log.Fields{
-			"service": string(a.Order.Service), "to": string(a.Order.To), "offset": a.Order.Offset, "reason": a.Reason.String(),
+			"service": string(a.Order.Service), "to": string(a.Order.To), "position": a.Order.Position, "reason": a.Reason.String(),
 		}).Warn("rollout order ignored")
 	case rollout.Decided:
 		t.logDecision(a.Status)
@@ -262,10 +263,10 @@
 	value, err := encodeRolloutRecord(a.Record, t.times())
 	at := t.recordsEnd
 	t.call(ctx, func() func(time.Duration) {
-		var offset int64
+		var position storelog.Position
 		if err == nil {
 			record := platform.Record{Key: string(a.Record.Order.Service), Value: value}
-			offset, err = t.process.store.AppendAt(ctx, platform.TopicRollouts, at, record)
+			position, err = t.process.store.AppendAt(ctx, platform.TopicRollouts, at, record)
 		}
 		return func(now time.Duration) {
 			if err != nil {
@@ -275,7 +276,7 @@
 				t.loadAt = now + rolloutLoadInterval
 				return
 			}
-			t.recordsEnd = offset + 1
+			t.recordsEnd = position + 1
 			for _, action := range t.leader.Saved(now) {
 				t.perform(ctx, action)
 			}
@@ -305,7 +306,7 @@
 // logDecision logs a step of a rollout with the inputs of the decision.
 func (t *rolloutsTask) logDecision(s rollout.Status) {
 	t.log.WithFields(log.Fields{
-		"service": string(s.Record.Order.Service), "to": string(s.Record.Order.To), "offset": s.Record.Order.Offset, "fence": t.holder.fence,
+		"service": string(s.Record.Order.Service), "to": string(s.Record.Order.To), "position": s.Record.Order.Position, "fence": t.holder.fence,
 		"state": s.Record.State.String(), "step": s.Record.Step.String(), "since_ms": s.Since.Milliseconds(),
 		"complete_by_ms": s.Record.Order.CompleteBy.Milliseconds(), "share": s.Share,
 		"arrived": int64(s.Arrived), "exposed": int64(s.Exposed), "rate": s.Rate, "responses_old": s.Old.Total, "bad_old": s.Old.Bad,
@@ -343,7 +344,7 @@
 // observeRolloutPlan logs a plan that this instance follows from now on.
 func (t *gatewayTask) observeRolloutPlan(p rollout.Plan) {
 	t.log.WithFields(log.Fields{
-		"service": string(p.Service), "to": string(p.To), "offset": p.Order, "fence": p.Fence, "step": p.Step.String(), "revision": p.Revision,
+		"service": string(p.Service), "to": string(p.To), "position": p.Order, "fence": p.Fence, "step": p.Step.String(), "revision": p.Revision,
 		"state": p.State.String(), "share": p.Share, "age_ms": (t.clock.Now() - p.ConfirmedAt).Milliseconds(),
 		"withheld": lo.Map(p.Withheld, func(v fleet.SoftwareVersion, _ int) string { return string(v) }),
 	}).Info("rollout plan changed")
--- a/internal/edge/snapshot.go
+++ b/internal/edge/snapshot.go
@@ -17,6 +17,7 @@
 	"github.com/cornelhold/cornelhold/gen/cornelhold/v1/cornelholdv1connect"
 	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 	"github.com/cornelhold/cornelhold/internal/socket"
 	"github.com/cornelhold/cornelhold/internal/task"
 	"github.com/cornelhold/cornelhold/platform"
@@ -39,7 +40,7 @@
 	listAge := s.process.list.age().Milliseconds()
 	reply := make(chan snapshot, 1)
 	err := s.process.directory.mailbox.Send(ctx, snapshotRequest{
-		peerVersion: catalog.Version(r.Msg.GetConfigVersion()), peerOffset: r.Msg.GetListOffset(), reply: reply,
+		peerVersion: catalog.Version(r.Msg.GetConfigVersion()), peerPosition: storelog.Position(r.Msg.GetListPosition()), reply: reply,
 	})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
@@ -52,7 +53,7 @@
 	}
 	m := &cornelholdv1.SnapshotResponse{
 		ListAgeMs: &listAge,
-		Entries:   lo.Map(result.records, encodeRecord), ListOffset: result.endOffset, Complete: result.complete,
+		Entries:   lo.Map(result.records, encodeRecord), ListPosition: int64(result.end), Complete: result.complete,
 		Rollouts: encodePlans(s.process.gateway.rolloutPlans(), s.process.clock.Now()),
 	}
 	if !r.Msg.GetOmitUsage() {
@@ -113,7 +114,7 @@
 	client := cornelholdv1connect.NewInstanceServiceClient(
 		u.client, "http://"+net.JoinHostPort(from.String(), u.port), connect.WithReadMaxBytes(maxSnapshotBytes))
 	reply, err := client.Snapshot(ctx, connect.NewRequest(&cornelholdv1.SnapshotRequest{
-		ConfigVersion: int64(state.Version), ListOffset: state.Offset, OmitUsage: u.usagePulls.Load() >= maxUsagePulls,
+		ConfigVersion: int64(state.Version), ListPosition: int64(state.Position), OmitUsage: u.usagePulls.Load() >= maxUsagePulls,
 	}))
 	if err != nil {
 		u.process.log.WithField("peer", from.String()).WithError(err).Warn("snapshot could not be received from a peer")
@@ -122,7 +123,7 @@
 	m := reply.Msg
 	u.usagePulls.Add(1)
 	u.process.log.WithFields(log.Fields{
-		"peer": from.String(), "entries": len(m.GetEntries()), "list_offset": m.GetListOffset(), "config": m.GetConfig() != nil,
+		"peer": from.String(), "entries": len(m.GetEntries()), "list_position": storelog.Position(m.GetListPosition()), "config": m.GetConfig() != nil,
 	}).Info("snapshot of a peer received")
 	// Plans come before the endpoints that they withhold.
 	if plans := decodePlans(m.GetRollouts(), u.process.clock.At(startedAt)); len(plans) > 0 {
@@ -133,7 +134,7 @@
 	}
 	if len(m.GetEntries()) > 0 || m.GetComplete() {
 		applied := u.process.applyEntries(ctx, entriesRead{
-			records: lo.Map(m.GetEntries(), decodeRecord), endOffset: m.GetListOffset(), resync: m.GetComplete(),
+			records: lo.Map(m.GetEntries(), decodeRecord), end: storelog.Position(m.GetListPosition()), resync: m.GetComplete(),
 			source: sourcePeer, storeHealthy: healthyFor >= minHealthyTime,
 		})
 		if applied && m.ListAgeMs != nil {
--- a/internal/edge/snapshot_test.go
+++ b/internal/edge/snapshot_test.go
@@ -63,7 +63,7 @@
 	server := httptest.NewServer(snapshotHandler(p))
 	t.Cleanup(server.Close)
 	err := p.directory.mailbox.Send(ctx, entriesRead{
-		records: []platform.Record{entry("i-1", "ready", 3)}, resync: true, endOffset: 4, source: sourceStore,
+		records: []platform.Record{entry("i-1", "ready", 3)}, resync: true, end: 4, source: sourceStore,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -277,7 +277,7 @@
 		"endpoint_version": string(a.Endpoint.Version),
 		"expected_ms":      a.ExpectedFirstByte.Milliseconds(), "active": a.Load.Active, "backlog": a.Load.Backlog,
 		"left_ms": (a.DeadlineAt - r.chosenAt).Milliseconds(), "config_version": a.Version,
-		"list_offset": a.ListOffset, "list_age_ms": a.ListAge.Milliseconds(),
+		"list_position": a.ListPosition, "list_age_ms": a.ListAge.Milliseconds(),
 		"chosen_ms": (r.chosenAt - r.incoming.arrived).Milliseconds(), "connect_ms": w.Connect.Milliseconds(),
 		"write_ms": w.Write.Milliseconds(), "reused_channel": w.Reused,
 	}
--- a/internal/standin/userplatform/store.go
+++ b/internal/standin/userplatform/store.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/base64"
 	"encoding/binary"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -33,6 +34,8 @@
 type StoredRecord struct {
 	Key   string
 	Value []byte
+	// at is when the store accepted the record.
+	at time.Time
 }
 
 type topic struct {
@@ -52,6 +55,7 @@
 	// refused holds the store's own addresses that reject every request.
 	refused map[string]bool
 	calls   int
+	drill   drill
 }
 
 // StartStore runs a store until ctx ends. It listens on no address before Serve
@@ -76,7 +80,7 @@
 }
 
 func (s *Store) run(ctx context.Context) {
-	state := &storeState{topics: make(map[string]*topic), refused: make(map[string]bool)}
+	state := &storeState{topics: make(map[string]*topic), refused: make(map[string]bool), drill: newDrill()}
 	for {
 		select {
 		case command := <-s.commands:
@@ -94,9 +98,16 @@
 	<-done
 }
 
-// Put appends a record to a keyed topic on behalf of the operator or a replica.
+// Put appends a record to a keyed topic on behalf of the operator or a replica. While the store is
+// away, and if it loses the record, the writer writes it again after the return.
 func (s *Store) Put(name, key string, value []byte) {
-	s.do(func(state *storeState) { state.topic(name).appendRecord(StoredRecord{Key: key, Value: value}) })
+	s.do(func(state *storeState) {
+		r := StoredRecord{Key: key, Value: value}
+		state.drill.remember(name, r)
+		if !state.drill.away {
+			state.topic(name).appendRecord(r)
+		}
+	})
 }
 
 // Records returns the records of a topic.
@@ -122,13 +133,26 @@
 }
 
 func (t *topic) appendRecord(r StoredRecord) {
+	r.at = time.Now()
 	t.records = append(t.records, r)
+	t.wake()
+}
+
+// wake ends the wait of all reads.
+func (t *topic) wake() {
 	for _, waiter := range t.waiters {
 		close(waiter)
 	}
 	t.waiters = nil
 }
 
+// storeAnswer is the answer to a request: a JSON value, or raw bytes if there is none.
+type storeAnswer struct {
+	status int
+	value  any
+	raw    []byte
+}
+
 // admit reports whether the address of a request is served. If not, it responds
 // with status 503.
 func (s *Store) admit(w http.ResponseWriter, r *http.Request) bool {
@@ -139,11 +163,39 @@
 		refused = local != nil && state.refused[local.String()]
 	})
 	if refused {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		s.answer(w, r, func(*storeState) storeAnswer { return storeAnswer{status: http.StatusServiceUnavailable} })
 	}
 	return !refused
 }
 
+// answer executes a request and responds with its result and the era in which it was executed.
+// While the store is away, there is no response.
+func (s *Store) answer(w http.ResponseWriter, r *http.Request, execute func(*storeState) storeAnswer) {
+	var a storeAnswer
+	var era int
+	var away, silent bool
+	s.do(func(state *storeState) {
+		era, away, silent = state.drill.era, state.drill.away, state.drill.silent
+		if !away {
+			a = execute(state)
+		}
+	})
+	if away {
+		hangUp(w, r, silent)
+		return
+	}
+	w.Header().Set(eraHeader, strconv.Itoa(era))
+	if a.value != nil {
+		w.Header().Set("Content-Type", "application/json")
+	}
+	w.WriteHeader(a.status)
+	if a.value != nil {
+		_ = json.NewEncoder(w).Encode(a.value)
+		return
+	}
+	_, _ = w.Write(a.raw)
+}
+
 func (s *Store) handleAppend(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, httpjson.MaxBodyBytes))
 	if err != nil || !s.admit(w, r) {
@@ -152,12 +204,13 @@
 	query := r.URL.Query()
 	conditional := query.Has("at")
 	at, _ := strconv.Atoi(query.Get("at"))
-	var offset, end int
-	conflict := false
-	s.do(func(state *storeState) {
+	s.answer(w, r, func(state *storeState) storeAnswer {
 		t := state.topic(query.Get("topic"))
-		offset, conflict = len(t.records), conditional && at != len(t.records)
-		for len(body) >= 5 && !conflict {
+		offset := len(t.records)
+		if conditional && at != offset {
+			return storeAnswer{status: http.StatusPreconditionFailed, value: map[string]int{"end": offset}}
+		}
+		for len(body) >= 5 {
 			size := int(binary.BigEndian.Uint32(body))
 			key := int(body[4])
 			record := StoredRecord{Key: string(body[5 : 5+key])}
@@ -167,12 +220,8 @@
 			t.appendRecord(record)
 			body = body[4+size:]
 		}
-		end = len(t.records)
+		return storeAnswer{status: http.StatusOK, value: map[string]int{"offset": offset, "end": len(t.records)}}
 	})
-	if conflict {
-		w.WriteHeader(http.StatusPreconditionFailed)
-	}
-	httpjson.Write(w, map[string]int{"offset": offset, "end": end})
 }
 
 func (s *Store) handleRead(w http.ResponseWriter, r *http.Request) {
@@ -182,67 +231,74 @@
 	query := r.URL.Query()
 	from, _ := strconv.Atoi(query.Get("from"))
 	wait, _ := strconv.Atoi(query.Get("wait-ms"))
-	timeout, release := httpjson.Timeout(time.Duration(wait) * time.Millisecond)
+	s.awaitRecords(r, query.Get("topic"), from, time.Duration(wait)*time.Millisecond)
+	s.answer(w, r, func(state *storeState) storeAnswer { return state.topic(query.Get("topic")).read(from) })
+}
+
+// awaitRecords waits until a read has something to respond with, or its wait is over.
+func (s *Store) awaitRecords(r *http.Request, name string, from int, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	timeout, release := httpjson.Timeout(wait)
 	defer release()
-	records, end, more := s.readFrom(query.Get("topic"), from)
-	if len(records) == 0 && wait > 0 {
-		select {
-		case <-more:
-			records, end, _ = s.readFrom(query.Get("topic"), from)
-		case <-timeout:
-		case <-r.Context().Done():
+	changed := make(chan struct{})
+	s.do(func(state *storeState) {
+		t := state.topic(name)
+		if state.drill.away || from != len(t.records) {
+			close(changed)
+			return
 		}
+		t.waiters = append(t.waiters, changed)
+	})
+	select {
+	case <-changed:
+	case <-timeout:
+	case <-r.Context().Done():
+	}
+}
+
+// read returns the records from an offset on. There is none beyond the end.
+func (t *topic) read(from int) storeAnswer {
+	end := len(t.records)
+	if from > end {
+		return storeAnswer{status: http.StatusGone, value: map[string]int{"first": 0}}
 	}
 	out := binary.BigEndian.AppendUint64(nil, uint64(end))
 	out = binary.BigEndian.AppendUint64(out, 0)
-	for _, record := range records {
+	for _, record := range t.records[from:] {
 		out = binary.BigEndian.AppendUint32(out, uint32(1+len(record.Key)+len(record.Value)))
 		out = append(out, byte(len(record.Key)))
 		out = append(out, record.Key...)
 		out = append(out, record.Value...)
 	}
-	_, _ = w.Write(out)
-}
-
-// readFrom returns the records from an offset on, the end offset of the topic,
-// and a channel that is closed at the next append.
-func (s *Store) readFrom(name string, from int) ([]StoredRecord, int, <-chan struct{}) {
-	var records []StoredRecord
-	var end int
-	appended := make(chan struct{})
-	s.do(func(state *storeState) {
-		t := state.topic(name)
-		end = len(t.records)
-		records = append(records, t.records[min(from, end):]...)
-		t.waiters = append(t.waiters, appended)
-	})
-	return records, end, appended
+	return storeAnswer{status: http.StatusOK, raw: out}
 }
 
 func (s *Store) handleNewest(w http.ResponseWriter, r *http.Request) {
 	if !s.admit(w, r) {
 		return
 	}
+	s.answer(w, r, func(state *storeState) storeAnswer { return state.topic(r.URL.Query().Get("topic")).newest() })
+}
+
+// newest returns the newest record of each key.
+func (t *topic) newest() storeAnswer {
 	type item struct {
 		Key    string `json:"key"`
 		Value  string `json:"value"`
 		Offset int    `json:"offset"`
 	}
 	newest := make(map[string]item)
-	end := 0
-	s.do(func(state *storeState) {
-		t := state.topic(r.URL.Query().Get("topic"))
-		end = len(t.records)
-		for offset, record := range t.records {
-			delete(newest, record.Key)
-			if record.Value != nil {
-				newest[record.Key] = item{record.Key, base64.StdEncoding.EncodeToString(record.Value), offset}
-			}
+	for offset, record := range t.records {
+		delete(newest, record.Key)
+		if record.Value != nil {
+			newest[record.Key] = item{record.Key, base64.StdEncoding.EncodeToString(record.Value), offset}
 		}
-	})
+	}
 	items := make([]item, 0, len(newest))
 	for _, i := range newest {
 		items = append(items, i)
 	}
-	httpjson.Write(w, map[string]any{"items": items, "truncated": false, "end": end})
+	return storeAnswer{status: http.StatusOK, value: map[string]any{"items": items, "truncated": false, "end": len(t.records)}}
 }
