Perform the duties again after the store came back from an older copy

Cause: the lease ignores every read whose end is lower than the known one, and peers hand the old end on to instances that start later. Change: the lease belongs to an era. When one begins, an instance stops acting on its records of the earlier era, reads the topic anew, and acquires the lease only takeoverDelay after its first read or a newer record. The last holder alone may do so once its own calls have ended, as long as nobody else can have followed it. Records state the era for which they were written and grant nothing in a later one, whether they came with the copy or by an append that was executed late. Reports of peers from another era are ignored.

--- a/internal/core/duty/lease.go
+++ b/internal/core/duty/lease.go
@@ -39,22 +39,32 @@
 //     newer record, or after a release, which follows the end of the last call.
 //   - Holders don't act in the order A, B, A within ReacquireInterval: an instance that follows
 //     another one acts only that long after the end of its own last term.
+//   - Both hold also when the store comes back from an older copy: nobody acts in the new era on a
+//     record of an earlier one, and an instance acquires the lease only after takeoverDelay without a
+//     record of the new era. The last holder alone may do so as long as nobody else can have
+//     followed it.
 type Lease struct {
 	self           Holder
 	startedAt      time.Duration
 	reacquireDelay time.Duration
 	takeoverJitter time.Duration
 	record         *LeaseRecord
-	// end is the position of the next record.
+	// end is the position of the next record, in the newest era that this instance knows.
 	end storelog.Position
 	// synced is cleared when the store must be read before the next append.
 	synced bool
-	// recordSeenAt is when this instance first saw the newest record.
+	// recordSeenAt is when this instance first saw the newest record, or first read the topic in
+	// this era.
 	recordSeenAt time.Duration
-	nextReadAt   time.Duration
+	// unopposedUntil is until when no other instance can have acquired the lease since this one
+	// held it in an earlier era. It is 0 if there was no such term, or a later one of another.
+	unopposedUntil time.Duration
+	nextReadAt     time.Duration
 	// inFlight is set while an action awaits its result.
 	inFlight     bool
 	appendSentAt time.Duration
+	// confirmedAt is when the newest confirmed record of this instance was sent.
+	confirmedAt time.Duration
 	// unconfirmed is the last record sent, until its append is confirmed.
 	unconfirmed *LeaseRecord
 	fence       int64
@@ -110,6 +120,9 @@
 	return l.end - 1
 }
 
+// Era returns the era of the store in which this instance sees the lease.
+func (l *Lease) Era() storelog.Era { return l.end.Era() }
+
 // Step processes one message at now.
 func (l *Lease) Step(now time.Duration, msg LeaseMessage) []LeaseAction {
 	switch msg := msg.(type) {
@@ -125,6 +138,8 @@
 		l.inFlight, l.synced = false, false
 	case LeaseReported:
 		l.applyPeerReport(now, msg)
+	case LeaseEraBegan:
+		l.beginEra(now, msg.Era)
 	case LeaseRelease:
 		l.releasing, l.callsPending = true, msg.CallsPending
 	case LeaseCandidacy:
@@ -137,17 +152,43 @@
 	return l.nextActions(now)
 }
 
+// beginEra makes this instance stop acting: its records may be lost with the earlier era, and what
+// is still under way from there confirms nothing.
+func (l *Lease) beginEra(now time.Duration, era storelog.Era) {
+	start, ok := storelog.At(era, 0)
+	if !ok || era <= l.Era() {
+		return
+	}
+	if l.isOwn() {
+		l.unopposedUntil = l.confirmedAt + takeoverDelay
+	}
+	l.validUntil = min(l.validUntil, now)
+	l.end, l.record, l.unconfirmed = start, nil, nil
+	l.synced, l.recordSeenAt = false, 0
+}
+
+// isOwn reports whether the newest record makes this instance the holder.
+func (l *Lease) isOwn() bool {
+	return l.isOfEra() && l.record.Holder == l.self && !l.record.Released
+}
+
+// isOfEra reports whether the newest record was written for the current era.
+func (l *Lease) isOfEra() bool { return l.record != nil && l.record.Era == l.Era() }
+
 func (l *Lease) applyRead(now time.Duration, msg LeaseRead) {
-	if msg.End < l.end {
-		// A peer reported a newer record while the read was in flight.
+	if msg.End < l.end || msg.End.Era() != l.Era() {
+		// A peer reported a newer record, or an era began, while the read was in flight.
 		return
 	}
 	l.synced = true
-	if msg.End > l.end || (l.recordSeenAt == 0 && msg.Record != nil) {
+	if msg.End > l.end || (l.recordSeenAt == 0 && (msg.Record != nil || l.Era() > 0)) {
 		l.recordSeenAt = now
 	}
 	l.end, l.record = msg.End, msg.Record
-	if msg.Record != nil && l.unconfirmed != nil && msg.Record.Nonce == l.unconfirmed.Nonce && msg.Record.Holder == l.self {
+	if l.isOfEra() && msg.Record.Holder != l.self {
+		l.unopposedUntil = 0
+	}
+	if l.isOfEra() && l.unconfirmed != nil && msg.Record.Nonce == l.unconfirmed.Nonce && msg.Record.Holder == l.self {
 		l.applyAppend(now, msg.Record.Position)
 	}
 }
@@ -165,6 +206,7 @@
 		return
 	}
 	l.unconfirmed, l.record, l.end, l.synced, l.recordSeenAt = nil, &record, position+1, true, now
+	l.confirmedAt, l.unopposedUntil = l.appendSentAt, 0
 	l.fence = record.holderFence()
 	if record.Fence == 0 {
 		l.takeover = l.requested
@@ -176,17 +218,20 @@
 }
 
 func (l *Lease) applyPeerReport(now time.Duration, msg LeaseReported) {
-	if msg.Position < l.end {
+	if msg.Position < l.end || msg.Position.Era() != l.Era() {
 		return
 	}
 	l.end, l.recordSeenAt, l.record = msg.Position+1, now, nil
+	if msg.Held {
+		l.unopposedUntil = 0
+	}
 	// The record reported by a peer that is not the holder may be a release, so it
 	// has to be read.
 	l.synced = msg.Held
 }
 
 func (l *Lease) nextActions(now time.Duration) []LeaseAction {
-	own := l.synced && l.record != nil && l.record.Holder == l.self && !l.record.Released
+	own := l.synced && l.isOwn()
 	switch {
 	case l.excluded && !own && now >= l.validUntil:
 		return nil
@@ -217,7 +262,7 @@
 
 func (l *Lease) requestAppend(now time.Duration, r LeaseRecord) []LeaseAction {
 	l.nonce++
-	r.Holder, r.Nonce = l.self, l.nonce
+	r.Holder, r.Nonce, r.Era = l.self, l.nonce, l.Era()
 	l.unconfirmed, l.appendSentAt, l.inFlight = &r, now, true
 	return []LeaseAction{AppendLease{At: l.end, Record: r}}
 }
--- a/internal/core/duty/lease_test.go
+++ b/internal/core/duty/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,9 +25,13 @@
 	restartDelay = 500 * time.Millisecond
 )
 
-// leaseStore simulates the conditional append of the platform's store.
+// leaseStore simulates the conditional append of the platform's store, which may come back from
+// an older copy.
 type leaseStore struct {
+	era     storelog.Era
 	records []LeaseRecord
+	// appendedAt are the times of the records.
+	appendedAt []time.Duration
 	// delayed holds appends that take effect later if their condition still holds.
 	delayed []delayedAppend
 	down    bool
@@ -37,14 +42,40 @@
 	action AppendLease
 }
 
-func (s *leaseStore) append(a AppendLease) (storelog.Position, bool) {
-	if a.At != storelog.Position(len(s.records)) {
+// append executes an append. The store knows offsets only.
+func (s *leaseStore) append(now time.Duration, a AppendLease) (storelog.Position, bool) {
+	if a.At.Offset() != int64(len(s.records)) {
 		return 0, false
 	}
-	r := a.Record
-	r.Position = a.At
-	s.records = append(s.records, r)
-	return r.Position, true
+	position := s.end()
+	s.records, s.appendedAt = append(s.records, a.Record), append(s.appendedAt, now)
+	return position, true
+}
+
+func (s *leaseStore) end() storelog.Position {
+	end, _ := storelog.At(s.era, int64(len(s.records)))
+	return end
+}
+
+// newest returns the newest record with its position in this era.
+func (s *leaseStore) newest() *LeaseRecord {
+	if len(s.records) == 0 {
+		return nil
+	}
+	r := s.records[len(s.records)-1]
+	r.Position = s.end() - 1
+	return &r
+}
+
+// comeBack replaces the records by those of a copy from an earlier time.
+func (s *leaseStore) comeBack(copiedAt time.Duration) {
+	kept := 0
+	for kept < len(s.records) && s.appendedAt[kept] <= copiedAt {
+		kept++
+	}
+	s.records, s.appendedAt = slices.Clone(s.records[:kept]), slices.Clone(s.appendedAt[:kept])
+	s.era++
+	s.down = false
 }
 
 type leaseNode struct {
@@ -65,11 +96,28 @@
 	pending    []pendingReply
 }
 
+// pendingReply is an answer of the store in an era.
 type pendingReply struct {
 	at  time.Duration
+	era storelog.Era
 	msg LeaseMessage
 }
 
+// unlessOutdated returns the message as the client of the store passes it on: what an answer of
+// an earlier era says is lost.
+func (p pendingReply) unlessOutdated(era storelog.Era) LeaseMessage {
+	if p.era == era {
+		return p.msg
+	}
+	if _, ok := p.msg.(LeaseRead); ok {
+		return LeaseReadFailed{}
+	}
+	if _, ok := p.msg.(LeaseAppended); ok {
+		return LeaseAppendFailed{}
+	}
+	return p.msg
+}
+
 type leaseSimulation struct {
 	t      *rapid.T
 	random *rand.Rand
@@ -106,7 +154,7 @@
 // lost; an append whose response is lost may take effect seconds later.
 func (w *leaseSimulation) perform(n *leaseNode, action LeaseAction) {
 	reply := func(msg LeaseMessage, after time.Duration) {
-		n.pending = append(n.pending, pendingReply{w.now + after, msg})
+		n.pending = append(n.pending, pendingReply{w.now + after, w.store.era, msg})
 	}
 	delay := time.Duration(w.random.IntN(300)) * time.Millisecond
 	failed := w.store.down || w.now < n.partitionedUntil
@@ -116,12 +164,7 @@
 			reply(LeaseReadFailed{}, delay)
 			return
 		}
-		read := LeaseRead{End: storelog.Position(len(w.store.records))}
-		if read.End > 0 {
-			r := w.store.records[read.End-1]
-			read.Record = &r
-		}
-		reply(read, delay)
+		reply(LeaseRead{End: w.store.end(), Record: w.store.newest()}, delay)
 	case AppendLease:
 		switch {
 		case failed:
@@ -131,7 +174,8 @@
 			effectDelay := time.Duration(w.random.IntN(6000)) * time.Millisecond
 			w.store.delayed = append(w.store.delayed, delayedAppend{w.now + effectDelay, a})
 		default:
-			if position, ok := w.store.append(a); ok {
+			position, ok := w.store.append(w.now, a)
+			if ok && a.At.Era() == w.store.era {
 				reply(LeaseAppended{Position: position}, delay)
 			} else {
 				reply(LeaseAppendFailed{}, delay)
@@ -200,7 +244,8 @@
 		}
 		n.pending = rest
 		for _, p := range due {
-			w.apply(n, p.msg)
+			w.learnEra(n, p.era)
+			w.apply(n, p.unlessOutdated(n.lease.Era()))
 		}
 		w.act(i)
 		// Two of three reports between instances are lost.
@@ -208,6 +253,7 @@
 			reachable := w.now >= other.suspendedUntil && w.now >= other.downUntil && w.now >= n.partitionedUntil && w.now >= other.partitionedUntil
 			if i != j && reachable && w.random.IntN(3) == 0 {
 				_, held := n.lease.Fence(w.now)
+				w.learnEra(other, n.lease.Era())
 				w.apply(other, LeaseReported{Position: n.lease.NewestPosition(), Held: held})
 			}
 		}
@@ -233,6 +279,14 @@
 	}
 }
 
+// learnEra tells a node of an era. It learns it with the first answer of the store or report of
+// another node that states it.
+func (w *leaseSimulation) learnEra(n *leaseNode, era storelog.Era) {
+	if era > n.lease.Era() {
+		w.apply(n, LeaseEraBegan{Era: era})
+	}
+}
+
 // callTime returns the time that a call takes.
 func (w *leaseSimulation) callTime() time.Duration {
 	if w.random.IntN(10) == 0 {
@@ -284,7 +338,7 @@
 		for w.now = time.Second; w.now < 60*time.Second; w.now += tick {
 			for _, l := range w.store.delayed {
 				if l.at > w.now-tick && l.at <= w.now {
-					w.store.append(l.action)
+					w.store.append(w.now, l.action)
 				}
 			}
 			if w.random.IntN(30) == 0 {
@@ -345,3 +399,37 @@
 func (l *Lease) append(at storelog.Position) AppendLease {
 	return AppendLease{At: at, Record: *l.unconfirmed}
 }
+
+// TestDutiesGoOnAfterDrill guards against duties that nobody performs after the store came back from
+// an older copy, since all instances wait for a record beyond the lost ones: with a holder that goes
+// on, that was killed, and with all instances restarted. Usage reports are due ten seconds after
+// their window.
+func TestDutiesGoOnAfterDrill(t *testing.T) {
+	const bound = 10 * time.Second
+	proptest.Check(t, proptest.Bounds{Seed: 20261207, Checks: 300}, func(t *rapid.T) {
+		w := &leaseSimulation{t: t, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))}
+		for i := range 3 {
+			w.addNode(i)
+		}
+		const tick = 100 * time.Millisecond
+		for w.now = time.Second; w.now < 20*time.Second; w.now += tick {
+			w.step()
+		}
+		switch w.random.IntN(3) {
+		case 0:
+			for i := range w.nodes {
+				w.restart(i)
+			}
+		case 1:
+			w.nodes[w.uses[len(w.uses)-1].node].downUntil = time.Hour
+		}
+		w.store.comeBack(w.now - time.Duration(w.random.IntN(20000))*time.Millisecond)
+		returned, count := w.now, len(w.uses)
+		for ; len(w.uses) == count || w.uses[len(w.uses)-1].at < returned+time.Second; w.now += tick {
+			w.step()
+			if w.now > returned+bound {
+				t.Fatalf("no holder %v after the store's return", w.now-returned)
+			}
+		}
+	})
+}
--- a/internal/core/duty/leasemessages.go
+++ b/internal/core/duty/leasemessages.go
@@ -11,6 +11,10 @@
 type LeaseRecord struct {
 	Position storelog.Position
 	Holder   Holder
+	// Era is the era of the store for which the record was written. A record grants nothing in
+	// a later one, to which it came with the copy, or by an append that was executed late: the
+	// copy may lack later records.
+	Era storelog.Era
 	// Fence is the fencing token: the offset of the record that acquired the lease
 	// plus one. It is zero in that record itself.
 	Fence int64
@@ -60,6 +64,10 @@
 // holder keeps the lease whether it may or not.
 type LeaseCandidacy struct{ Allowed bool }
 
+// LeaseEraBegan reports that the store has come back from an older copy, or the era that an
+// instance sees first. What the lease rested on may be lost.
+type LeaseEraBegan struct{ Era storelog.Era }
+
 // LeaseTick makes the state machine check its timeouts.
 type LeaseTick struct{}
 
@@ -73,6 +81,7 @@
 func (LeaseAppendFailed) leaseMessage() {}
 func (LeaseReported) leaseMessage()     {}
 func (LeaseCandidacy) leaseMessage()    {}
+func (LeaseEraBegan) leaseMessage()     {}
 func (LeaseTick) leaseMessage()         {}
 func (LeaseRelease) leaseMessage()      {}
 
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -171,6 +171,8 @@
 		t.applyPeer(ctx, now, msg)
 	case endpointsUpdate:
 		t.state = msg.state
+	case platform.EraObserved:
+		t.stepLease(ctx, now, duty.LeaseEraBegan{Era: msg.Era})
 	case rolloutsRunning:
 		t.planner.Hold(msg.services)
 	case windowsRequest:
@@ -260,7 +262,9 @@
 // whose it was and how long this instance had known it.
 func (t *dutiesTask) logTakeover(fence int64) {
 	takeover := t.lease.Takeover()
-	fields := log.Fields{"fence": fence, "record_age_ms": takeover.RecordAge.Milliseconds()}
+	fields := log.Fields{
+		"fence": fence, "era": t.lease.Era(), "unopposed": takeover.Unopposed, "record_age_ms": takeover.RecordAge.Milliseconds(),
+	}
 	if previous := takeover.Previous; previous != nil {
 		fields["previous_holder"], fields["previous_position"] = previous.Holder.Node, previous.Position
 		fields["released"] = previous.Released
--- a/internal/edge/era.go
+++ b/internal/edge/era.go
@@ -6,7 +6,7 @@
 	"github.com/apex/log"
 )
 
-// followEra logs each era of the store that begins.
+// followEra tells the tasks whose state rests on the store of each era that begins.
 func (p *process) followEra(ctx context.Context) error {
 	for {
 		select {
@@ -15,6 +15,7 @@
 		case event := <-p.store.EraObserved():
 			p.metrics.storeEra.Set(float64(event.Era))
 			p.log.WithFields(log.Fields{"era": event.Era, "previous": event.Previous, "first": event.First}).Info("era of the store began")
+			_ = p.duties.mailbox.Send(ctx, event)
 		}
 	}
 }
