Leave out usage windows whose decision the store may have lost

Cause: whether a window was decided rested on the store alone. After it came back from an older copy a new holder decided lost windows again, without counts from before its start. Change: a new holder leaves out windows that ended before the current era of the store began, unless the store or its memory has the decision, with a log line and a counter. The lease's records state a time at which their era had begun, so that later holders leave out no more than needed. The last holder, which nobody has followed, knows all decisions and leaves out none; a decision whose append got no answer keeps its counts.

--- a/internal/core/duty/leasemessages.go
+++ b/internal/core/duty/leasemessages.go
@@ -1,6 +1,8 @@
 package duty
 
 import (
+	"time"
+
 	"github.com/cornelhold/cornelhold/internal/core/storelog"
 )
 
@@ -15,6 +17,8 @@
 	// a later one, to which it came with the copy, or by an append that was executed late: the
 	// copy may lack later records.
 	Era storelog.Era
+	// EraSince is a time of day at which that era had begun, as Unix time.
+	EraSince time.Duration
 	// Fence is the fencing token: the offset of the record that acquired the lease
 	// plus one. It is zero in that record itself.
 	Fence int64
--- a/internal/core/duty/usage.go
+++ b/internal/core/duty/usage.go
@@ -178,16 +178,30 @@
 // SendReport requests a report to the platform.
 type SendReport struct{ Decision Decision }
 
+// LeaveOut states that a window is not reported: the store has lost what was decided on it, if
+// anything was, and another count than the reported one would be wrong. It has no result.
+type LeaveOut struct{ Window int64 }
+
 func (ReadDecisions) reporterAction()  {}
 func (AppendDecision) reporterAction() {}
 func (SendReport) reporterAction()     {}
+func (LeaveOut) reporterAction()       {}
 
 // Reporter decides the counts of each window once, by a conditional append to the
-// store, and resends the report until the platform has accepted it.
+// store, and resends the report until the platform has accepted it. If the store comes back from
+// an older copy, only this instance knows what it decided before, and a later holder leaves out
+// the windows on which an earlier one may have decided.
 type Reporter struct {
 	windowLength time.Duration
 	decided      map[int64]Decision
 	reported     map[int64]bool
+	leftOut      map[int64]bool
+	// proposed is the decision whose append was last requested, nil once it was confirmed. It may
+	// have taken effect.
+	proposed *Decision
+	// forgottenBefore is a Unix time before which decisions may have been made that are in neither
+	// the store nor this instance's memory.
+	forgottenBefore time.Duration
 	// first and newest are the lowest and the highest decided window seen.
 	first, newest int64
 	end           storelog.Position
@@ -200,15 +214,31 @@
 
 // NewReporter returns a reporter for windows of the given length.
 func NewReporter(windowLength time.Duration) *Reporter {
-	return &Reporter{windowLength: windowLength, decided: make(map[int64]Decision), reported: make(map[int64]bool)}
+	return &Reporter{
+		windowLength: windowLength, decided: make(map[int64]Decision), reported: make(map[int64]bool), leftOut: make(map[int64]bool),
+	}
 }
 
 // Window returns the number of the window that contains at, a Unix time.
 func (r *Reporter) Window(at time.Duration) int64 { return int64(at / r.windowLength) }
 
-// Invalidate makes the reporter read the decisions again. While another instance
-// holds the duties, the recorded ones may be outdated.
-func (r *Reporter) Invalidate() { r.synced = false }
+// Begin begins a term as the holder of the duties and makes the reporter read the decisions:
+// other instances may have decided meanwhile. eraSince is a Unix time at which the current era of the
+// store had begun; decisions from before may be lost.
+func (r *Reporter) Begin(eraSince time.Duration) {
+	r.synced, r.proposed, r.forgottenBefore = false, nil, eraSince
+}
+
+// Continue begins a term that follows one of this instance in an earlier era of the store. Nobody
+// else has decided meanwhile.
+func (r *Reporter) Continue() {
+	r.synced = false
+	if r.proposed != nil {
+		// Its append may still take effect, so no other counts may be sent.
+		r.addDecision(*r.proposed)
+		r.proposed = nil
+	}
+}
 
 // NextActions returns the actions due at now. trueTime is the Unix time. Newer
 // windows come first: older ones were most likely reported by the previous
@@ -225,11 +255,16 @@
 	for window := newest - 1; window >= oldest; window-- {
 		d, ok := r.decided[window]
 		switch {
-		case r.reported[window]:
+		case r.reported[window], r.leftOut[window]:
 		case ok:
 			return r.start(now, SendReport{Decision: d})
-		case r.needsReport(window, usage):
-			return r.start(now, AppendDecision{At: r.end, Decision: Decision{Window: window, Counts: usage.Total(window)}})
+		case !r.needsReport(window, usage):
+		case r.mayBeForgotten(window):
+			r.leftOut[window] = true
+			return []ReporterAction{LeaveOut{Window: window}}
+		default:
+			r.proposed = &Decision{Window: window, Counts: usage.Total(window)}
+			return r.start(now, AppendDecision{At: r.end, Decision: *r.proposed})
 		}
 	}
 	return nil
@@ -240,6 +275,14 @@
 	return (r.first > 0 && window > r.first) || len(usage.Total(window)) > 0
 }
 
+// mayBeForgotten reports whether a window may have been decided on before the store came back from
+// a copy that lacks the decision. Decisions are made stabilizationDelay after the window by the
+// clock of the holder.
+func (r *Reporter) mayBeForgotten(window int64) bool {
+	end := time.Duration(window+1) * r.windowLength
+	return end+stabilizationDelay-maxClockDifference <= r.forgottenBefore
+}
+
 func (r *Reporter) start(now time.Duration, a ReporterAction) []ReporterAction {
 	r.inFlight, r.nextActionAt = true, now+sendInterval
 	return []ReporterAction{a}
@@ -256,7 +299,7 @@
 
 // DecisionAppended records that a decision was stored at a position.
 func (r *Reporter) DecisionAppended(d Decision, position storelog.Position) {
-	r.inFlight, r.end, r.nextActionAt = false, position+1, 0
+	r.inFlight, r.end, r.nextActionAt, r.proposed = false, position+1, 0, nil
 	r.addDecision(d)
 }
 
@@ -272,6 +315,7 @@
 		if window < r.newest-2*retainedWindows {
 			delete(r.decided, window)
 			delete(r.reported, window)
+			delete(r.leftOut, window)
 		}
 	}
 }
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -88,6 +88,8 @@
 	demand   *scaling.Demand
 	state    directoryState
 	held     bool
+	// eraStart is when the current era of the store began, as far as known.
+	eraStart duty.EraStart
 	// holderCalls is the number of calls under the lease that await their result.
 	holderCalls int
 	// quotaUse is what all instances used of the quotas as of quotaUseAt.
@@ -172,6 +174,7 @@
 	case endpointsUpdate:
 		t.state = msg.state
 	case platform.EraObserved:
+		t.eraStart = duty.NewEraStart(msg.Era, now)
 		t.stepLease(ctx, now, duty.LeaseEraBegan{Era: msg.Era})
 	case rolloutsRunning:
 		t.planner.Hold(msg.services)
@@ -250,7 +253,11 @@
 	t.held = held
 	if held {
 		t.logTakeover(fence)
-		t.reporter.Invalidate()
+		if t.lease.Takeover().Unopposed {
+			t.reporter.Continue()
+		} else {
+			t.reporter.Begin(t.eraStart.Since(t.clock))
+		}
 		t.planner.Reset(fence > 1)
 		t.engines.recorder = enginemodel.NewRecorder()
 		return
--- a/internal/edge/dutycalls.go
+++ b/internal/edge/dutycalls.go
@@ -35,7 +35,16 @@
 
 func (t *dutiesTask) performLease(ctx context.Context, action duty.LeaseAction) {
 	stepWith := func(msg duty.LeaseMessage) func(time.Duration) {
-		return func(now time.Duration) { t.stepLease(ctx, now, msg) }
+		return func(now time.Duration) {
+			if read, ok := msg.(duty.LeaseRead); ok {
+				t.eraStart.Observe(read.Record)
+			}
+			t.stepLease(ctx, now, msg)
+		}
+	}
+	if a, ok := action.(duty.AppendLease); ok {
+		a.Record.EraSince = t.eraStart.Since(t.clock)
+		action = a
 	}
 	t.call(ctx, func() func(time.Duration) {
 		switch a := action.(type) {
@@ -87,6 +96,9 @@
 		t.call(ctx, func() func(time.Duration) { return t.readDecisions(ctx) })
 	case duty.AppendDecision:
 		t.call(ctx, func() func(time.Duration) { return t.appendDecision(ctx, a) })
+	case duty.LeaveOut:
+		t.process.metrics.usageLeftOut.Inc()
+		t.log.WithField("window", a.Window).Warn("usage window left out: it may have been reported before the store came back from an older copy")
 	case duty.SendReport:
 		t.callAsHolder(ctx, func() func(time.Duration) { return t.sendReport(ctx, holder, a) })
 	}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -36,8 +36,10 @@
 	quarantined  prometheus.Gauge
 	// crashRecords counts the appends of crash evidence to the store.
 	crashRecords *prometheus.CounterVec
-	// storeEra is the newest known era of the store.
-	storeEra prometheus.Gauge
+	// storeEra is the newest known era of the store, usageLeftOut counts the usage windows that are
+	// not reported because an earlier era may have had a decision on them.
+	storeEra     prometheus.Gauge
+	usageLeftOut prometheus.Counter
 	// leavingStreams counts the streams of endpoints that left, moves the moves of runs.
 	leavingStreams, moves *prometheus.CounterVec
 	// reclaimNotices counts the reclaimable endpoints that leave.
@@ -122,7 +124,10 @@
 	m.storeEra = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "cornelhold_store_era", Help: "Newest known era of the store, which rises each time that it comes back from an older copy.",
 	})
-	registry.MustRegister(m.crashRecords, m.storeEra)
+	m.usageLeftOut = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "cornelhold_usage_windows_left_out_total", Help: "Usage windows not reported, since they may have been before the store came back from an older copy.",
+	})
+	registry.MustRegister(m.crashRecords, m.storeEra, m.usageLeftOut)
 }
 
 // addRollouts creates the metrics of rollouts.
