Read topics anew once the store has come back from an older copy

Cause: the follower of a topic goes on from its old offset. The records that the operator writes again and the next change can end exactly there, so that the read gets neither 410 nor a record. Change: a read fails if its answer is of another era than the position from which it reads. The follower then reads the newest record of each key, and does so too if another call or instance has told of the new era. Readers of the store are triggered at once.

--- a/internal/edge/era.go
+++ b/internal/edge/era.go
@@ -6,7 +6,8 @@
 	"github.com/apex/log"
 )
 
-// followEra tells the tasks whose state rests on the store of each era that begins.
+// followEra tells the tasks whose state rests on the store of each era that begins. Followers of
+// topics read them anew with their next read.
 func (p *process) followEra(ctx context.Context) error {
 	for {
 		select {
@@ -16,6 +17,21 @@
 			p.metrics.storeEra.Set(float64(event.Era))
 			p.log.WithFields(log.Fields{"era": event.Era, "previous": event.Previous, "first": event.First}).Info("era of the store began")
 			_ = p.duties.mailbox.Send(ctx, event)
+			if event.First {
+				continue
+			}
+			p.triggerFollowers()
 		}
 	}
 }
+
+// triggerFollowers makes the followers read at once if this instance reads the store for its data
+// centre. The others learn from it, so that not all read at the same time.
+func (p *process) triggerFollowers() {
+	if p.list.isReader.Load() {
+		triggerRead(p.listTrigger)
+	}
+	if p.untilConfigRead() <= 0 {
+		triggerRead(p.configTrigger)
+	}
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -80,18 +80,23 @@
 }
 
 // run follows the topic until ctx ends. It logs the start and the end of each
-// outage of the store.
+// outage of the store. Once the store has come back from an older copy, the topic is read anew.
 func (f *follower) run(ctx context.Context) error {
 	var next storelog.Position
 	resync, down, repeated := true, false, false
 	for ctx.Err() == nil {
 		startedAt := task.BootTime()
+		resync = resync || next.Era() != f.store.Era()
 		batch, err := f.read(ctx, next, resync)
 		switch {
 		case errors.Is(err, platform.ErrExpired):
 			f.log.WithField("topic", f.topic).Info("requested records have expired; reading the newest record of each key")
 			resync = true
 			continue
+		case errors.Is(err, platform.ErrEraChanged) && !repeated:
+			f.log.WithField("topic", f.topic).WithError(err).Info("reading the newest record of each key")
+			resync, repeated = true, true
+			continue
 		case errors.Is(err, errInterrupted):
 			continue
 		case err != nil && ranOver(startedAt, f.wait+platform.CallTimeout):
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cornelhold/cornelhold/internal/core/storelog"
+	"github.com/cornelhold/cornelhold/internal/standin/userplatform"
 	"github.com/cornelhold/cornelhold/platform"
 )
 
@@ -49,3 +51,51 @@
 	is.True(<-startFollower(t, http.StatusServiceUnavailable))
 	is.True(!<-startFollower(t, http.StatusServiceUnavailable, http.StatusServiceUnavailable))
 }
+
+// TestChangeAtReusedOffsetIsRead guards against a follower that goes on from its old offset after
+// the store came back from an older copy, and misses the record that got an offset before (rule
+// CONFIG, review case 13).
+func TestChangeAtReusedOffsetIsRead(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	store := userplatform.StartStore(ctx)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	store.Serve(ctx, l)
+	read := make(chan string, 8)
+	f := &follower{
+		store: platform.NewStore(l.Addr().String()), topic: platform.TopicConfig, wait: 300 * time.Millisecond,
+		log: &log.Logger{Handler: discard.New()}, untilRead: func() time.Duration { return 0 },
+		retryDelay: func() time.Duration { return 10 * time.Millisecond }, applied: func() storelog.Position { return 0 },
+		onRecords: func(_ context.Context, r topicRead) {
+			for _, record := range r.batch.Records {
+				read <- string(record.Value)
+			}
+		},
+		onOutage: func(context.Context) {}, onRecovery: func(context.Context) {},
+	}
+	store.Put(userplatform.ConfigTopic, userplatform.ConfigKey, []byte("v1"))
+	go func() { _ = f.run(ctx) }()
+	is.Equal(<-read, "v1")
+	store.Put(userplatform.ConfigTopic, userplatform.ConfigKey, []byte("v2"))
+	is.Equal(<-read, "v2")
+	// The copy has neither. The operator writes v2 again, then v3 at the offset of v2, while the
+	// read of the follower still hangs.
+	d := userplatform.Drill{CopyAge: time.Minute, Silent: true}
+	store.Leave(d)
+	time.Sleep(100 * time.Millisecond)
+	store.ComeBack(d)
+	time.Sleep(100 * time.Millisecond)
+	store.Put(userplatform.ConfigTopic, userplatform.ConfigKey, []byte("v3"))
+	limit := time.After(5 * time.Second)
+	for {
+		select {
+		case value := <-read:
+			if value == "v3" {
+				return
+			}
+		case <-limit:
+			t.Fatal("the change after the return was not read")
+		}
+	}
+}
