Keep entries that the copy of the store lacks until they are written again

Cause: the list compared offsets across the return. Change: the first list of an era is applied like one after an outage, with RecoveryGrace for entries that it lacks. An entry that was missing is usable again if its endpoint writes it as it was. Lists of an earlier era are ignored. TestRemovalAfterDrillIsApplied failed before: "[i-1] != [i-1 i-2]" for the lost entry.

--- a/internal/core/catalog/directory.go
+++ b/internal/core/catalog/directory.go
@@ -49,8 +49,9 @@
 	// Endpoint is nil if the record removes the entry or describes no usable
 	// endpoint.
 	Endpoint *Endpoint
-	// Removed is set if the record removes the entry.
-	Removed bool
+	// Removed is set if the record removes the entry, Missing if there is none: a complete list
+	// lacks the entry.
+	Removed, Missing bool
 }
 
 type listEntry struct {
@@ -62,6 +63,8 @@
 	// store; the endpoint may still be alive until then.
 	graceUntil time.Duration
 	removedAt  time.Duration
+	// withdrawn is set if the newest record removes the entry, rather than that it is missing.
+	withdrawn bool
 }
 
 // Directory folds the records of the instance list. An endpoint is dropped at
@@ -103,17 +106,18 @@
 	}
 	l.position = e.Position
 	if e.Endpoint == nil {
-		return d.remove(now, l, e.Removed)
+		return d.remove(now, l, e)
 	}
 	return d.update(l, e.Endpoint)
 }
 
-func (d *Directory) remove(now time.Duration, l *listEntry, removed bool) bool {
+func (d *Directory) remove(now time.Duration, l *listEntry, e Entry) bool {
+	l.withdrawn = !e.Missing
 	if l.endpoint == nil {
 		l.removedAt = now
 		return false
 	}
-	if removed && !l.endpoint.Draining && d.catchingUp {
+	if e.Removed && !l.endpoint.Draining && d.catchingUp {
 		l.graceUntil = d.recoveredAt + RecoveryGrace
 		lapsed := *l.endpoint
 		lapsed.Lapsed = true
@@ -130,19 +134,37 @@
 	if last := l.lastState; last != nil {
 		stale := e.Started < last.Started || (e.Started == last.Started && e.Sequence <= last.Sequence)
 		if stale {
-			return false
+			return l.restore(e)
 		}
 		if e.Started == last.Started && last.Draining {
 			e.Draining = true
 		}
 	}
 	old := l.endpoint
-	l.endpoint, l.lastState, l.graceUntil, l.removedAt = e, e, 0, 0
+	l.endpoint, l.lastState, l.graceUntil, l.removedAt, l.withdrawn = e, e, 0, 0, false
 	return old == nil || old.Lapsed || old.Draining != e.Draining || old.Address != e.Address ||
 		old.Started != e.Started || old.Service != e.Service || old.Slots != e.Slots ||
 		old.Version != e.Version || old.Cold != e.Cold
 }
 
+// restore makes an entry that was missing usable again, if the endpoint has written it once more
+// as it was. It reports whether that changed the entry.
+func (l *listEntry) restore(e *Endpoint) bool {
+	last := l.lastState
+	isSame := e.Started == last.Started && e.Sequence == last.Sequence
+	if !isSame || !l.isMissing() {
+		return false
+	}
+	l.endpoint, l.graceUntil, l.removedAt = last, 0, 0
+	return true
+}
+
+// isMissing reports whether the entry is gone from the list without a record that removes it, or
+// was removed during an outage.
+func (l *listEntry) isMissing() bool {
+	return l.graceUntil != 0 || (l.endpoint == nil && !l.withdrawn)
+}
+
 // Expire drops endpoints whose entry is still missing after RecoveryGrace, and
 // tombstones older than tombstoneTTL. It reports whether an endpoint was dropped.
 func (d *Directory) Expire(now time.Duration) bool {
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -182,6 +182,11 @@
 			t.directory.StoreRecovered(now)
 		}
 	}
+	if msg.end.Era() < t.position.Era() {
+		// The store has come back from an older copy since this list was read.
+		return
+	}
+	t.beginEra(now, msg)
 	changed := !t.hasList
 	if msg.resync && msg.source == sourceStore {
 		t.complete = 0
@@ -195,7 +200,7 @@
 		t.complete = max(t.complete, msg.end)
 		for id, r := range t.records {
 			if !seen[id] && r.Position < msg.end {
-				changed = t.applyEntry(now, platform.Record{Key: string(id), Position: msg.end - 1}) || changed
+				changed = t.removeMissing(now, id, msg.end-1) || changed
 			}
 		}
 	}
@@ -210,6 +215,23 @@
 	t.published.Store(&s)
 }
 
+// beginEra prepares for the first complete list of an era of the store. Entries that the copy lacks
+// are written again by endpoints that still run, as after an outage.
+func (t *directoryTask) beginEra(now time.Duration, msg entriesRead) {
+	if t.hasList && msg.end.Era() > t.position.Era() {
+		t.directory.StoreRecovered(now)
+	}
+}
+
+// removeMissing removes an entry that a complete list up to a position lacks.
+func (t *directoryTask) removeMissing(now time.Duration, id fleet.EndpointID, position storelog.Position) bool {
+	if position <= t.records[id].Position {
+		return false
+	}
+	t.records[id] = platform.Record{Key: string(id), Position: position}
+	return t.directory.Apply(now, catalog.Entry{ID: id, Position: position, Removed: true, Missing: true})
+}
+
 // applyEntry applies a record unless it is outdated and reports whether the
 // endpoints changed.
 func (t *directoryTask) applyEntry(now time.Duration, r platform.Record) bool {
--- a/internal/edge/directory_test.go
+++ b/internal/edge/directory_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/cornelhold/cornelhold/internal/core/catalog"
 	"github.com/cornelhold/cornelhold/internal/core/gateway"
 	"github.com/cornelhold/cornelhold/internal/core/storelog"
 	"github.com/cornelhold/cornelhold/internal/task"
@@ -91,3 +92,87 @@
 	receiver.applyEntries(t.Context(), entriesRead{records: []platform.Record{entry("i-1", "ready", 3)}, end: 9, resync: true, source: sourcePeer, storeHealthy: true})
 	is.Equal(receiver.ids(), []string{"i-1", "i-3"})
 }
+
+// inEra returns a position in an era of the store.
+func inEra(era storelog.Era, offset int64) storelog.Position {
+	p, _ := storelog.At(era, offset)
+	return p
+}
+
+// heartbeatOf returns a record of an entry with a sequence number.
+func heartbeatOf(id, state string, position storelog.Position, sequence int) platform.Record {
+	value := fmt.Sprintf(`{"service":"s","addr":"127.0.0.1:80","zone":"a","slots":8,"state":%q,"seq":%d,"born":1}`, state, sequence)
+	return platform.Record{Key: id, Value: []byte(value), Position: position}
+}
+
+// TestRemovalAfterDrillIsApplied guards against an endpoint that gets requests for good since its
+// entry was removed at a lower offset than the known one, after the store came back from an older
+// copy (rule DRAIN, review case 12): by the changes, by a complete list, and by a peer.
+func TestRemovalAfterDrillIsApplied(t *testing.T) {
+	before := entriesRead{
+		records: []platform.Record{heartbeatOf("i-1", "ready", 90, 9), heartbeatOf("i-2", "ready", 99, 9)},
+		resync:  true, end: 100, source: sourceStore,
+	}
+	copied := entriesRead{
+		records: []platform.Record{heartbeatOf("i-1", "ready", inEra(1, 38), 7), heartbeatOf("i-2", "ready", inEra(1, 39), 7)},
+		resync:  true, end: inEra(1, 40), source: sourceStore,
+	}
+	removed := platform.Record{Key: "i-2", Position: inEra(1, 40)}
+	newDirectory := func() *directoryTask {
+		d := newTestDirectory()
+		d.applyEntries(t.Context(), before)
+		return d
+	}
+	t.Run("changes", func(t *testing.T) {
+		is, d := is.New(t), newDirectory()
+		d.applyEntries(t.Context(), copied)
+		is.Equal(d.ids(), []string{"i-1", "i-2"})
+		d.applyEntries(t.Context(), entriesRead{records: []platform.Record{removed}, end: inEra(1, 41), source: sourceStore})
+		is.Equal(d.ids(), []string{"i-1"})
+		// A list of the earlier era that arrives late brings nothing back.
+		d.applyEntries(t.Context(), before)
+		is.Equal(d.ids(), []string{"i-1"})
+	})
+	t.Run("peer", func(t *testing.T) {
+		is, d, peer := is.New(t), newDirectory(), newDirectory()
+		peer.applyEntries(t.Context(), copied)
+		peer.applyEntries(t.Context(), entriesRead{records: []platform.Record{removed}, end: inEra(1, 41), source: sourceStore})
+		s := peer.snapshot(snapshotRequest{peerPosition: d.position})
+		is.True(s.complete)
+		d.applyEntries(t.Context(), entriesRead{records: s.records, end: s.end, resync: s.complete, source: sourcePeer, storeHealthy: true})
+		d.directory.Expire(d.clock.Now() + catalog.RecoveryGrace)
+		is.Equal(d.ids(), []string{"i-1"})
+		is.Equal(d.position, inEra(1, 41))
+	})
+	t.Run("lost entry", func(t *testing.T) {
+		is, d := is.New(t), newDirectory()
+		d.applyEntries(t.Context(), entriesRead{
+			records: []platform.Record{heartbeatOf("i-1", "ready", inEra(1, 38), 7)}, resync: true, end: inEra(1, 39), source: sourceStore,
+		})
+		is.Equal(d.ids(), []string{"i-1", "i-2"}) // it may be written again
+		d.directory.Expire(d.clock.Now() + catalog.RecoveryGrace)
+		is.Equal(d.ids(), []string{"i-1"})
+		// Written again as it was.
+		d.applyEntries(t.Context(), entriesRead{records: []platform.Record{heartbeatOf("i-2", "ready", inEra(1, 39), 9)}, end: inEra(1, 40), source: sourceStore})
+		is.Equal(d.ids(), []string{"i-1", "i-2"})
+	})
+}
+
+// TestLeavingEndpointStaysSoAfterDrill guards against an endpoint that drains or is removed and that
+// gets requests again since the copy from which the store came back has its older entry (rule DRAIN).
+func TestLeavingEndpointStaysSoAfterDrill(t *testing.T) {
+	is := is.New(t)
+	d := newTestDirectory()
+	d.applyEntries(t.Context(), entriesRead{
+		records: []platform.Record{heartbeatOf("i-1", "draining", 90, 9), heartbeatOf("i-2", "ready", 91, 9)},
+		resync:  true, end: 100, source: sourceStore,
+	})
+	d.applyEntries(t.Context(), entriesRead{records: []platform.Record{{Key: "i-2", Position: 100}}, end: 101, source: sourceStore})
+	d.applyEntries(t.Context(), entriesRead{
+		records: []platform.Record{heartbeatOf("i-1", "ready", inEra(1, 8), 8), heartbeatOf("i-2", "ready", inEra(1, 9), 9)},
+		resync:  true, end: inEra(1, 10), source: sourceStore,
+	})
+	endpoints := d.directory.Endpoints()
+	is.Equal(len(endpoints), 1)
+	is.True(endpoints[0].Draining)
+}
