Do not revert a roll-out whose end the store may have lost

Cause: the state of a roll-out rested on its record. From one of before the end, with its time over and no old endpoint that answers, the verdict was Reverted. Change: records state their era. Of a running record of an earlier era, the holder takes over what its memory or the plans of all instances know better and writes it again. Else it waits until endpoints that run have renewed their entries, and takes the roll-out for done if no old one has. An order that is shown again keeps its roll-out, one that a later order replaced is not carried out again.

--- a/internal/core/catalog/directory.go
+++ b/internal/core/catalog/directory.go
@@ -33,6 +33,9 @@
 	// Lapsed is set if the entry was removed during an outage of the store. The
 	// endpoint may be alive and is used only if there is no other.
 	Lapsed bool
+	// Renewed is set once the entry was written after the list of the store's current era was first
+	// read. Before, the endpoint may have ended without a trace in the list.
+	Renewed bool
 	// Reclaimable is set if the cloud may take the instance back on short notice.
 	Reclaimable bool
 	// Started is the start time of this incarnation in Unix milliseconds.
@@ -65,6 +68,8 @@
 	removedAt  time.Duration
 	// withdrawn is set if the newest record removes the entry, rather than that it is missing.
 	withdrawn bool
+	// renewed is set once a record at or after the first end of the list was applied.
+	renewed bool
 }
 
 // Directory folds the records of the instance list. An endpoint is dropped at
@@ -77,6 +82,8 @@
 	// catchingUp is set while records that were written during an outage are
 	// applied.
 	catchingUp bool
+	// firstEnd is the end of the list when it was first read completely in the current era.
+	firstEnd storelog.Position
 }
 
 // NewDirectory returns an empty directory.
@@ -90,6 +97,15 @@
 	d.recoveredAt, d.catchingUp = now, true
 }
 
+// BeginEra reports that the list was read completely for the first time in an era of the store.
+// end is the end of the list then.
+func (d *Directory) BeginEra(end storelog.Position) {
+	d.firstEnd = end
+	for _, l := range d.entries {
+		l.renewed = false
+	}
+}
+
 // CaughtUp reports that all records written during an outage are applied.
 func (d *Directory) CaughtUp() { d.catchingUp = false }
 
@@ -108,7 +124,9 @@
 	if e.Endpoint == nil {
 		return d.remove(now, l, e)
 	}
-	return d.update(l, e.Endpoint)
+	renewed := e.Position >= d.firstEnd && !l.renewed
+	l.renewed = l.renewed || renewed
+	return d.update(l, e.Endpoint) || (renewed && l.endpoint != nil)
 }
 
 func (d *Directory) remove(now time.Duration, l *listEntry, e Entry) bool {
@@ -186,7 +204,9 @@
 	list := make([]Endpoint, 0, len(d.entries))
 	for _, l := range d.entries {
 		if l.endpoint != nil {
-			list = append(list, *l.endpoint)
+			e := *l.endpoint
+			e.Renewed = l.renewed
+			list = append(list, e)
 		}
 	}
 	slices.SortFunc(list, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/core/rollout/leader.go
+++ b/internal/core/rollout/leader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 )
 
 // seenOrder is the newest order of a service.
@@ -23,6 +24,8 @@
 	orders map[fleet.ServiceName]*seenOrder
 	runs   map[fleet.ServiceName]*run
 	loaded bool
+	// era is the era of the store in which the records were read.
+	era storelog.Era
 	// saving is the service whose record is being written, publishing the one whose state is.
 	saving, publishing fleet.ServiceName
 	fence, revision    int64
@@ -41,14 +44,10 @@
 	l.orders[o.Service] = &seenOrder{order: o, readAt: now}
 }
 
-// Load replaces the state by the records in the store. What is known of a rollout besides its
-// record is kept.
-func (l *Leader) Load(now time.Duration, records []Record) {
-	known := l.runs
-	l.runs = make(map[fleet.ServiceName]*run)
-	for _, r := range records {
-		l.runs[r.Order.Service] = resume(now, known[r.Order.Service], r)
-	}
+// Load replaces the state by what is stored. What is known of a rollout besides its record is
+// kept.
+func (l *Leader) Load(now time.Duration, stored Stored) {
+	l.runs, l.era = resumeAll(now, l.runs, stored), stored.Era
 	for _, o := range l.orders {
 		o.handled = false
 	}
@@ -96,6 +95,8 @@
 		case o.handled || l.saving == service:
 			continue
 		case ok && current.record.Order.Position >= o.order.Position:
+		case ok && o.order.isShownAgain(current.record.Order):
+			current.identify(o.order)
 		case ok && current.record.Order.To == o.order.To:
 			actions = append(actions, Ignored{Order: o.order, Reason: ReasonDuplicate})
 		case !known:
@@ -123,7 +124,7 @@
 	for _, service := range slices.Sorted(maps.Keys(l.runs)) {
 		r := l.runs[service]
 		if r.next != nil && l.saving == "" {
-			l.saving = service
+			l.saving, r.next.Era = service, l.era
 			actions = append(actions, Save{Record: *r.next})
 		}
 		if r.needsPublish() && r.isFollowed(now) && l.publishing == "" {
--- a/internal/core/rollout/messages.go
+++ b/internal/core/rollout/messages.go
@@ -13,6 +13,9 @@
 	Fence     int64
 	Catalog   *catalog.Catalog
 	Endpoints []catalog.Endpoint
+	// ListSettled is set once endpoints that still run have renewed their entries since the list
+	// of the store's current era was first read.
+	ListSettled bool
 	// Sums are the counts of all reached instances, Age their age.
 	Sums map[Key]Counts
 	Age  time.Duration
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -65,6 +65,8 @@
 // Record is the durable state of a rollout.
 type Record struct {
 	Order Order
+	// Era is the era of the store for which the record was written.
+	Era storelog.Era
 	// StartedAt is when the order was first read.
 	StartedAt time.Duration
 	Step      Step
--- a/internal/core/rollout/run.go
+++ b/internal/core/rollout/run.go
@@ -20,19 +20,25 @@
 type view struct {
 	// newReady and oldReady are the endpoints that do not drain, by version.
 	newReady, oldReady int
-	objectives         map[string]time.Duration
-	longest            time.Duration
+	// newRenewed and oldRenewed are those whose entries were written since the list of the current
+	// era was first read. Once isSettled, the others have ended.
+	newRenewed, oldRenewed int
+	isSettled              bool
+	objectives             map[string]time.Duration
+	longest                time.Duration
 }
 
 func viewOf(in Inputs, o Order) view {
-	v := view{objectives: make(map[string]time.Duration)}
+	v := view{isSettled: in.ListSettled, objectives: make(map[string]time.Duration)}
 	for _, e := range in.Endpoints {
 		switch {
 		case e.Service != o.Service || e.Draining:
 		case e.Version == o.To:
 			v.newReady++
+			v.newRenewed += lo.Ternary(e.Renewed, 1, 0)
 		default:
 			v.oldReady++
+			v.oldRenewed += lo.Ternary(e.Renewed, 1, 0)
 		}
 	}
 	for i := range in.Catalog.Routes {
@@ -53,6 +59,8 @@
 	// isSaved is set once record was written; next is the record to be written, if any.
 	isSaved bool
 	next    *Record
+	// isUncertain is set if a later state may have been lost with an earlier era of the store.
+	isUncertain bool
 	// stepAt is when the current step or state began here.
 	stepAt time.Duration
 	// published is the state that was last written for the operator.
@@ -100,23 +108,6 @@
 	return &run{record: r, isSaved: true, stepAt: now, judge: newJudge(), seen: exposure{exposed: float64(r.Exposed), rate: minRate}}
 }
 
-// resume returns the rollout of a record that was read. known is what this instance knew of the
-// service's rollout, nil for nothing; its last write may have had an unknown outcome.
-func resume(now time.Duration, known *run, read Record) *run {
-	if known == nil || known.record.Order.Position != read.Order.Position {
-		return newRun(now, read)
-	}
-	if known.next != nil && known.next.Step == read.Step && known.next.State == read.State {
-		known.saved(now)
-		return known
-	}
-	if known.record.Step != read.Step || known.record.State != read.State {
-		return newRun(now, read)
-	}
-	known.isSaved, known.isPublished = true, false
-	return known
-}
-
 // withheldBy returns the versions that get no requests when an order to another version
 // replaces the rollout.
 func (r *run) withheldBy(to fleet.SoftwareVersion) []fleet.SoftwareVersion {
@@ -188,6 +179,9 @@
 
 // decide returns the next record, nil if there is no change.
 func (r *run) decide(now time.Duration) *Record {
+	if r.isUncertain {
+		return r.decideUncertain()
+	}
 	since := now - r.record.StartedAt
 	lastFull, deadline := r.times.lastFull, r.times.deadline
 	if r.isLate {
--- a/internal/core/rollout/world_test.go
+++ b/internal/core/rollout/world_test.go
@@ -101,7 +101,7 @@
 	for range instances {
 		w.instances = append(w.instances, newSimulated(w.now))
 	}
-	w.leader.Load(w.now, nil)
+	w.leader.Load(w.now, Stored{})
 	w.leader.Read(w.now, w.order)
 	return w
 }
@@ -310,7 +310,7 @@
 	if w.record != nil {
 		records = append(records, *w.record)
 	}
-	w.leader.Load(w.now, records)
+	w.leader.Load(w.now, Stored{Records: records})
 	w.leader.Read(time.Second, w.order)
 	w.holderDown = false
 }
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -76,8 +76,10 @@
 	// ConfigBytes is the size of the record of the configuration.
 	ConfigBytes int
 	Position    storelog.Position
-	Catalog     *catalog.Catalog
-	Endpoints   []catalog.Endpoint
+	// ListSince is when the list of the store's current era was first read completely.
+	ListSince time.Duration
+	Catalog   *catalog.Catalog
+	Endpoints []catalog.Endpoint
 }
 
 // directoryTask owns the configuration and the instance list, as read from the
@@ -94,6 +96,8 @@
 	records  map[fleet.EndpointID]platform.Record
 	position storelog.Position
 	hasList  bool
+	// since is when the list of the store's current era was first read completely.
+	since time.Duration
 	// complete is the position up to which the newest records of all entries were
 	// read. An older record of an entry that is not in records is outdated: the
 	// entry was removed.
@@ -218,9 +222,14 @@
 // beginEra prepares for the first complete list of an era of the store. Entries that the copy lacks
 // are written again by endpoints that still run, as after an outage.
 func (t *directoryTask) beginEra(now time.Duration, msg entriesRead) {
-	if t.hasList && msg.end.Era() > t.position.Era() {
+	isNew := msg.end.Era() > t.position.Era()
+	if t.hasList && isNew {
 		t.directory.StoreRecovered(now)
 	}
+	if msg.resync && (isNew || !t.hasList) {
+		t.directory.BeginEra(msg.end)
+		t.since = now
+	}
 }
 
 // removeMissing removes an entry that a complete list up to a position lacks.
@@ -249,7 +258,7 @@
 }
 
 func (t *directoryTask) state() directoryState {
-	s := directoryState{Position: t.position, Catalog: t.catalog, Endpoints: t.directory.Endpoints()}
+	s := directoryState{Position: t.position, ListSince: t.since, Catalog: t.catalog, Endpoints: t.directory.Endpoints()}
 	if t.catalog != nil {
 		s.Version, s.ConfigBytes = t.catalog.Version, len(t.config.Value)
 	}
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -30,6 +30,10 @@
 // operatorRecords are records of the topic in which the operator orders rollouts.
 type operatorRecords struct{ records []platform.Record }
 
+// renewalIntervals is the number of check-in intervals of the endpoints after which one that has
+// not written its entry again has ended.
+const renewalIntervals = 3
+
 // leadership tells whether this instance holds the lease of the duties.
 type leadership struct {
 	held  bool
@@ -50,6 +54,7 @@
 	log     log.Interface
 	mailbox task.Mailbox[any]
 	leader  *rollout.Leader
+	orders  *rollout.Orders
 	state   directoryState
 	own     tally.Tally
 	others  othersUpdate
@@ -67,7 +72,7 @@
 	b := p.deployment.Bounds
 	bounds := rollout.Bounds{Share: b.CanaryShare, Slack: b.CanarySlack, Delay: b.StoreDelay}
 	return &rolloutsTask{
-		process: p, log: p.log, mailbox: task.NewMailbox[any](rolloutsMailbox), leader: rollout.NewLeader(bounds),
+		process: p, log: p.log, mailbox: task.NewMailbox[any](rolloutsMailbox), leader: rollout.NewLeader(bounds), orders: rollout.NewOrders(),
 		own: tally.New(), others: othersUpdate{reached: tally.NewGroup(), lost: tally.NewGroup()},
 	}
 }
@@ -127,6 +132,9 @@
 	now := t.process.clock.Now()
 	var plans []rollout.Plan
 	for _, o := range orders {
+		if !t.orders.Read(o) {
+			continue
+		}
 		readAt := t.firstRead(now, o)
 		t.leader.Read(readAt, o)
 		plans = append(plans, rollout.Plan{Service: o.Service, To: o.To, Order: o.Position, ConfirmedAt: readAt})
@@ -190,12 +198,20 @@
 		demand[service] += n
 	}
 	return rollout.Inputs{
-		Demand: demand,
-		Fence:  t.holder.fence, Catalog: t.state.Catalog, Endpoints: t.state.Endpoints, Sums: sums,
+		Demand:      demand,
+		ListSettled: t.listSettled(),
+		Fence:       t.holder.fence, Catalog: t.state.Catalog, Endpoints: t.state.Endpoints, Sums: sums,
 		Age: t.others.reached.Age, Instances: t.others.reached.Instances + 1, Lost: t.others.lost.Instances,
 	}
 }
 
+// listSettled reports whether the list has been followed since it was first read in the store's
+// current era for so long that an endpoint which runs has renewed its entry.
+func (t *rolloutsTask) listSettled() bool {
+	followed := t.process.clock.Now() - t.state.ListSince - t.process.list.age()
+	return followed > renewalIntervals*t.process.deployment.Heartbeat
+}
+
 func (t *rolloutsTask) perform(ctx context.Context, action rollout.Action) {
 	switch a := action.(type) {
 	case rollout.Save:
@@ -236,7 +252,9 @@
 				return
 			}
 			t.recordsEnd = batch.End
-			t.leader.Load(now, t.decodeRecords(batch.Records, times))
+			t.leader.Load(now, rollout.Stored{
+				Era: batch.End.Era(), Records: t.decodeRecords(batch.Records, times), Plans: t.process.gateway.rolloutPlans(),
+			})
 		}
 	})
 }
