Write crash evidence and members again once the store has lost them

Cause: crash evidence and the addresses of instances are written once. Change: the buffer of crash evidence keeps what it has stored, removals for a minute, and writes it again when an era begins, at its usual pace; an append under way counts as lost. Instances register again, spread over the time that a tenth of the store's writes takes for all.

--- a/internal/core/writeback/writeback.go
+++ b/internal/core/writeback/writeback.go
@@ -19,6 +19,9 @@
 	// to maxRetry.
 	firstRetry = 500 * time.Millisecond
 	maxRetry   = 8 * time.Second
+	// removedTTL is how long a removal is kept for Rewrite. The copy from which the store comes back
+	// is younger.
+	removedTTL = time.Minute
 )
 
 // Record is the value of a key. An empty value removes the key.
@@ -27,17 +30,29 @@
 	Value []byte
 }
 
-// Buffer holds the records that are not stored yet. At most one append is under way.
+// Buffer holds the records that are not stored yet, and those that the store may forget when it
+// comes back from an older copy. At most one append is under way.
 type Buffer struct {
 	pending  map[string][]byte
 	inFlight []Record
-	interval time.Duration
-	notUntil time.Duration
-	retry    time.Duration
+	// stored are the newest stored values; those of removed keys are kept for a while. isOutdated is
+	// set if the store may forget what the append under way stores.
+	stored     map[string]storedValue
+	isOutdated bool
+	interval   time.Duration
+	notUntil   time.Duration
+	retry      time.Duration
+}
+
+type storedValue struct {
+	value []byte
+	at    time.Duration
 }
 
 // New returns an empty buffer.
-func New() *Buffer { return &Buffer{pending: make(map[string][]byte), retry: firstRetry} }
+func New() *Buffer {
+	return &Buffer{pending: make(map[string][]byte), stored: make(map[string]storedValue), retry: firstRetry}
+}
 
 // SetRate sets the writes per second that the store accepts and the number of instances that
 // share them. The time between two appends follows from both.
@@ -48,6 +63,17 @@
 // Put replaces the value of a key.
 func (b *Buffer) Put(key string, value []byte) { b.pending[key] = value }
 
+// Rewrite makes all records pending that this buffer has stored, since the store may have
+// forgotten them. Those that have changed since are pending with their newer value.
+func (b *Buffer) Rewrite() {
+	for key, s := range b.stored {
+		if _, ok := b.pending[key]; !ok && !b.isInFlight(key) {
+			b.pending[key] = s.value
+		}
+	}
+	b.isOutdated = b.inFlight != nil
+}
+
 // Wait returns the time until the next append. It reports false if there is nothing to append,
 // or one is under way.
 func (b *Buffer) Wait(now time.Duration) (time.Duration, bool) {
@@ -74,7 +100,10 @@
 // Finished ends an append. Records that were not stored, as far as is known, are appended
 // again, but for those that have a newer value by now.
 func (b *Buffer) Finished(now time.Duration, stored bool) {
+	stored = stored && !b.isOutdated
+	b.isOutdated = false
 	if stored {
+		b.keep(now)
 		b.notUntil, b.retry = now+b.interval, firstRetry
 	} else {
 		failed := make(map[string][]byte, len(b.inFlight))
@@ -87,3 +116,15 @@
 	}
 	b.inFlight = nil
 }
+
+func (b *Buffer) isInFlight(key string) bool {
+	return slices.ContainsFunc(b.inFlight, func(r Record) bool { return r.Key == key })
+}
+
+// keep keeps the records of the append that was stored.
+func (b *Buffer) keep(now time.Duration) {
+	for _, r := range b.inFlight {
+		b.stored[r.Key] = storedValue{value: r.Value, at: now}
+	}
+	maps.DeleteFunc(b.stored, func(_ string, s storedValue) bool { return len(s.value) == 0 && now-s.at > removedTTL })
+}
--- a/internal/core/writeback/writeback_test.go
+++ b/internal/core/writeback/writeback_test.go
@@ -105,3 +105,30 @@
 	}
 	is.True(float64(instances*appends)/60 <= 0.2*writesPerSecond)
 }
+
+// TestStoredRecordsAreWrittenAgain guards against evidence that the store has forgotten, since it
+// came back from an older copy: stored values, removals, and the append under way.
+func TestStoredRecordsAreWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	b := New()
+	b.SetRate(400, 1)
+	store := func(now time.Duration, ok bool) []Record {
+		records := b.Next(now)
+		b.Finished(now, ok)
+		return records
+	}
+	b.Put("a", []byte("1"))
+	b.Put("b", []byte("1"))
+	store(time.Second, true)
+	b.Put("b", nil)
+	store(2*time.Second, true)
+	b.Put("a", []byte("2"))
+	is.Equal(b.Next(3*time.Second), []Record{{Key: "a", Value: []byte("2")}})
+	b.Rewrite()
+	b.Finished(3*time.Second, true) // by an answer of the earlier era
+	is.Equal(store(5*time.Second, true), []Record{{Key: "a", Value: []byte("2")}, {Key: "b"}})
+	b.Put("c", nil)
+	store(2*removedTTL, true)
+	b.Rewrite()
+	is.Equal(store(3*removedTTL, true), []Record{{Key: "a", Value: []byte("2")}, {Key: "c"}}) // b was removed long before
+}
--- a/internal/edge/crashrecords.go
+++ b/internal/edge/crashrecords.go
@@ -86,6 +86,8 @@
 
 func (t *crashRecordsTask) handle(msg any) {
 	switch m := msg.(type) {
+	case platform.EraObserved:
+		t.buffer.Rewrite()
 	case instancesKnown:
 		t.buffer.SetRate(t.process.deployment.StoreWritesPerSecond, int(m))
 	case gateway.Action:
--- a/internal/edge/era.go
+++ b/internal/edge/era.go
@@ -20,6 +20,8 @@
 			if event.First {
 				continue
 			}
+			_ = p.crashes.mailbox.Send(ctx, event)
+			_ = p.peers.storeReturned.Send(ctx, event)
 			p.triggerFollowers()
 		}
 	}
--- a/internal/edge/join.go
+++ b/internal/edge/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -15,8 +16,27 @@
 	"github.com/cornelhold/cornelhold/platform"
 )
 
-// joinThroughStore registers this instance in the store and posts the others to the task.
+// rejoinShare is the share of the store's writes that the instances together take to register
+// again.
+const rejoinShare = 0.1
+
+// joinThroughStore registers this instance in the store and posts the others to the task, again
+// each time that the store may have forgotten it.
 func (t *peersTask) joinThroughStore(ctx context.Context) error {
+	for ctx.Err() == nil {
+		t.register(ctx)
+		select {
+		case <-ctx.Done():
+		case n := <-t.rejoin.Receive():
+			spread := float64(n) / (rejoinShare * t.process.deployment.StoreWritesPerSecond)
+			sleep(ctx, time.Duration(rand.Float64()*spread*float64(time.Second)))
+		}
+	}
+	return nil
+}
+
+// register writes the record of this instance and reads those of the others.
+func (t *peersTask) register(ctx context.Context) {
 	record := platform.Record{Key: t.process.deployment.Node, Value: formatInstance(t.process.deployment)}
 	for registered := false; ctx.Err() == nil; {
 		if !registered {
@@ -25,11 +45,11 @@
 		}
 		batch, err := t.process.store.Newest(ctx, platform.TopicMembers)
 		if err == nil && registered {
-			return t.discovered.Send(ctx, parseInstances(batch.Records))
+			_ = t.discovered.Send(ctx, parseInstances(batch.Records))
+			return
 		}
 		sleep(ctx, time.Second)
 	}
-	return nil
 }
 
 // formatInstance returns the content of the record of an instance: its address, data centre
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -21,6 +21,7 @@
 	"github.com/cornelhold/cornelhold/internal/core/storereader"
 	"github.com/cornelhold/cornelhold/internal/core/transit"
 	"github.com/cornelhold/cornelhold/internal/task"
+	"github.com/cornelhold/cornelhold/platform"
 )
 
 const (
@@ -57,10 +58,14 @@
 	conn       *net.UDPConn
 	received   task.Mailbox[datagram]
 	discovered task.Mailbox[[]exchange.Instance]
-	exchange   *exchange.Exchange
-	peers      map[netip.Addr]*peer
-	startedAt  time.Duration
-	isCarrier  bool
+	// storeReturned receives that the store came back from an older copy, rejoin how many instances
+	// then register again.
+	storeReturned task.Mailbox[platform.EraObserved]
+	rejoin        task.Mailbox[instancesKnown]
+	exchange      *exchange.Exchange
+	peers         map[netip.Addr]*peer
+	startedAt     time.Duration
+	isCarrier     bool
 	// election decides whether this instance reads the store for its data centre.
 	election *storereader.Election
 	// instances is the number of the other instances, carriers that of the carriers of all
@@ -84,6 +89,7 @@
 	t := &peersTask{
 		process: p, peers: make(map[netip.Addr]*peer), startedAt: task.BootTime(),
 		received: task.NewMailbox[datagram](peersMailbox), discovered: task.NewMailbox[[]exchange.Instance](4),
+		storeReturned: task.NewMailbox[platform.EraObserved](1), rejoin: task.NewMailbox[instancesKnown](1),
 		puller: newPuller(p), election: storereader.NewElection(p.deployment.Node, p.deployment.DataCentre),
 	}
 	t.exchange = exchange.New(exchange.Options{
@@ -120,6 +126,8 @@
 			for _, i := range instances {
 				t.learn(i)
 			}
+		case <-t.storeReturned.Receive():
+			t.rejoin.TrySend(instancesKnown(t.instances + 1)) // one that waits covers this one
 		case d := <-t.received.Receive():
 			t.handle(ctx, d)
 		}
