Let the soak and the tests with processes play drills

Cause: nothing played the return of the store from an older copy with real processes. Its replicas write their entries again and again. It checks that usage is reported again once all faults have ended and that fencing tokens do not fall. TestEdgeBearsDrills varies the age of the copy, the time away, silence, two in a row, a suspended process and the loss of all; TestRolloutStaysFinalAfterDrill the end of a rollout.

--- /dev/null
+++ b/internal/e2e/edge_drill_test.go
@@ -0,0 +1,194 @@
+package e2e
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cornelhold/cornelhold/internal/standin/userplatform"
+)
+
+const (
+	// drillAwayTime is how long the store is away in a drill, drillBound the time after its return
+	// within which the duties are performed again: a usage report is due after 10 s.
+	drillAwayTime = time.Second
+	drillBound    = 12 * time.Second
+	// rolloutSettleTime is the time after a drill in which a rollout shows what became of it: the
+	// duties are taken over, and replicas that run renew their entries.
+	rolloutSettleTime = 14 * time.Second
+	heartbeatInterval = 1200 * time.Millisecond
+)
+
+// TestEdgeBearsDrills guards against state that rests on records which the store has lost, when it
+// comes back from an older copy: usage that is not reported any more, or with two counts, fencing
+// tokens that fall (rule ONE), a configuration that is not read (rule CONFIG) and requests to a
+// removed replica (rule DRAIN). A process that is suspended misses it all.
+func TestEdgeBearsDrills(t *testing.T) {
+	for name, c := range map[string]struct {
+		drill               userplatform.Drill
+		away                time.Duration
+		twice, kill, missed bool
+	}{
+		"running on":          {drill: userplatform.Drill{CopyAge: 3 * time.Second}, away: drillAwayTime},
+		"silent, old copy":    {drill: userplatform.Drill{CopyAge: time.Minute, Silent: true, RewriteDelay: 500 * time.Millisecond}, away: drillAwayTime},
+		"long away":           {drill: userplatform.Drill{CopyAge: 6 * time.Second, Silent: true}, away: 4 * time.Second},
+		"twice":               {drill: userplatform.Drill{CopyAge: 2 * time.Second}, away: drillAwayTime, twice: true},
+		"missed by one":       {drill: userplatform.Drill{CopyAge: 4 * time.Second}, away: drillAwayTime, missed: true},
+		"all killed":          {drill: userplatform.Drill{CopyAge: 4 * time.Second}, away: drillAwayTime, kill: true},
+		"all killed, no copy": {drill: userplatform.Drill{CopyAge: time.Minute, Silent: true}, away: drillAwayTime, kill: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newEdgeFleet(t, 3)
+			f.awaitReports("key-1", 0)
+			if c.missed {
+				is.NoErr(f.Edges[2].Signal(syscall.SIGSTOP))
+			}
+			f.performDrill(c.drill, c.away, c.kill)
+			if c.twice {
+				f.performDrill(c.drill, c.away, c.kill)
+			}
+			if c.missed {
+				is.NoErr(f.Edges[2].Signal(syscall.SIGCONT))
+			}
+			returnedAt := time.Now()
+			f.checkChangesAfterDrill()
+			f.awaitReports("key-2", returnedAt.Unix())
+			f.checkReports()
+		})
+	}
+}
+
+// awaitReports sends requests until the usage of some windows from a time on, as Unix seconds, is
+// reported. A window of these fleets lasts a second.
+func (f *edgeFleet) awaitReports(key string, from int64) {
+	f.t.Helper()
+	const windows = 3
+	f.eventually(drillBound, "reports of the usage", func() bool {
+		for _, e := range f.Edges {
+			f.do(e, call{method: http.MethodGet, target: "/check/x", key: key})
+		}
+		reported := make(map[int64]bool)
+		for _, r := range f.Cloud.UsageReports() {
+			if r.Window > from {
+				reported[r.Window] = true
+			}
+		}
+		return len(reported) >= windows
+	})
+}
+
+// performDrill makes the store leave and come back from a copy. kill ends all processes meanwhile
+// and starts them again.
+func (f *edgeFleet) performDrill(d userplatform.Drill, away time.Duration, kill bool) {
+	f.t.Helper()
+	f.Store.Leave(d)
+	if kill {
+		for _, e := range f.Edges {
+			e.Kill()
+		}
+	}
+	time.Sleep(away)
+	f.Store.ComeBack(d)
+	if !kill {
+		return
+	}
+	for _, e := range f.Edges {
+		is.New(f.t).NoErr(e.Start())
+	}
+	f.awaitReady()
+}
+
+// TestRolloutStaysFinalAfterDrill guards against a rollout that is reverted after it was done, with
+// the only replicas that are left (rule RECOVER, review case 15), or carried out again after it was
+// reverted, since the copy from which the store comes back says that it runs.
+func TestRolloutStaysFinalAfterDrill(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault userplatform.Fault
+		state string
+		kill  bool
+	}{
+		"done":             {fault: userplatform.FaultNone, state: "v2 done"},
+		"done, all killed": {fault: userplatform.FaultNone, state: "v2 done", kill: true},
+		"reverted":         {fault: userplatform.FaultServerError, state: "v2 reverted"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newEdgeFleet(t, 3)
+			f.awaitHolder()
+			stop := rolloutLoad(f.Edges)
+			old := slices.Clone(f.PlainReplicas)
+			f.OrderRollout("v2", rolloutTime)
+			added := f.addVersion("v2", c.fault)
+			f.eventually(rolloutTime, "the rollout to end", f.hasRolloutState(c.state))
+			ended, left := old, added // the operator ends the replicas of the other version
+			if c.state == "v2 reverted" {
+				ended, left = added, old
+			}
+			time.Sleep(time.Second)
+			for _, r := range ended {
+				f.RemoveEntry(r)
+				r.Crash()
+			}
+			stop()
+			f.performDrill(userplatform.Drill{CopyAge: 6 * time.Second}, drillAwayTime, c.kill)
+			for returnedAt := time.Now(); time.Since(returnedAt) < rolloutSettleTime; time.Sleep(heartbeatInterval) {
+				for _, r := range left {
+					f.Announce(r, "ready")
+				}
+			}
+			states := f.RolloutStates()
+			is.Equal(states[len(states)-1], c.state)
+			for _, e := range f.Edges {
+				is.Equal(requestOnce(e.FrontAddress, "after-drill-"+e.Name), http.StatusOK)
+			}
+		})
+	}
+}
+
+// checkChangesAfterDrill changes the configuration and removes a replica, and checks that all
+// processes follow.
+func (f *edgeFleet) checkChangesAfterDrill() {
+	f.t.Helper()
+	is := is.New(f.t)
+	time.Sleep(contactTime)
+	f.Configure(f.Config("plain", "key-2"))
+	f.RemoveEntry(f.PlainReplicas[0])
+	time.Sleep(max(configBound, drainBound))
+	before := len(f.PlainReplicas[0].Runs())
+	for range 6 {
+		for _, e := range f.Edges {
+			resp, _, _ := f.do(e, call{method: http.MethodGet, target: "/check/x", key: "key-2"})
+			is.Equal(resp.StatusCode, http.StatusOK)
+			resp, _, _ = f.do(e, call{method: http.MethodGet, target: "/check/x", key: "key-1"})
+			is.Equal(resp.StatusCode, http.StatusUnauthorized)
+		}
+	}
+	is.Equal(len(f.PlainReplicas[0].Runs()), before)
+}
+
+// contactTime is the time without disruption after which the bounds hold.
+const contactTime = 3 * time.Second
+
+// checkReports checks that no window was reported with two counts and that fencing tokens did not
+// fall.
+func (f *edgeFleet) checkReports() {
+	f.t.Helper()
+	counts := make(map[int64]map[string]int)
+	fence := int64(0)
+	for _, r := range f.Cloud.UsageReports() {
+		if known, ok := counts[r.Window]; ok && !maps.Equal(known, r.Counts) {
+			f.t.Errorf("window %d was reported with %v and %v", r.Window, known, r.Counts)
+		}
+		counts[r.Window] = r.Counts
+		if r.Fence < fence {
+			f.t.Errorf("%s reports with fencing token %d after %d", r.Holder, r.Fence, fence)
+		}
+		fence = r.Fence
+	}
+}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cornelhold/cornelhold/internal/standin/edgefleet"
 	"github.com/cornelhold/cornelhold/internal/standin/userplatform"
@@ -81,9 +82,27 @@
 	}
 }
 
+// staleCallTime is how long a call with a lower fencing token may still arrive after the first one
+// with a higher token: it may wait in a link that was blocked.
+const staleCallTime = 4 * time.Second
+
+// checkFences checks that fencing tokens do not fall.
+func checkFences(usage []userplatform.UsageReport, report func(string, ...any)) {
+	var highest userplatform.UsageReport
+	for _, u := range usage {
+		switch {
+		case u.Fence > highest.Fence:
+			highest = u
+		case u.Fence < highest.Fence && u.At.Sub(highest.At) > staleCallTime:
+			report("%s acted with fence %d, %s after %s with %d", u.Holder, u.Fence, u.At.Sub(highest.At), highest.Holder, highest.Fence)
+		}
+	}
+}
+
 // checkDuties checks that all reports of a usage window have the same counts, and
 // that each fencing token was used by one holder only.
 func checkDuties(usage []userplatform.UsageReport, scale []userplatform.ScaleRequest, report func(string, ...any)) {
+	checkFences(usage, report)
 	countsByWindow := make(map[int64]string)
 	holderByFence := make(map[int64]string)
 	recordHolder := func(fence int64, holder string) {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -37,6 +37,7 @@
 		if err := r.restartCrashed(ctx, replicaDownTime); err != nil {
 			return err
 		}
+		r.writeHeartbeats()
 		length := time.Duration(r.random.Int64N(int64(maxFaultDuration)))
 		f, ok := r.chooseFault(busyUntil, length)
 		if !ok {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -107,7 +107,11 @@
 		}
 		clients.Go(func() { c.run(clientContext) })
 	}
-	if err := r.injectFaults(ctx); err != nil {
+	drills := make(chan []string, 1)
+	go func() { drills <- r.injectDrills(ctx) }()
+	err := r.injectFaults(ctx)
+	r.faults = append(r.faults, <-drills...)
+	if err != nil {
 		return Result{}, err
 	}
 	violations, err := r.checkCrashingRequest(ctx)
@@ -177,7 +181,12 @@
 }
 
 func (r *run) recordFault(format string, args ...any) {
-	r.faults = append(r.faults, fmt.Sprintf("%.2f ", time.Since(r.startedAt).Seconds())+fmt.Sprintf(format, args...))
+	r.faults = append(r.faults, r.atNow(format, args...))
+}
+
+// atNow returns the description of a fault that begins now.
+func (r *run) atNow(format string, args ...any) string {
+	return fmt.Sprintf("%.2f ", time.Since(r.startedAt).Seconds()) + fmt.Sprintf(format, args...)
 }
 
 // checkRecovery checks that the system recovers after all faults have ended: every
@@ -189,6 +198,7 @@
 		found = append(found, err.Error())
 	}
 	sleep(ctx, recoveryDelay)
+	found = append(found, r.checkDutiesGoOn(ctx, time.Now())...)
 	old := *r.key.Load()
 	leaving := r.fleet.PlainReplicas[0]
 	r.configure()
--- a/internal/standin/userplatform/cloud.go
+++ b/internal/standin/userplatform/cloud.go
@@ -12,6 +12,7 @@
 
 // UsageReport is a usage report as the platform received it.
 type UsageReport struct {
+	At     time.Time `json:"-"`
 	Holder string
 	Fence  int64
 	Window int64          `json:"window-id"`
@@ -20,6 +21,7 @@
 
 // ScaleRequest is an order for replicas as the platform received it.
 type ScaleRequest struct {
+	At          time.Time `json:"-"`
 	Holder      string
 	Fence       int64
 	Service     string `json:"service"`
@@ -44,12 +46,14 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /usage", func(w http.ResponseWriter, r *http.Request) {
 		if call, ok := httpjson.Decode[UsageReport](w, r); ok {
+			call.At = time.Now()
 			call.Holder, call.Fence = leaseFromHeaders(r)
 			c.do(func(s *cloudState) { s.usageReports = append(s.usageReports, call) })
 		}
 	})
 	mux.HandleFunc("POST /scale", func(w http.ResponseWriter, r *http.Request) {
 		if call, ok := httpjson.Decode[ScaleRequest](w, r); ok {
+			call.At = time.Now()
 			call.Holder, call.Fence = leaseFromHeaders(r)
 			c.do(func(s *cloudState) { s.scaleRequests = append(s.scaleRequests, call) })
 		}
