--- a/internal/core/catalog/directory.go
+++ b/internal/core/catalog/directory.go
@@ -33,7 +33,7 @@
 	// Lapsed is set if the entry was removed during an outage of the store. The
 	// endpoint may be alive and is used only if there is no other.
 	Lapsed bool
-	// Renewed is set once the entry was written after the list of the store's current era was first
+	// Renewed is set once the entry was written after the list of the store's current epoch was first
 	// read. Before, the endpoint may have ended without a trace in the list.
 	Renewed bool
 	// Reclaimable is set if the cloud may take the instance back on short notice.
@@ -82,7 +82,7 @@
 	// catchingUp is set while records that were written during an outage are
 	// applied.
 	catchingUp bool
-	// firstEnd is the end of the list when it was first read completely in the current era.
+	// firstEnd is the end of the list when it was first read completely in the current epoch.
 	firstEnd storelog.Position
 }
 
@@ -97,9 +97,9 @@
 	d.recoveredAt, d.catchingUp = now, true
 }
 
-// BeginEra reports that the list was read completely for the first time in an era of the store.
+// BeginEpoch reports that the list was read completely for the first time in an epoch of the store.
 // end is the end of the list then.
-func (d *Directory) BeginEra(end storelog.Position) {
+func (d *Directory) BeginEpoch(end storelog.Position) {
 	d.firstEnd = end
 	for _, l := range d.entries {
 		l.renewed = false
--- a/internal/core/duty/lease.go
+++ b/internal/core/duty/lease.go
@@ -39,25 +39,25 @@
 //     newer record, or after a release, which follows the end of the last call.
 //   - Holders don't act in the order A, B, A within ReacquireInterval: an instance that follows
 //     another one acts only that long after the end of its own last term.
-//   - Both hold also when the store comes back from an older copy: nobody acts in the new era on a
+//   - Both hold also when the store comes back from an older copy: nobody acts in the new epoch on a
 //     record of an earlier one, and an instance acquires the lease only after takeoverDelay without a
-//     record of the new era. The last holder alone may do so as long as nobody else can have
-//     followed it. Fencing tokens are positions, which rise with the era.
+//     record of the new epoch. The last holder alone may do so as long as nobody else can have
+//     followed it. Fencing tokens are positions, which rise with the epoch.
 type Lease struct {
 	self           Holder
 	startedAt      time.Duration
 	reacquireDelay time.Duration
 	takeoverJitter time.Duration
 	record         *LeaseRecord
-	// end is the position of the next record, in the newest era that this instance knows.
+	// end is the position of the next record, in the newest epoch that this instance knows.
 	end storelog.Position
 	// synced is cleared when the store must be read before the next append.
 	synced bool
 	// recordSeenAt is when this instance first saw the newest record, or first read the topic in
-	// this era.
+	// this epoch.
 	recordSeenAt time.Duration
 	// unopposedUntil is until when no other instance can have acquired the lease since this one
-	// held it in an earlier era. It is 0 if there was no such term, or a later one of another.
+	// held it in an earlier epoch. It is 0 if there was no such term, or a later one of another.
 	unopposedUntil time.Duration
 	nextReadAt     time.Duration
 	// inFlight is set while an action awaits its result.
@@ -120,8 +120,8 @@
 	return l.end - 1
 }
 
-// Era returns the era of the store in which this instance sees the lease.
-func (l *Lease) Era() storelog.Era { return l.end.Era() }
+// Epoch returns the epoch of the store in which this instance sees the lease.
+func (l *Lease) Epoch() storelog.Epoch { return l.end.Epoch() }
 
 // Step processes one message at now.
 func (l *Lease) Step(now time.Duration, msg LeaseMessage) []LeaseAction {
@@ -138,8 +138,8 @@
 		l.inFlight, l.synced = false, false
 	case LeaseReported:
 		l.applyPeerReport(now, msg)
-	case LeaseEraBegan:
-		l.beginEra(now, msg.Era)
+	case LeaseEpochBegan:
+		l.beginEpoch(now, msg.Epoch)
 	case LeaseRelease:
 		l.releasing, l.callsPending = true, msg.CallsPending
 	case LeaseCandidacy:
@@ -152,11 +152,11 @@
 	return l.nextActions(now)
 }
 
-// beginEra makes this instance stop acting: its records may be lost with the earlier era, and what
+// beginEpoch makes this instance stop acting: its records may be lost with the earlier epoch, and what
 // is still under way from there confirms nothing.
-func (l *Lease) beginEra(now time.Duration, era storelog.Era) {
-	start, ok := storelog.At(era, 0)
-	if !ok || era <= l.Era() {
+func (l *Lease) beginEpoch(now time.Duration, epoch storelog.Epoch) {
+	start, ok := storelog.At(epoch, 0)
+	if !ok || epoch <= l.Epoch() {
 		return
 	}
 	if l.isOwn() {
@@ -169,26 +169,26 @@
 
 // isOwn reports whether the newest record makes this instance the holder.
 func (l *Lease) isOwn() bool {
-	return l.isOfEra() && l.record.Holder == l.self && !l.record.Released
+	return l.isOfEpoch() && l.record.Holder == l.self && !l.record.Released
 }
 
-// isOfEra reports whether the newest record was written for the current era.
-func (l *Lease) isOfEra() bool { return l.record != nil && l.record.Era == l.Era() }
+// isOfEpoch reports whether the newest record was written for the current epoch.
+func (l *Lease) isOfEpoch() bool { return l.record != nil && l.record.Epoch == l.Epoch() }
 
 func (l *Lease) applyRead(now time.Duration, msg LeaseRead) {
-	if msg.End < l.end || msg.End.Era() != l.Era() {
-		// A peer reported a newer record, or an era began, while the read was in flight.
+	if msg.End < l.end || msg.End.Epoch() != l.Epoch() {
+		// A peer reported a newer record, or an epoch began, while the read was in flight.
 		return
 	}
 	l.synced = true
-	if msg.End > l.end || (l.recordSeenAt == 0 && (msg.Record != nil || l.Era() > 0)) {
+	if msg.End > l.end || (l.recordSeenAt == 0 && (msg.Record != nil || l.Epoch() > 0)) {
 		l.recordSeenAt = now
 	}
 	l.end, l.record = msg.End, msg.Record
-	if l.isOfEra() && msg.Record.Holder != l.self {
+	if l.isOfEpoch() && msg.Record.Holder != l.self {
 		l.unopposedUntil = 0
 	}
-	if l.isOfEra() && l.unconfirmed != nil && msg.Record.Nonce == l.unconfirmed.Nonce && msg.Record.Holder == l.self {
+	if l.isOfEpoch() && l.unconfirmed != nil && msg.Record.Nonce == l.unconfirmed.Nonce && msg.Record.Holder == l.self {
 		l.applyAppend(now, msg.Record.Position)
 	}
 }
@@ -218,7 +218,7 @@
 }
 
 func (l *Lease) applyPeerReport(now time.Duration, msg LeaseReported) {
-	if msg.Position < l.end || msg.Position.Era() != l.Era() {
+	if msg.Position < l.end || msg.Position.Epoch() != l.Epoch() {
 		return
 	}
 	l.end, l.recordSeenAt, l.record = msg.Position+1, now, nil
@@ -262,7 +262,7 @@
 
 func (l *Lease) requestAppend(now time.Duration, r LeaseRecord) []LeaseAction {
 	l.nonce++
-	r.Holder, r.Nonce, r.Era = l.self, l.nonce, l.Era()
+	r.Holder, r.Nonce, r.Epoch = l.self, l.nonce, l.Epoch()
 	l.unconfirmed, l.appendSentAt, l.inFlight = &r, now, true
 	return []LeaseAction{AppendLease{At: l.end, Record: r}}
 }
--- a/internal/core/duty/lease_test.go
+++ b/internal/core/duty/lease_test.go
@@ -28,7 +28,7 @@
 // leaseStore simulates the conditional append of the platform's store, which may come back from
 // an older copy.
 type leaseStore struct {
-	era     storelog.Era
+	epoch   storelog.Epoch
 	records []LeaseRecord
 	// appendedAt are the times of the records.
 	appendedAt []time.Duration
@@ -53,11 +53,11 @@
 }
 
 func (s *leaseStore) end() storelog.Position {
-	end, _ := storelog.At(s.era, int64(len(s.records)))
+	end, _ := storelog.At(s.epoch, int64(len(s.records)))
 	return end
 }
 
-// newest returns the newest record with its position in this era.
+// newest returns the newest record with its position in this epoch.
 func (s *leaseStore) newest() *LeaseRecord {
 	if len(s.records) == 0 {
 		return nil
@@ -67,14 +67,14 @@
 	return &r
 }
 
-// comeBack replaces the records by those of a copy from an earlier time.
-func (s *leaseStore) comeBack(copiedAt time.Duration) {
+// rollBack replaces the records by those of a copy from an earlier time.
+func (s *leaseStore) rollBack(copiedAt time.Duration) {
 	kept := 0
 	for kept < len(s.records) && s.appendedAt[kept] <= copiedAt {
 		kept++
 	}
 	s.records, s.appendedAt = slices.Clone(s.records[:kept]), slices.Clone(s.appendedAt[:kept])
-	s.era++
+	s.epoch++
 	s.down = false
 }
 
@@ -96,17 +96,17 @@
 	pending    []pendingReply
 }
 
-// pendingReply is an answer of the store in an era.
+// pendingReply is an answer of the store in an epoch.
 type pendingReply struct {
-	at  time.Duration
-	era storelog.Era
-	msg LeaseMessage
+	at    time.Duration
+	epoch storelog.Epoch
+	msg   LeaseMessage
 }
 
 // unlessOutdated returns the message as the client of the store passes it on: what an answer of
-// an earlier era says is lost.
-func (p pendingReply) unlessOutdated(era storelog.Era) LeaseMessage {
-	if p.era == era {
+// an earlier epoch says is lost.
+func (p pendingReply) unlessOutdated(epoch storelog.Epoch) LeaseMessage {
+	if p.epoch == epoch {
 		return p.msg
 	}
 	if _, ok := p.msg.(LeaseRead); ok {
@@ -156,7 +156,7 @@
 // lost; an append whose response is lost may take effect seconds later.
 func (w *leaseSimulation) perform(n *leaseNode, action LeaseAction) {
 	reply := func(msg LeaseMessage, after time.Duration) {
-		n.pending = append(n.pending, pendingReply{w.now + after, w.store.era, msg})
+		n.pending = append(n.pending, pendingReply{w.now + after, w.store.epoch, msg})
 	}
 	delay := time.Duration(w.random.IntN(300)) * time.Millisecond
 	failed := w.store.down || w.now < n.partitionedUntil
@@ -177,7 +177,7 @@
 			w.store.delayed = append(w.store.delayed, delayedAppend{w.now + effectDelay, a})
 		default:
 			position, ok := w.store.append(w.now, a)
-			if ok && a.At.Era() == w.store.era {
+			if ok && a.At.Epoch() == w.store.epoch {
 				reply(LeaseAppended{Position: position}, delay)
 			} else {
 				reply(LeaseAppendFailed{}, delay)
@@ -246,8 +246,8 @@
 		}
 		n.pending = rest
 		for _, p := range due {
-			w.learnEra(n, p.era)
-			w.apply(n, p.unlessOutdated(n.lease.Era()))
+			w.learnEpoch(n, p.epoch)
+			w.apply(n, p.unlessOutdated(n.lease.Epoch()))
 		}
 		w.act(i)
 		// Two of three reports between instances are lost.
@@ -255,7 +255,7 @@
 			reachable := w.now >= other.suspendedUntil && w.now >= other.downUntil && w.now >= n.partitionedUntil && w.now >= other.partitionedUntil
 			if i != j && reachable && w.random.IntN(3) == 0 {
 				_, held := n.lease.Fence(w.now)
-				w.learnEra(other, n.lease.Era())
+				w.learnEpoch(other, n.lease.Epoch())
 				w.apply(other, LeaseReported{Position: n.lease.NewestPosition(), Held: held})
 			}
 		}
@@ -281,17 +281,17 @@
 	}
 }
 
-// learnEra tells a node of an era. It learns it with the first answer of the store or report of
+// learnEpoch tells a node of an epoch. It learns it with the first answer of the store or report of
 // another node that states it.
-func (w *leaseSimulation) learnEra(n *leaseNode, era storelog.Era) {
-	if era > n.lease.Era() {
-		w.apply(n, LeaseEraBegan{Era: era})
+func (w *leaseSimulation) learnEpoch(n *leaseNode, epoch storelog.Epoch) {
+	if epoch > n.lease.Epoch() {
+		w.apply(n, LeaseEpochBegan{Epoch: epoch})
 	}
 }
 
-// drill makes the store come back from an older copy after it was away for a moment. All processes
+// rollback makes the store come back from an older copy after it was away for a moment. All processes
 // may be killed meanwhile.
-func (w *leaseSimulation) drill() {
+func (w *leaseSimulation) rollback() {
 	w.store.down = true
 	away := time.Duration(w.random.IntN(4000)) * time.Millisecond
 	copiedAt := w.now - time.Duration(w.random.IntN(12000))*time.Millisecond
@@ -314,7 +314,7 @@
 		if w.now < r.at {
 			return false
 		}
-		w.store.comeBack(r.copiedAt)
+		w.store.rollBack(r.copiedAt)
 		return true
 	})
 }
@@ -366,13 +366,13 @@
 	checkHolders(t, proptest.Bounds{Seed: 20261204, Checks: 1000}, false)
 }
 
-// TestAtMostOneHolderActsAfterDrills guards against the same, and against fencing tokens that
-// fall, when the store also comes back from older copies, with appends of earlier eras under way.
-func TestAtMostOneHolderActsAfterDrills(t *testing.T) {
+// TestAtMostOneHolderActsAfterRollbacks guards against the same, and against fencing tokens that
+// fall, when the store also comes back from older copies, with appends of earlier epochs under way.
+func TestAtMostOneHolderActsAfterRollbacks(t *testing.T) {
 	checkHolders(t, proptest.Bounds{Seed: 20261207, Checks: 1000}, true)
 }
 
-func checkHolders(t *testing.T, bounds proptest.Bounds, drills bool) {
+func checkHolders(t *testing.T, bounds proptest.Bounds, rollbacks bool) {
 	t.Helper()
 	totalUses := 0
 	proptest.Check(t, bounds, func(t *rapid.T) {
@@ -390,8 +390,8 @@
 			if w.random.IntN(30) == 0 {
 				w.injectFault()
 			}
-			if drills && w.random.IntN(100) == 0 {
-				w.drill()
+			if rollbacks && w.random.IntN(100) == 0 {
+				w.rollback()
 			}
 			w.returnStore()
 			w.step()
@@ -450,11 +450,11 @@
 	return AppendLease{At: at, Record: *l.unconfirmed}
 }
 
-// TestDutiesGoOnAfterDrill guards against duties that nobody performs after the store came back from
+// TestDutiesGoOnAfterRollback guards against duties that nobody performs after the store came back from
 // an older copy, since all instances wait for a record beyond the lost ones: with a holder that goes
 // on, that was killed, and with all instances restarted. Usage reports are due ten seconds after
 // their window.
-func TestDutiesGoOnAfterDrill(t *testing.T) {
+func TestDutiesGoOnAfterRollback(t *testing.T) {
 	const bound = 10 * time.Second
 	proptest.Check(t, proptest.Bounds{Seed: 20261207, Checks: 300}, func(t *rapid.T) {
 		w := &leaseSimulation{t: t, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))}
@@ -473,7 +473,7 @@
 		case 1:
 			w.nodes[w.uses[len(w.uses)-1].node].downUntil = time.Hour
 		}
-		w.store.comeBack(w.now - time.Duration(w.random.IntN(20000))*time.Millisecond)
+		w.store.rollBack(w.now - time.Duration(w.random.IntN(20000))*time.Millisecond)
 		returned, count := w.now, len(w.uses)
 		for ; len(w.uses) == count || w.uses[len(w.uses)-1].at < returned+time.Second; w.now += tick {
 			w.step()
--- a/internal/core/duty/leasemessages.go
+++ b/internal/core/duty/leasemessages.go
@@ -13,14 +13,14 @@
 type LeaseRecord struct {
 	Position storelog.Position
 	Holder   Holder
-	// Era is the era of the store for which the record was written. A record grants nothing in
+	// Epoch is the epoch of the store for which the record was written. A record grants nothing in
 	// a later one, to which it came with the copy, or by an append that was executed late: the
 	// copy may lack later records.
-	Era storelog.Era
-	// EraSince is a time of day at which that era had begun, as Unix time.
-	EraSince time.Duration
+	Epoch storelog.Epoch
+	// EpochSince is a time of day at which that epoch had begun, as Unix time.
+	EpochSince time.Duration
 	// Fence is the fencing token: the position of the record that acquired the lease
-	// plus one. It is zero in that record itself. Tokens rise over eras as positions do.
+	// plus one. It is zero in that record itself. Tokens rise over epochs as positions do.
 	Fence int64
 	// Nonce identifies an append whose response was lost.
 	Nonce    uint64
@@ -68,9 +68,9 @@
 // holder keeps the lease whether it may or not.
 type LeaseCandidacy struct{ Allowed bool }
 
-// LeaseEraBegan reports that the store has come back from an older copy, or the era that an
+// LeaseEpochBegan reports that the store has come back from an older copy, or the epoch that an
 // instance sees first. What the lease rested on may be lost.
-type LeaseEraBegan struct{ Era storelog.Era }
+type LeaseEpochBegan struct{ Epoch storelog.Epoch }
 
 // LeaseTick makes the state machine check its timeouts.
 type LeaseTick struct{}
@@ -85,7 +85,7 @@
 func (LeaseAppendFailed) leaseMessage() {}
 func (LeaseReported) leaseMessage()     {}
 func (LeaseCandidacy) leaseMessage()    {}
-func (LeaseEraBegan) leaseMessage()     {}
+func (LeaseEpochBegan) leaseMessage()   {}
 func (LeaseTick) leaseMessage()         {}
 func (LeaseRelease) leaseMessage()      {}
 
--- a/internal/core/duty/takeover.go
+++ b/internal/core/duty/takeover.go
@@ -9,7 +9,7 @@
 	Previous *LeaseRecord
 	// RecordAge is the time since this instance first saw that record, 0 if there was none.
 	RecordAge time.Duration
-	// Unopposed is set if this instance was the last holder in an earlier era of the store and
+	// Unopposed is set if this instance was the last holder in an earlier epoch of the store and
 	// nobody has followed it.
 	Unopposed bool
 }
@@ -34,14 +34,14 @@
 		return now >= l.takeoverJitter
 	}
 	freeAt := l.recordSeenAt
-	if !l.isOfEra() || !l.record.Released {
+	if !l.isOfEpoch() || !l.record.Released {
 		freeAt += takeoverDelay
 	}
 	return now >= max(freeAt, l.earliestTerm())+l.takeoverJitter
 }
 
-// isUnopposed reports whether this instance was the last holder in an earlier era and nobody can
-// have followed it: in that era only takeoverDelay after its last record, in this one only as long
+// isUnopposed reports whether this instance was the last holder in an earlier epoch and nobody can
+// have followed it: in that epoch only takeoverDelay after its last record, in this one only as long
 // after the store's return.
 func (l *Lease) isUnopposed(now time.Duration) bool { return now < l.unopposedUntil }
 
@@ -49,7 +49,7 @@
 // A, B, A within a short time. A run of the instance does not know when an earlier one acted
 // last, only that this was before its own start. An instance that follows itself may act at once.
 func (l *Lease) earliestTerm() time.Duration {
-	if l.isOfEra() && l.record.Holder.Node == l.self.Node {
+	if l.isOfEpoch() && l.record.Holder.Node == l.self.Node {
 		return 0
 	}
 	return max(l.startedAt, l.validUntil) + l.reacquireDelay
--- a/internal/core/duty/usage.go
+++ b/internal/core/duty/usage.go
@@ -223,13 +223,13 @@
 func (r *Reporter) Window(at time.Duration) int64 { return int64(at / r.windowLength) }
 
 // Begin begins a term as the holder of the duties and makes the reporter read the decisions:
-// other instances may have decided meanwhile. eraSince is a Unix time at which the current era of the
+// other instances may have decided meanwhile. epochSince is a Unix time at which the current epoch of the
 // store had begun; decisions from before may be lost.
-func (r *Reporter) Begin(eraSince time.Duration) {
-	r.synced, r.proposed, r.forgottenBefore = false, nil, eraSince
+func (r *Reporter) Begin(epochSince time.Duration) {
+	r.synced, r.proposed, r.forgottenBefore = false, nil, epochSince
 }
 
-// Continue begins a term that follows one of this instance in an earlier era of the store. Nobody
+// Continue begins a term that follows one of this instance in an earlier epoch of the store. Nobody
 // else has decided meanwhile.
 func (r *Reporter) Continue() {
 	r.synced = false
--- a/internal/core/duty/usage_test.go
+++ b/internal/core/duty/usage_test.go
@@ -19,7 +19,7 @@
 // reports, both with lost responses.
 type usageSimulation struct {
 	random    *rand.Rand
-	era       storelog.Era
+	epoch     storelog.Epoch
 	decisions []Decision
 	// decidedAt are the times of the decisions.
 	decidedAt []time.Duration
@@ -29,7 +29,7 @@
 
 // end returns the position of the next decision.
 func (w *usageSimulation) end() storelog.Position {
-	end, _ := storelog.At(w.era, int64(len(w.decisions)))
+	end, _ := storelog.At(w.epoch, int64(len(w.decisions)))
 	return end
 }
 
@@ -109,21 +109,21 @@
 	}
 }
 
-// comeBack replaces the decisions by those of a copy from an earlier time.
-func (w *usageSimulation) comeBack(copiedAt time.Duration) {
+// rollBack replaces the decisions by those of a copy from an earlier time.
+func (w *usageSimulation) rollBack(copiedAt time.Duration) {
 	kept := 0
 	for kept < len(w.decisions) && w.decidedAt[kept] <= copiedAt {
 		kept++
 	}
 	w.decisions, w.decidedAt = slices.Clone(w.decisions[:kept]), slices.Clone(w.decidedAt[:kept])
-	w.era++
+	w.epoch++
 }
 
-// TestWindowIsReportedWithOneCountAfterDrills guards against two reports of a window with different
+// TestWindowIsReportedWithOneCountAfterRollbacks guards against two reports of a window with different
 // counts (rule ONE) when the store comes back from an older copy, and against windows that are
 // left out although no decision on them can be lost: the holder goes on, or another one or a new
 // process without counts takes over.
-func TestWindowIsReportedWithOneCountAfterDrills(t *testing.T) {
+func TestWindowIsReportedWithOneCountAfterRollbacks(t *testing.T) {
 	const windowLength = 5 * time.Second
 	proptest.Check(t, proptest.Bounds{Seed: 20261207, Checks: 500}, func(t *rapid.T) {
 		w := &usageSimulation{random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), reports: make(map[int64][]Counts)}
@@ -133,7 +133,7 @@
 			w.now = now
 			usage.Add(reporter.Window(now-time.Duration(w.random.IntN(3000))*time.Millisecond), Origin{"dc", "a/1"}, "team")
 			if w.random.IntN(150) == 0 {
-				w.comeBack(now - time.Duration(w.random.IntN(12000))*time.Millisecond)
+				w.rollBack(now - time.Duration(w.random.IntN(12000))*time.Millisecond)
 				// It takes a while until the duties are performed again.
 				delay := 4 * time.Second
 				if w.random.IntN(2) == 0 {
@@ -141,7 +141,7 @@
 					reporter.Continue()
 				} else {
 					usage, reporter = NewUsage(), NewReporter(windowLength)
-					// The new holder may learn late of the era.
+					// The new holder may learn late of the epoch.
 					reporter.Begin(now + time.Duration(w.random.IntN(3000))*time.Millisecond)
 				}
 				for at := now - retainedWindows*windowLength; at < now+delay; at += windowLength {
--- a/internal/core/rollout/leader.go
+++ b/internal/core/rollout/leader.go
@@ -24,8 +24,8 @@
 	orders map[fleet.ServiceName]*seenOrder
 	runs   map[fleet.ServiceName]*run
 	loaded bool
-	// era is the era of the store in which the records were read.
-	era storelog.Era
+	// epoch is the epoch of the store in which the records were read.
+	epoch storelog.Epoch
 	// saving is the service whose record is being written, publishing the one whose state is.
 	saving, publishing fleet.ServiceName
 	fence, revision    int64
@@ -47,7 +47,7 @@
 // Load replaces the state by what is stored. What is known of a rollout besides its record is
 // kept.
 func (l *Leader) Load(now time.Duration, stored Stored) {
-	l.runs, l.era = resumeAll(now, l.runs, stored), stored.Era
+	l.runs, l.epoch = resumeAll(now, l.runs, stored), stored.Epoch
 	for _, o := range l.orders {
 		o.handled = false
 	}
@@ -124,7 +124,7 @@
 	for _, service := range slices.Sorted(maps.Keys(l.runs)) {
 		r := l.runs[service]
 		if r.next != nil && l.saving == "" {
-			l.saving, r.next.Era = service, l.era
+			l.saving, r.next.Epoch = service, l.epoch
 			actions = append(actions, Save{Record: *r.next})
 		}
 		if r.needsPublish() && r.isFollowed(now) && l.publishing == "" {
--- a/internal/core/rollout/messages.go
+++ b/internal/core/rollout/messages.go
@@ -14,7 +14,7 @@
 	Catalog   *catalog.Catalog
 	Endpoints []catalog.Endpoint
 	// ListSettled is set once endpoints that still run have renewed their entries since the list
-	// of the store's current era was first read.
+	// of the store's current epoch was first read.
 	ListSettled bool
 	// Sums are the counts of all reached instances, Age their age.
 	Sums map[Key]Counts
--- a/internal/core/rollout/orders.go
+++ b/internal/core/rollout/orders.go
@@ -40,10 +40,10 @@
 	return true
 }
 
-// isShownAgain reports whether the order is the known one as the store shows it in a later era:
+// isShownAgain reports whether the order is the known one as the store shows it in a later epoch:
 // at its place in the copy, or written again by the operator.
 func (o Order) isShownAgain(known Order) bool {
-	return o.Service == known.Service && o.To == known.To && o.Position.Era() > known.Position.Era()
+	return o.Service == known.Service && o.To == known.To && o.Position.Epoch() > known.Position.Epoch()
 }
 
 // isCopyOf reports whether the order is at the place of a known one in a copy of the store.
--- a/internal/core/rollout/resume.go
+++ b/internal/core/rollout/resume.go
@@ -9,10 +9,10 @@
 
 // Stored is what a holder finds at the begin of its term.
 type Stored struct {
-	// Era is the era of the store in which the records were read.
-	Era     storelog.Era
+	// Epoch is the epoch of the store in which the records were read.
+	Epoch   storelog.Epoch
 	Records []Record
-	// Plans are those that this instance follows. Of records from an earlier era they may show a
+	// Plans are those that this instance follows. Of records from an earlier epoch they may show a
 	// later state, which the store has lost.
 	Plans []Plan
 }
@@ -22,15 +22,15 @@
 func resumeAll(now time.Duration, known map[fleet.ServiceName]*run, stored Stored) map[fleet.ServiceName]*run {
 	runs := make(map[fleet.ServiceName]*run)
 	for _, r := range stored.Records {
-		runs[r.Order.Service] = resume(now, known[r.Order.Service], r, stored.Era)
+		runs[r.Order.Service] = resume(now, known[r.Order.Service], r, stored.Epoch)
 	}
 	for service, k := range known {
-		if _, ok := runs[service]; !ok && k.isSaved && k.record.Era < stored.Era {
+		if _, ok := runs[service]; !ok && k.isSaved && k.record.Epoch < stored.Epoch {
 			runs[service] = k.writtenAgain()
 		}
 	}
 	for _, p := range stored.Plans {
-		if r, ok := runs[p.Service]; ok && p.Fence != 0 && r.record.Era < stored.Era {
+		if r, ok := runs[p.Service]; ok && p.Fence != 0 && r.record.Epoch < stored.Epoch {
 			r.catchUp(p)
 		}
 	}
@@ -39,29 +39,29 @@
 
 // resume returns the rollout of a record that was read. known is what this instance knew of the
 // service's rollout, nil for nothing; its last write may have had an unknown outcome.
-func resume(now time.Duration, known *run, read Record, era storelog.Era) *run {
+func resume(now time.Duration, known *run, read Record, epoch storelog.Epoch) *run {
 	switch {
 	case known == nil:
-		return newUncertainRun(now, read, era)
-	case known.isSaved && known.record.Era < era && known.record.isAfter(read):
+		return newUncertainRun(now, read, epoch)
+	case known.isSaved && known.record.Epoch < epoch && known.record.isAfter(read):
 		return known.writtenAgain()
 	case !known.record.Order.isSame(read.Order):
-		return newUncertainRun(now, read, era)
+		return newUncertainRun(now, read, epoch)
 	case known.next != nil && known.next.Step == read.Step && known.next.State == read.State:
 		known.saved(now)
 		return known
 	case known.record.Step != read.Step || known.record.State != read.State:
-		return newUncertainRun(now, read, era)
+		return newUncertainRun(now, read, epoch)
 	}
 	known.isSaved, known.isPublished = true, false
 	return known
 }
 
 // newUncertainRun returns the rollout of a record of which this instance knows nothing else. A
-// record that was written in an earlier era may have been followed by one that the store has lost.
-func newUncertainRun(now time.Duration, read Record, era storelog.Era) *run {
+// record that was written in an earlier epoch may have been followed by one that the store has lost.
+func newUncertainRun(now time.Duration, read Record, epoch storelog.Epoch) *run {
 	r := newRun(now, read)
-	r.isUncertain = read.Era < era && !read.State.IsFinal()
+	r.isUncertain = read.Epoch < epoch && !read.State.IsFinal()
 	return r
 }
 
@@ -88,7 +88,7 @@
 	r.writtenAgain()
 }
 
-// identify takes over the place of the order in the current era.
+// identify takes over the place of the order in the current epoch.
 func (r *run) identify(o Order) {
 	r.record.Order = o
 	if r.next != nil {
@@ -108,7 +108,7 @@
 	}
 }
 
-// isSame reports whether two orders are one, at most as known in different eras.
+// isSame reports whether two orders are one, at most as known in different epochs.
 func (o Order) isSame(other Order) bool {
 	return o.Position == other.Position || o.isShownAgain(other) || other.isShownAgain(o)
 }
--- a/internal/core/rollout/resume_test.go
+++ b/internal/core/rollout/resume_test.go
@@ -11,13 +11,13 @@
 	"github.com/cornelhold/cornelhold/internal/core/storelog"
 )
 
-func inEra(era storelog.Era, offset int64) storelog.Position {
-	p, _ := storelog.At(era, offset)
+func inEpoch(epoch storelog.Epoch, offset int64) storelog.Position {
+	p, _ := storelog.At(epoch, offset)
 	return p
 }
 
 // lateOrder was given long before now, so that its time is over.
-var lateOrder = Order{Service: "s", To: "v2", CompleteBy: 10 * time.Second, Position: inEra(0, 5)}
+var lateOrder = Order{Service: "s", To: "v2", CompleteBy: 10 * time.Second, Position: inEpoch(0, 5)}
 
 const now = time.Hour
 
@@ -56,14 +56,14 @@
 	return Running
 }
 
-// TestDoneRolloutIsNotRevertedAfterDrill guards against a rollout that is reverted, with the only
+// TestDoneRolloutIsNotRevertedAfterRollback guards against a rollout that is reverted, with the only
 // endpoints that are left, since the store came back from a copy from before its end while all
 // instances were restarted (rule RECOVER, review case 15).
-func TestDoneRolloutIsNotRevertedAfterDrill(t *testing.T) {
+func TestDoneRolloutIsNotRevertedAfterRollback(t *testing.T) {
 	running := Record{Order: lateOrder, StartedAt: now - time.Minute, Step: StepQuarter}
 	newLeader := func(plans ...Plan) *Leader {
 		l := NewLeader(Bounds{Share: 0.1, Slack: 50})
-		l.Load(now, Stored{Era: 1, Records: []Record{running}, Plans: plans})
+		l.Load(now, Stored{Epoch: 1, Records: []Record{running}, Plans: plans})
 		return l
 	}
 	const patience = 20 * time.Second
@@ -101,10 +101,10 @@
 		l := NewLeader(Bounds{Share: 0.1, Slack: 50})
 		l.Load(now, Stored{Records: []Record{done}})
 		l.Unload()
-		l.Load(now, Stored{Era: 1, Records: copied})
+		l.Load(now, Stored{Epoch: 1, Records: copied})
 		in := inputsOf(false, endpointsOf("v2", 1, true))
 		written := done
-		written.Era = 1
+		written.Epoch = 1
 		is.Equal(l.Step(now, in), []Action{Save{Record: written}})
 		is.Equal(len(l.Saved(now)), 1)
 		// The state that was published may be lost, too.
@@ -116,8 +116,8 @@
 // is taken for a new one, since the copy from which the store came back shows it as the newest.
 func TestReplacedOrderIsNotCarriedOutAgain(t *testing.T) {
 	is := is.New(t)
-	order := func(to fleet.SoftwareVersion, era storelog.Era, offset int64) Order {
-		return Order{Service: "s", To: to, CompleteBy: time.Minute, Position: inEra(era, offset)}
+	order := func(to fleet.SoftwareVersion, epoch storelog.Epoch, offset int64) Order {
+		return Order{Service: "s", To: to, CompleteBy: time.Minute, Position: inEpoch(epoch, offset)}
 	}
 	orders := NewOrders()
 	is.True(orders.Read(order("v2", 0, 5)))
@@ -134,9 +134,9 @@
 func TestOrderShownAgainKeepsItsRollout(t *testing.T) {
 	is := is.New(t)
 	l := NewLeader(Bounds{Share: 0.1, Slack: 50})
-	l.Load(now, Stored{Era: 1, Records: []Record{{Order: lateOrder, Era: 1, StartedAt: now - time.Minute, Step: StepFull, State: Done}}})
+	l.Load(now, Stored{Epoch: 1, Records: []Record{{Order: lateOrder, Epoch: 1, StartedAt: now - time.Minute, Step: StepFull, State: Done}}})
 	again := lateOrder
-	again.Position = inEra(1, 3)
+	again.Position = inEpoch(1, 3)
 	l.Read(now, again)
 	for _, action := range l.Step(now, inputsOf(true, endpointsOf("v2", 1, true))) {
 		_, isSave := action.(Save)
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -65,8 +65,8 @@
 // Record is the durable state of a rollout.
 type Record struct {
 	Order Order
-	// Era is the era of the store for which the record was written.
-	Era storelog.Era
+	// Epoch is the epoch of the store for which the record was written.
+	Epoch storelog.Epoch
 	// StartedAt is when the order was first read.
 	StartedAt time.Duration
 	Step      Step
--- a/internal/core/rollout/run.go
+++ b/internal/core/rollout/run.go
@@ -21,7 +21,7 @@
 	// newReady and oldReady are the endpoints that do not drain, by version.
 	newReady, oldReady int
 	// newRenewed and oldRenewed are those whose entries were written since the list of the current
-	// era was first read. Once isSettled, the others have ended.
+	// epoch was first read. Once isSettled, the others have ended.
 	newRenewed, oldRenewed int
 	isSettled              bool
 	objectives             map[string]time.Duration
@@ -59,7 +59,7 @@
 	// isSaved is set once record was written; next is the record to be written, if any.
 	isSaved bool
 	next    *Record
-	// isUncertain is set if a later state may have been lost with an earlier era of the store.
+	// isUncertain is set if a later state may have been lost with an earlier epoch of the store.
 	isUncertain bool
 	// stepAt is when the current step or state began here.
 	stepAt time.Duration
--- a/internal/core/writeback/writeback_test.go
+++ b/internal/core/writeback/writeback_test.go
@@ -125,7 +125,7 @@
 	b.Put("a", []byte("2"))
 	is.Equal(b.Next(3*time.Second), []Record{{Key: "a", Value: []byte("2")}})
 	b.Rewrite()
-	b.Finished(3*time.Second, true) // by an answer of the earlier era
+	b.Finished(3*time.Second, true) // by an answer of the earlier epoch
 	is.Equal(store(5*time.Second, true), []Record{{Key: "a", Value: []byte("2")}, {Key: "b"}})
 	b.Put("c", nil)
 	store(2*removedTTL, true)
--- a/internal/e2e/edge_drill_test.go
+++ b/internal/e2e/edge_rollback_test.go
@@ -15,39 +15,44 @@
 )
 
 const (
-	// drillAwayTime is how long the store is away in a drill, drillBound the time after its return
-	// within which the duties are performed again: a usage report is due after 10 s.
-	drillAwayTime = time.Second
-	drillBound    = 12 * time.Second
-	// rolloutSettleTime is the time after a drill in which a rollout shows what became of it: the
-	// duties are taken over, and replicas that run renew their entries.
+	// rollbackAwayTime is how long the store is away before it comes back from an older copy,
+	// rollbackBound the time after its return within which the duties are performed again: a usage
+	// report is due after 10 s.
+	rollbackAwayTime = time.Second
+	rollbackBound    = 12 * time.Second
+	// rolloutSettleTime is the time after that in which a rollout shows what became of it: the duties
+	// are taken over, and replicas that run renew their entries.
 	rolloutSettleTime = 14 * time.Second
 	heartbeatInterval = 1200 * time.Millisecond
 )
 
-// allDrills selects all variants of the drills. A test run plays those marked as brief.
-var allDrills = flag.Bool("all-drills", false, "play all variants of drills")
+// allRollbacks selects all variants of rollbacks of the store. A test run plays those marked as brief.
+var allRollbacks = flag.Bool("all-rollbacks", false, "play all variants of rollbacks of the store")
 
-// TestEdgeBearsDrills guards against state that rests on records which the store has lost, when it
+// TestEdgeSurvivesRollbacks guards against state that rests on records which the store has lost, when it
 // comes back from an older copy: usage that is not reported any more, or with two counts, fencing
 // tokens that fall (rule ONE), a configuration that is not read (rule CONFIG) and requests to a
 // removed replica (rule DRAIN). A process that is suspended misses it all.
-func TestEdgeBearsDrills(t *testing.T) {
+func TestEdgeSurvivesRollbacks(t *testing.T) {
 	for name, c := range map[string]struct {
-		drill               userplatform.Drill
+		rollback            userplatform.Rollback
 		away                time.Duration
 		twice, kill, missed bool
 		brief               bool
 	}{
-		"running on":          {drill: userplatform.Drill{CopyAge: 3 * time.Second}, away: drillAwayTime},
-		"silent, old copy":    {drill: userplatform.Drill{CopyAge: time.Minute, Silent: true, RewriteDelay: 500 * time.Millisecond}, away: drillAwayTime},
-		"long away":           {drill: userplatform.Drill{CopyAge: 6 * time.Second, Silent: true}, away: 4 * time.Second},
-		"twice":               {drill: userplatform.Drill{CopyAge: 2 * time.Second}, away: drillAwayTime, twice: true},
-		"missed by one":       {drill: userplatform.Drill{CopyAge: 4 * time.Second}, away: drillAwayTime, missed: true, brief: true},
-		"all killed":          {drill: userplatform.Drill{CopyAge: 4 * time.Second}, away: drillAwayTime, kill: true},
-		"all killed, no copy": {drill: userplatform.Drill{CopyAge: time.Minute, Silent: true}, away: drillAwayTime, kill: true, brief: true},
+		"running on":       {rollback: userplatform.Rollback{CopyAge: 3 * time.Second}, away: rollbackAwayTime},
+		"silent, old copy": {rollback: userplatform.Rollback{CopyAge: time.Minute, Silent: true, RewriteDelay: 500 * time.Millisecond}, away: rollbackAwayTime},
+		"long away":        {rollback: userplatform.Rollback{CopyAge: 6 * time.Second, Silent: true}, away: 4 * time.Second},
+		"twice":            {rollback: userplatform.Rollback{CopyAge: 2 * time.Second}, away: rollbackAwayTime, twice: true},
+		"missed by one":    {rollback: userplatform.Rollback{CopyAge: 4 * time.Second}, away: rollbackAwayTime, missed: true},
+		"twice, missed by one": {
+			rollback: userplatform.Rollback{CopyAge: 3 * time.Second, Silent: true, RewriteDelay: 500 * time.Millisecond}, away: rollbackAwayTime,
+			twice: true, missed: true, brief: true,
+		},
+		"all killed":          {rollback: userplatform.Rollback{CopyAge: 4 * time.Second}, away: rollbackAwayTime, kill: true},
+		"all killed, no copy": {rollback: userplatform.Rollback{CopyAge: time.Minute, Silent: true}, away: rollbackAwayTime, kill: true},
 	} {
-		if !c.brief && !*allDrills {
+		if !c.brief && !*allRollbacks {
 			continue
 		}
 		t.Run(name, func(t *testing.T) {
@@ -57,15 +62,15 @@
 			if c.missed {
 				is.NoErr(f.Edges[2].Signal(syscall.SIGSTOP))
 			}
-			f.performDrill(c.drill, c.away, c.kill)
+			f.rollBackStore(c.rollback, c.away, c.kill)
 			if c.twice {
-				f.performDrill(c.drill, c.away, c.kill)
+				f.rollBackStore(c.rollback, c.away, c.kill)
 			}
 			if c.missed {
 				is.NoErr(f.Edges[2].Signal(syscall.SIGCONT))
 			}
 			returnedAt := time.Now()
-			f.checkChangesAfterDrill()
+			f.checkChangesAfterRollback()
 			f.awaitReports("key-2", returnedAt.Unix())
 			f.checkReports()
 		})
@@ -77,7 +82,7 @@
 func (f *edgeFleet) awaitReports(key string, from int64) {
 	f.t.Helper()
 	const windows = 3
-	f.eventually(drillBound, "reports of the usage", func() bool {
+	f.eventually(rollbackBound, "reports of the usage", func() bool {
 		for _, e := range f.Edges {
 			f.do(e, call{method: http.MethodGet, target: "/check/x", key: key})
 		}
@@ -91,18 +96,18 @@
 	})
 }
 
-// performDrill makes the store leave and come back from a copy. kill ends all processes meanwhile
+// rollBackStore makes the store leave and come back from a copy. kill ends all processes meanwhile
 // and starts them again.
-func (f *edgeFleet) performDrill(d userplatform.Drill, away time.Duration, kill bool) {
+func (f *edgeFleet) rollBackStore(b userplatform.Rollback, away time.Duration, kill bool) {
 	f.t.Helper()
-	f.Store.Leave(d)
+	f.Store.Suspend(b)
 	if kill {
 		for _, e := range f.Edges {
 			e.Kill()
 		}
 	}
 	time.Sleep(away)
-	f.Store.ComeBack(d)
+	f.Store.RollBack(b)
 	if !kill {
 		return
 	}
@@ -112,10 +117,10 @@
 	f.awaitReady()
 }
 
-// TestRolloutStaysFinalAfterDrill guards against a rollout that is reverted after it was done, with
+// TestRolloutStaysFinalAfterRollback guards against a rollout that is reverted after it was done, with
 // the only replicas that are left (rule RECOVER, review case 15), or carried out again after it was
 // reverted, since the copy from which the store comes back says that it runs.
-func TestRolloutStaysFinalAfterDrill(t *testing.T) {
+func TestRolloutStaysFinalAfterRollback(t *testing.T) {
 	for name, c := range map[string]struct {
 		fault userplatform.Fault
 		state string
@@ -126,7 +131,7 @@
 		"done, all killed": {fault: userplatform.FaultNone, state: "v2 done", kill: true, brief: true},
 		"reverted":         {fault: userplatform.FaultServerError, state: "v2 reverted"},
 	} {
-		if !c.brief && !*allDrills {
+		if !c.brief && !*allRollbacks {
 			continue
 		}
 		t.Run(name, func(t *testing.T) {
@@ -148,7 +153,7 @@
 				r.Crash()
 			}
 			stop()
-			f.performDrill(userplatform.Drill{CopyAge: 6 * time.Second}, drillAwayTime, c.kill)
+			f.rollBackStore(userplatform.Rollback{CopyAge: 6 * time.Second}, rollbackAwayTime, c.kill)
 			for returnedAt := time.Now(); time.Since(returnedAt) < rolloutSettleTime; time.Sleep(heartbeatInterval) {
 				for _, r := range left {
 					f.Announce(r, "ready")
@@ -157,15 +162,16 @@
 			states := f.RolloutStates()
 			is.Equal(states[len(states)-1], c.state)
 			for _, e := range f.Edges {
-				is.Equal(requestOnce(e.FrontAddress, "after-drill-"+e.Name), http.StatusOK)
+				is.Equal(requestOnce(e.FrontAddress, "after-rollback-"+e.Name), http.StatusOK)
 			}
+			f.checkReports()
 		})
 	}
 }
 
-// checkChangesAfterDrill changes the configuration and removes a replica, and checks that all
+// checkChangesAfterRollback changes the configuration and removes a replica, and checks that all
 // processes follow.
-func (f *edgeFleet) checkChangesAfterDrill() {
+func (f *edgeFleet) checkChangesAfterRollback() {
 	f.t.Helper()
 	is := is.New(f.t)
 	time.Sleep(contactTime)
--- a/internal/edge/codec.go
+++ b/internal/edge/codec.go
@@ -123,7 +123,7 @@
 func encodeLease(r duty.LeaseRecord) ([]byte, error) {
 	data, err := proto.Marshal(&cornelholdv1.LeaseRecord{
 		Node: r.Holder.Node, Boot: r.Holder.Boot, Fence: r.Fence, Nonce: r.Nonce, Released: r.Released,
-		Era: int64(r.Era), EraSinceMs: r.EraSince.Milliseconds(),
+		Epoch: int64(r.Epoch), EpochSinceMs: r.EpochSince.Milliseconds(),
 	})
 	return data, Error.Wrap(err)
 }
@@ -136,7 +136,7 @@
 	return duty.LeaseRecord{
 		Position: r.Position, Holder: duty.Holder{Node: m.GetNode(), Boot: m.GetBoot()},
 		Fence: m.GetFence(), Nonce: m.GetNonce(), Released: m.GetReleased(),
-		Era: storelog.Era(m.GetEra()), EraSince: milliseconds(m.GetEraSinceMs()),
+		Epoch: storelog.Epoch(m.GetEpoch()), EpochSince: milliseconds(m.GetEpochSinceMs()),
 	}, nil
 }
 
--- a/internal/edge/crashrecords.go
+++ b/internal/edge/crashrecords.go
@@ -86,7 +86,7 @@
 
 func (t *crashRecordsTask) handle(msg any) {
 	switch m := msg.(type) {
-	case platform.EraObserved:
+	case platform.EpochObserved:
 		t.buffer.Rewrite()
 	case instancesKnown:
 		t.buffer.SetRate(t.process.deployment.StoreWritesPerSecond, int(m))
--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -76,7 +76,7 @@
 	// ConfigBytes is the size of the record of the configuration.
 	ConfigBytes int
 	Position    storelog.Position
-	// ListSince is when the list of the store's current era was first read completely.
+	// ListSince is when the list of the store's current epoch was first read completely.
 	ListSince time.Duration
 	Catalog   *catalog.Catalog
 	Endpoints []catalog.Endpoint
@@ -96,7 +96,7 @@
 	records  map[fleet.EndpointID]platform.Record
 	position storelog.Position
 	hasList  bool
-	// since is when the list of the store's current era was first read completely.
+	// since is when the list of the store's current epoch was first read completely.
 	since time.Duration
 	// complete is the position up to which the newest records of all entries were
 	// read. An older record of an entry that is not in records is outdated: the
@@ -186,11 +186,11 @@
 			t.directory.StoreRecovered(now)
 		}
 	}
-	if msg.end.Era() < t.position.Era() {
+	if msg.end.Epoch() < t.position.Epoch() {
 		// The store has come back from an older copy since this list was read.
 		return
 	}
-	t.beginEra(now, msg)
+	t.beginEpoch(now, msg)
 	changed := !t.hasList
 	if msg.resync && msg.source == sourceStore {
 		t.complete = 0
@@ -219,15 +219,15 @@
 	t.published.Store(&s)
 }
 
-// beginEra prepares for the first complete list of an era of the store. Entries that the copy lacks
+// beginEpoch prepares for the first complete list of an epoch of the store. Entries that the copy lacks
 // are written again by endpoints that still run, as after an outage.
-func (t *directoryTask) beginEra(now time.Duration, msg entriesRead) {
-	isNew := msg.end.Era() > t.position.Era()
+func (t *directoryTask) beginEpoch(now time.Duration, msg entriesRead) {
+	isNew := msg.end.Epoch() > t.position.Epoch()
 	if t.hasList && isNew {
 		t.directory.StoreRecovered(now)
 	}
 	if msg.resync && (isNew || !t.hasList) {
-		t.directory.BeginEra(msg.end)
+		t.directory.BeginEpoch(msg.end)
 		t.since = now
 	}
 }
--- a/internal/edge/directory_test.go
+++ b/internal/edge/directory_test.go
@@ -93,9 +93,9 @@
 	is.Equal(receiver.ids(), []string{"i-1", "i-3"})
 }
 
-// inEra returns a position in an era of the store.
-func inEra(era storelog.Era, offset int64) storelog.Position {
-	p, _ := storelog.At(era, offset)
+// inEpoch returns a position in an epoch of the store.
+func inEpoch(epoch storelog.Epoch, offset int64) storelog.Position {
+	p, _ := storelog.At(epoch, offset)
 	return p
 }
 
@@ -105,19 +105,19 @@
 	return platform.Record{Key: id, Value: []byte(value), Position: position}
 }
 
-// TestRemovalAfterDrillIsApplied guards against an endpoint that gets requests for good since its
+// TestRemovalAfterRollbackIsApplied guards against an endpoint that gets requests for good since its
 // entry was removed at a lower offset than the known one, after the store came back from an older
 // copy (rule DRAIN, review case 12): by the changes, by a complete list, and by a peer.
-func TestRemovalAfterDrillIsApplied(t *testing.T) {
+func TestRemovalAfterRollbackIsApplied(t *testing.T) {
 	before := entriesRead{
 		records: []platform.Record{heartbeatOf("i-1", "ready", 90, 9), heartbeatOf("i-2", "ready", 99, 9)},
 		resync:  true, end: 100, source: sourceStore,
 	}
 	copied := entriesRead{
-		records: []platform.Record{heartbeatOf("i-1", "ready", inEra(1, 38), 7), heartbeatOf("i-2", "ready", inEra(1, 39), 7)},
-		resync:  true, end: inEra(1, 40), source: sourceStore,
+		records: []platform.Record{heartbeatOf("i-1", "ready", inEpoch(1, 38), 7), heartbeatOf("i-2", "ready", inEpoch(1, 39), 7)},
+		resync:  true, end: inEpoch(1, 40), source: sourceStore,
 	}
-	removed := platform.Record{Key: "i-2", Position: inEra(1, 40)}
+	removed := platform.Record{Key: "i-2", Position: inEpoch(1, 40)}
 	newDirectory := func() *directoryTask {
 		d := newTestDirectory()
 		d.applyEntries(t.Context(), before)
@@ -127,40 +127,40 @@
 		is, d := is.New(t), newDirectory()
 		d.applyEntries(t.Context(), copied)
 		is.Equal(d.ids(), []string{"i-1", "i-2"})
-		d.applyEntries(t.Context(), entriesRead{records: []platform.Record{removed}, end: inEra(1, 41), source: sourceStore})
+		d.applyEntries(t.Context(), entriesRead{records: []platform.Record{removed}, end: inEpoch(1, 41), source: sourceStore})
 		is.Equal(d.ids(), []string{"i-1"})
-		// A list of the earlier era that arrives late brings nothing back.
+		// A list of the earlier epoch that arrives late brings nothing back.
 		d.applyEntries(t.Context(), before)
 		is.Equal(d.ids(), []string{"i-1"})
 	})
 	t.Run("peer", func(t *testing.T) {
 		is, d, peer := is.New(t), newDirectory(), newDirectory()
 		peer.applyEntries(t.Context(), copied)
-		peer.applyEntries(t.Context(), entriesRead{records: []platform.Record{removed}, end: inEra(1, 41), source: sourceStore})
+		peer.applyEntries(t.Context(), entriesRead{records: []platform.Record{removed}, end: inEpoch(1, 41), source: sourceStore})
 		s := peer.snapshot(snapshotRequest{peerPosition: d.position})
 		is.True(s.complete)
 		d.applyEntries(t.Context(), entriesRead{records: s.records, end: s.end, resync: s.complete, source: sourcePeer, storeHealthy: true})
 		d.directory.Expire(d.clock.Now() + catalog.RecoveryGrace)
 		is.Equal(d.ids(), []string{"i-1"})
-		is.Equal(d.position, inEra(1, 41))
+		is.Equal(d.position, inEpoch(1, 41))
 	})
 	t.Run("lost entry", func(t *testing.T) {
 		is, d := is.New(t), newDirectory()
 		d.applyEntries(t.Context(), entriesRead{
-			records: []platform.Record{heartbeatOf("i-1", "ready", inEra(1, 38), 7)}, resync: true, end: inEra(1, 39), source: sourceStore,
+			records: []platform.Record{heartbeatOf("i-1", "ready", inEpoch(1, 38), 7)}, resync: true, end: inEpoch(1, 39), source: sourceStore,
 		})
 		is.Equal(d.ids(), []string{"i-1", "i-2"}) // it may be written again
 		d.directory.Expire(d.clock.Now() + catalog.RecoveryGrace)
 		is.Equal(d.ids(), []string{"i-1"})
 		// Written again as it was.
-		d.applyEntries(t.Context(), entriesRead{records: []platform.Record{heartbeatOf("i-2", "ready", inEra(1, 39), 9)}, end: inEra(1, 40), source: sourceStore})
+		d.applyEntries(t.Context(), entriesRead{records: []platform.Record{heartbeatOf("i-2", "ready", inEpoch(1, 39), 9)}, end: inEpoch(1, 40), source: sourceStore})
 		is.Equal(d.ids(), []string{"i-1", "i-2"})
 	})
 }
 
-// TestLeavingEndpointStaysSoAfterDrill guards against an endpoint that drains or is removed and that
+// TestLeavingEndpointStaysSoAfterRollback guards against an endpoint that drains or is removed and that
 // gets requests again since the copy from which the store came back has its older entry (rule DRAIN).
-func TestLeavingEndpointStaysSoAfterDrill(t *testing.T) {
+func TestLeavingEndpointStaysSoAfterRollback(t *testing.T) {
 	is := is.New(t)
 	d := newTestDirectory()
 	d.applyEntries(t.Context(), entriesRead{
@@ -169,8 +169,8 @@
 	})
 	d.applyEntries(t.Context(), entriesRead{records: []platform.Record{{Key: "i-2", Position: 100}}, end: 101, source: sourceStore})
 	d.applyEntries(t.Context(), entriesRead{
-		records: []platform.Record{heartbeatOf("i-1", "ready", inEra(1, 8), 8), heartbeatOf("i-2", "ready", inEra(1, 9), 9)},
-		resync:  true, end: inEra(1, 10), source: sourceStore,
+		records: []platform.Record{heartbeatOf("i-1", "ready", inEpoch(1, 8), 8), heartbeatOf("i-2", "ready", inEpoch(1, 9), 9)},
+		resync:  true, end: inEpoch(1, 10), source: sourceStore,
 	})
 	endpoints := d.directory.Endpoints()
 	is.Equal(len(endpoints), 1)
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -88,8 +88,8 @@
 	demand   *scaling.Demand
 	state    directoryState
 	held     bool
-	// eraStart is when the current era of the store began, as far as known.
-	eraStart duty.EraStart
+	// epochStart is when the current epoch of the store began, as far as known.
+	epochStart duty.EpochStart
 	// holderCalls is the number of calls under the lease that await their result.
 	holderCalls int
 	// quotaUse is what all instances used of the quotas as of quotaUseAt.
@@ -173,9 +173,9 @@
 		t.applyPeer(ctx, now, msg)
 	case endpointsUpdate:
 		t.state = msg.state
-	case platform.EraObserved:
-		t.eraStart = duty.NewEraStart(msg.Era, now)
-		t.stepLease(ctx, now, duty.LeaseEraBegan{Era: msg.Era})
+	case platform.EpochObserved:
+		t.epochStart = duty.NewEpochStart(msg.Epoch, now)
+		t.stepLease(ctx, now, duty.LeaseEpochBegan{Epoch: msg.Epoch})
 	case rolloutsRunning:
 		t.planner.Hold(msg.services)
 	case windowsRequest:
@@ -256,7 +256,7 @@
 		if t.lease.Takeover().Unopposed {
 			t.reporter.Continue()
 		} else {
-			t.reporter.Begin(t.eraStart.Since(t.clock))
+			t.reporter.Begin(t.epochStart.Since(t.clock))
 		}
 		t.planner.Reset(storelog.Position(fence).Offset() > 1)
 		t.engines.recorder = enginemodel.NewRecorder()
@@ -270,7 +270,7 @@
 func (t *dutiesTask) logTakeover(fence int64) {
 	takeover := t.lease.Takeover()
 	fields := log.Fields{
-		"fence": fence, "era": t.lease.Era(), "unopposed": takeover.Unopposed, "record_age_ms": takeover.RecordAge.Milliseconds(),
+		"fence": fence, "epoch": t.lease.Epoch(), "unopposed": takeover.Unopposed, "record_age_ms": takeover.RecordAge.Milliseconds(),
 	}
 	if previous := takeover.Previous; previous != nil {
 		fields["previous_holder"], fields["previous_position"] = previous.Holder.Node, previous.Position
--- a/internal/edge/dutycalls.go
+++ b/internal/edge/dutycalls.go
@@ -37,13 +37,13 @@
 	stepWith := func(msg duty.LeaseMessage) func(time.Duration) {
 		return func(now time.Duration) {
 			if read, ok := msg.(duty.LeaseRead); ok {
-				t.eraStart.Observe(read.Record)
+				t.epochStart.Observe(read.Record)
 			}
 			t.stepLease(ctx, now, msg)
 		}
 	}
 	if a, ok := action.(duty.AppendLease); ok {
-		a.Record.EraSince = t.eraStart.Since(t.clock)
+		a.Record.EpochSince = t.epochStart.Since(t.clock)
 		action = a
 	}
 	t.call(ctx, func() func(time.Duration) {
--- a/internal/edge/era.go
+++ b/internal/edge/epoch.go
@@ -6,16 +6,16 @@
 	"github.com/apex/log"
 )
 
-// followEra tells the tasks whose state rests on the store of each era that begins. Followers of
+// followEpoch tells the tasks whose state rests on the store of each epoch that begins. Followers of
 // topics read them anew with their next read.
-func (p *process) followEra(ctx context.Context) error {
+func (p *process) followEpoch(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case event := <-p.store.EraObserved():
-			p.metrics.storeEra.Set(float64(event.Era))
-			p.log.WithFields(log.Fields{"era": event.Era, "previous": event.Previous, "first": event.First}).Info("era of the store began")
+		case event := <-p.store.EpochObserved():
+			p.metrics.storeEpoch.Set(float64(event.Epoch))
+			p.log.WithFields(log.Fields{"epoch": event.Epoch, "previous": event.Previous, "first": event.First}).Info("epoch of the store began")
 			_ = p.duties.mailbox.Send(ctx, event)
 			if event.First {
 				continue
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -86,14 +86,14 @@
 	resync, down, repeated := true, false, false
 	for ctx.Err() == nil {
 		startedAt := task.BootTime()
-		resync = resync || next.Era() != f.store.Era()
+		resync = resync || next.Epoch() != f.store.Epoch()
 		batch, err := f.read(ctx, next, resync)
 		switch {
 		case errors.Is(err, platform.ErrExpired):
 			f.log.WithField("topic", f.topic).Info("requested records have expired; reading the newest record of each key")
 			resync = true
 			continue
-		case errors.Is(err, platform.ErrEraChanged) && !repeated:
+		case errors.Is(err, platform.ErrEpochChanged) && !repeated:
 			f.log.WithField("topic", f.topic).WithError(err).Info("reading the newest record of each key")
 			resync, repeated = true, true
 			continue
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -81,10 +81,10 @@
 	is.Equal(<-read, "v2")
 	// The copy has neither. The operator writes v2 again, then v3 at the offset of v2, while the
 	// read of the follower still hangs.
-	d := userplatform.Drill{CopyAge: time.Minute, Silent: true}
-	store.Leave(d)
+	b := userplatform.Rollback{CopyAge: time.Minute, Silent: true}
+	store.Suspend(b)
 	time.Sleep(100 * time.Millisecond)
-	store.ComeBack(d)
+	store.RollBack(b)
 	time.Sleep(100 * time.Millisecond)
 	store.Put(userplatform.ConfigTopic, userplatform.ConfigKey, []byte("v3"))
 	limit := time.After(5 * time.Second)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -36,9 +36,9 @@
 	quarantined  prometheus.Gauge
 	// crashRecords counts the appends of crash evidence to the store.
 	crashRecords *prometheus.CounterVec
-	// storeEra is the newest known era of the store, usageLeftOut counts the usage windows that are
-	// not reported because an earlier era may have had a decision on them.
-	storeEra     prometheus.Gauge
+	// storeEpoch is the newest known epoch of the store, usageLeftOut counts the usage windows that are
+	// not reported because an earlier epoch may have had a decision on them.
+	storeEpoch   prometheus.Gauge
 	usageLeftOut prometheus.Counter
 	// leavingStreams counts the streams of endpoints that left, moves the moves of runs.
 	leavingStreams, moves *prometheus.CounterVec
@@ -121,13 +121,13 @@
 	m.crashRecords = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cornelhold_crash_record_appends_total", Help: "Appends of crash evidence to the store, by result.",
 	}, []string{"result"})
-	m.storeEra = prometheus.NewGauge(prometheus.GaugeOpts{
-		Name: "cornelhold_store_era", Help: "Newest known era of the store, which rises each time that it comes back from an older copy.",
+	m.storeEpoch = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "cornelhold_store_epoch", Help: "Newest known epoch of the store, which rises each time that it comes back from an older copy.",
 	})
 	m.usageLeftOut = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "cornelhold_usage_windows_left_out_total", Help: "Usage windows not reported, since they may have been before the store came back from an older copy.",
 	})
-	registry.MustRegister(m.crashRecords, m.storeEra, m.usageLeftOut)
+	registry.MustRegister(m.crashRecords, m.storeEpoch, m.usageLeftOut)
 }
 
 // addRollouts creates the metrics of rollouts.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -60,7 +60,7 @@
 	discovered task.Mailbox[[]exchange.Instance]
 	// storeReturned receives that the store came back from an older copy, rejoin how many instances
 	// then register again.
-	storeReturned task.Mailbox[platform.EraObserved]
+	storeReturned task.Mailbox[platform.EpochObserved]
 	rejoin        task.Mailbox[instancesKnown]
 	exchange      *exchange.Exchange
 	peers         map[netip.Addr]*peer
@@ -89,7 +89,7 @@
 	t := &peersTask{
 		process: p, peers: make(map[netip.Addr]*peer), startedAt: task.BootTime(),
 		received: task.NewMailbox[datagram](peersMailbox), discovered: task.NewMailbox[[]exchange.Instance](4),
-		storeReturned: task.NewMailbox[platform.EraObserved](1), rejoin: task.NewMailbox[instancesKnown](1),
+		storeReturned: task.NewMailbox[platform.EpochObserved](1), rejoin: task.NewMailbox[instancesKnown](1),
 		puller: newPuller(p), election: storereader.NewElection(p.deployment.Node, p.deployment.DataCentre),
 	}
 	t.exchange = exchange.New(exchange.Options{
@@ -269,7 +269,7 @@
 	if plans := decodePlans(m.GetRollouts(), t.process.clock.At(reported.sentAt)); len(plans) > 0 {
 		t.process.gateway.Post(ctx, gateway.RolloutsReported{Plans: plans})
 	}
-	t.process.store.LearnEra(storelog.Era(m.GetStoreEra()))
+	t.process.store.LearnEpoch(storelog.Epoch(m.GetStoreEpoch()))
 	t.process.duties.post(newPeerUpdate(&m))
 	if message.NamesSender() {
 		t.election.Observe(now, storereader.Instance{
--- a/internal/edge/peersend.go
+++ b/internal/edge/peersend.go
@@ -22,7 +22,7 @@
 	state := t.process.directory.published.Load()
 	m := &cornelholdv1.InstanceReport{
 		ConfigVersion: int64(state.Version), ConfigBytes: int64(state.ConfigBytes), ListPosition: int64(state.Position), WallMs: time.Now().UnixMilli(),
-		StoreEra: int64(t.process.store.Era()), LeasePosition: int64(summary.leasePosition), ListHealthyMs: t.process.list.healthyFor().Milliseconds(),
+		StoreEpoch: int64(t.process.store.Epoch()), LeasePosition: int64(summary.leasePosition), ListHealthyMs: t.process.list.healthyFor().Milliseconds(),
 		ListAgeMs: listAge.Milliseconds(), StoreLost: t.election.StoreUnavailable(now), SentMs: sentAt.Milliseconds(),
 	}
 	encodeCrashes(crashes, t.process.clock.Now(), m)
--- a/internal/edge/rolloutcodec.go
+++ b/internal/edge/rolloutcodec.go
@@ -99,7 +99,7 @@
 	value, err := proto.Marshal(&cornelholdv1.RolloutRecord{
 		Service: string(r.Order.Service), To: string(r.Order.To), OrderPosition: int64(r.Order.Position), CompleteByMs: r.Order.CompleteBy.Milliseconds(),
 		StartedWallMs: t.wall.Add(r.StartedAt - t.now).UnixMilli(), Step: uint32(r.Step), State: uint32(r.State),
-		Exposed: r.Exposed, Withheld: encodeVersions(r.Withheld), Era: int64(r.Era),
+		Exposed: r.Exposed, Withheld: encodeVersions(r.Withheld), Epoch: int64(r.Epoch),
 	})
 	return value, Error.Wrap(err)
 }
@@ -121,6 +121,6 @@
 			CompleteBy: milliseconds(m.GetCompleteByMs()), Position: storelog.Position(m.GetOrderPosition()),
 		},
 		StartedAt: started, Step: rollout.Step(m.GetStep()), State: rollout.State(m.GetState()), Exposed: m.GetExposed(),
-		Withheld: decodeVersions(m.GetWithheld()), Era: storelog.Era(m.GetEra()),
+		Withheld: decodeVersions(m.GetWithheld()), Epoch: storelog.Epoch(m.GetEpoch()),
 	}, nil
 }
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -206,7 +206,7 @@
 }
 
 // listSettled reports whether the list has been followed since it was first read in the store's
-// current era for so long that an endpoint which runs has renewed its entry.
+// current epoch for so long that an endpoint which runs has renewed its entry.
 func (t *rolloutsTask) listSettled() bool {
 	followed := t.process.clock.Now() - t.state.ListSince - t.process.list.age()
 	return followed > renewalIntervals*t.process.deployment.Heartbeat
@@ -253,7 +253,7 @@
 			}
 			t.recordsEnd = batch.End
 			t.leader.Load(now, rollout.Stored{
-				Era: batch.End.Era(), Records: t.decodeRecords(batch.Records, times), Plans: t.process.gateway.rolloutPlans(),
+				Epoch: batch.End.Epoch(), Records: t.decodeRecords(batch.Records, times), Plans: t.process.gateway.rolloutPlans(),
 			})
 		}
 	})
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -165,7 +165,7 @@
 	group.Go("pool", p.pool.Run)
 	group.Go("follow configuration", p.configFollower().run)
 	group.Go("follow endpoints", p.endpointFollower().run)
-	group.Go("follow era", p.followEra)
+	group.Go("follow epoch", p.followEpoch)
 	p.peers.conn = listeners.peers
 	context.AfterFunc(ctx, func() { _ = listeners.peers.Close() })
 	group.Go("peers", p.peers.run)
--- a/internal/soak/drills.go
+++ b/internal/soak/rollbacks.go
@@ -11,34 +11,34 @@
 )
 
 const (
-	// maxDrillInterval bounds the random time between two drills, maxAwayTime the time for which
+	// maxRollbackInterval bounds the random time between two rollbacks, maxAwayTime the time for which
 	// the store is away in one.
-	maxDrillInterval = 4 * time.Second
-	maxAwayTime      = 2500 * time.Millisecond
+	maxRollbackInterval = 4 * time.Second
+	maxAwayTime         = 2500 * time.Millisecond
 	// maxCopyAge bounds the age of the copy from which the store comes back, rewriteDelay the time
 	// until the operator and the replicas have written again what was lost.
 	maxCopyAge   = 8 * time.Second
 	rewriteDelay = 500 * time.Millisecond
 )
 
-// injectDrills makes the store come back from older copies at random times, beside the other
+// injectRollbacks makes the store come back from older copies at random times, beside the other
 // faults, until the faults end, and returns what it did. It has random numbers of its own, so that
 // the faults of a seed stay the same.
-func (r *run) injectDrills(ctx context.Context) []string {
-	var drills []string
-	random := rand.New(rand.NewPCG(r.options.Seed, drillStream))
+func (r *run) injectRollbacks(ctx context.Context) []string {
+	var rollbacks []string
+	random := rand.New(rand.NewPCG(r.options.Seed, rollbackStream))
 	for time.Since(r.startedAt) < r.options.Length && ctx.Err() == nil {
-		sleep(ctx, time.Duration(random.Int64N(int64(maxDrillInterval))))
-		d := userplatform.Drill{
+		sleep(ctx, time.Duration(random.Int64N(int64(maxRollbackInterval))))
+		b := userplatform.Rollback{
 			CopyAge: time.Duration(random.Int64N(int64(maxCopyAge))), Silent: random.IntN(2) == 0, RewriteDelay: rewriteDelay,
 		}
 		away := time.Duration(random.Int64N(int64(maxAwayTime)))
-		drills = append(drills, r.atNow("store away for %s, back from a copy %s older, silent %t", away.Round(time.Millisecond), d.CopyAge.Round(time.Millisecond), d.Silent))
-		r.fleet.Store.Leave(d)
+		rollbacks = append(rollbacks, r.atNow("store away for %s, back from a copy %s older, silent %t", away.Round(time.Millisecond), b.CopyAge.Round(time.Millisecond), b.Silent))
+		r.fleet.Store.Suspend(b)
 		sleep(ctx, away)
-		r.fleet.Store.ComeBack(d)
+		r.fleet.Store.RollBack(b)
 	}
-	return drills
+	return rollbacks
 }
 
 // writeHeartbeats writes the entries of all replicas that run, as they do themselves. A copy of the
@@ -67,6 +67,6 @@
 	return nil
 }
 
-// drillStream selects the random numbers of the drills of a seed. The faults have stream 0, the
+// rollbackStream selects the random numbers of the rollbacks of a seed. The faults have stream 0, the
 // clients those from 1 on.
-const drillStream = 1 << 32
+const rollbackStream = 1 << 32
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -107,10 +107,10 @@
 		}
 		clients.Go(func() { c.run(clientContext) })
 	}
-	drills := make(chan []string, 1)
-	go func() { drills <- r.injectDrills(ctx) }()
+	rollbacks := make(chan []string, 1)
+	go func() { rollbacks <- r.injectRollbacks(ctx) }()
 	err := r.injectFaults(ctx)
-	r.faults = append(r.faults, <-drills...)
+	r.faults = append(r.faults, <-rollbacks...)
 	if err != nil {
 		return Result{}, err
 	}
--- a/internal/standin/userplatform/drill.go
+++ b/internal/standin/userplatform/rollback.go
@@ -8,12 +8,12 @@
 	"time"
 )
 
-// eraHeader is in all answers of the store.
-const eraHeader = "Store-Era"
+// epochHeader is in all answers of the store.
+const epochHeader = "Store-Era"
 
-// Drill is an exercise of the platform: the store is away for a moment and comes back from an older
-// copy. What was written since is lost; the operator and the replicas write theirs again.
-type Drill struct {
+// Rollback is a return of the store from an older copy, after it was away for a moment.
+// What was written since the copy is lost; the operator and the replicas write theirs again.
+type Rollback struct {
 	// CopyAge is the age of the copy when the store goes away.
 	CopyAge time.Duration
 	// Silent is set if requests get no answer while the store is away; otherwise their connections
@@ -24,52 +24,52 @@
 	RewriteDelay time.Duration
 }
 
-// drill is the state of the store that concerns drills.
-type drill struct {
-	era          int
+// rollback is the state of the store that concerns rollbacks.
+type rollback struct {
+	epoch        int
 	away, silent bool
 	awayAt       time.Time
 	// written is the newest record of each key that the operator and the replicas wrote, by topic.
 	written map[string]map[string]StoredRecord
 }
 
-func newDrill() drill { return drill{written: make(map[string]map[string]StoredRecord)} }
+func newRollback() rollback { return rollback{written: make(map[string]map[string]StoredRecord)} }
 
-func (d *drill) remember(topic string, r StoredRecord) {
-	if d.written[topic] == nil {
-		d.written[topic] = make(map[string]StoredRecord)
+func (b *rollback) remember(topic string, r StoredRecord) {
+	if b.written[topic] == nil {
+		b.written[topic] = make(map[string]StoredRecord)
 	}
-	d.written[topic][r.Key] = r
+	b.written[topic][r.Key] = r
 }
 
-// Leave makes the store unreachable. Requests that wait get no answer.
-func (s *Store) Leave(d Drill) {
+// Suspend makes the store unreachable. Requests that wait get no answer.
+func (s *Store) Suspend(b Rollback) {
 	s.do(func(state *storeState) {
-		if !state.drill.away {
-			state.drill.awayAt = time.Now()
+		if !state.rollback.away {
+			state.rollback.awayAt = time.Now()
 		}
-		state.drill.away, state.drill.silent = true, d.Silent
+		state.rollback.away, state.rollback.silent = true, b.Silent
 		for _, t := range state.topics {
 			t.wake()
 		}
 	})
 }
 
-// ComeBack makes the store reachable again, from a copy that was made before it left. Nothing
+// RollBack makes the store reachable again, from a copy that was made before it left. Nothing
 // happens if it is not away.
-func (s *Store) ComeBack(d Drill) {
+func (s *Store) RollBack(b Rollback) {
 	s.do(func(state *storeState) {
-		if !state.drill.away {
+		if !state.rollback.away {
 			return
 		}
-		state.drill.away = false
-		state.drill.era++
+		state.rollback.away = false
+		state.rollback.epoch++
 		for _, t := range state.topics {
-			t.restore(state.drill.awayAt.Add(-d.CopyAge))
+			t.restore(state.rollback.awayAt.Add(-b.CopyAge))
 		}
-		for name, records := range state.drill.written {
+		for name, records := range state.rollback.written {
 			for _, key := range slices.Sorted(maps.Keys(records)) {
-				s.writeAgain(state.drill.era, name, key, d.RewriteDelay)
+				s.writeAgain(state.rollback.epoch, name, key, b.RewriteDelay)
 			}
 		}
 	})
@@ -87,14 +87,14 @@
 
 // writeAgain writes the newest record of a key again after a random delay, unless the topic shows
 // it, or the store has left again, which begins anew with the next return.
-func (s *Store) writeAgain(era int, name, key string, delay time.Duration) {
+func (s *Store) writeAgain(epoch int, name, key string, delay time.Duration) {
 	if delay > 0 {
 		delay = rand.N(delay)
 	}
 	time.AfterFunc(delay, func() {
 		s.commands <- func(state *storeState) {
-			r, t := state.drill.written[name][key], state.topic(name)
-			if state.drill.away || state.drill.era != era || t.shows(r) {
+			r, t := state.rollback.written[name][key], state.topic(name)
+			if state.rollback.away || state.rollback.epoch != epoch || t.shows(r) {
 				return
 			}
 			t.appendRecord(r)
--- a/internal/standin/userplatform/store.go
+++ b/internal/standin/userplatform/store.go
@@ -53,9 +53,9 @@
 type storeState struct {
 	topics map[string]*topic
 	// refused holds the store's own addresses that reject every request.
-	refused map[string]bool
-	calls   int
-	drill   drill
+	refused  map[string]bool
+	calls    int
+	rollback rollback
 }
 
 // StartStore runs a store until ctx ends. It listens on no address before Serve
@@ -80,7 +80,7 @@
 }
 
 func (s *Store) run(ctx context.Context) {
-	state := &storeState{topics: make(map[string]*topic), refused: make(map[string]bool), drill: newDrill()}
+	state := &storeState{topics: make(map[string]*topic), refused: make(map[string]bool), rollback: newRollback()}
 	for {
 		select {
 		case command := <-s.commands:
@@ -103,8 +103,8 @@
 func (s *Store) Put(name, key string, value []byte) {
 	s.do(func(state *storeState) {
 		r := StoredRecord{Key: key, Value: value}
-		state.drill.remember(name, r)
-		if !state.drill.away {
+		state.rollback.remember(name, r)
+		if !state.rollback.away {
 			state.topic(name).appendRecord(r)
 		}
 	})
@@ -168,14 +168,14 @@
 	return !refused
 }
 
-// answer executes a request and responds with its result and the era in which it was executed.
+// answer executes a request and responds with its result and the epoch in which it was executed.
 // While the store is away, there is no response.
 func (s *Store) answer(w http.ResponseWriter, r *http.Request, execute func(*storeState) storeAnswer) {
 	var a storeAnswer
-	var era int
+	var epoch int
 	var away, silent bool
 	s.do(func(state *storeState) {
-		era, away, silent = state.drill.era, state.drill.away, state.drill.silent
+		epoch, away, silent = state.rollback.epoch, state.rollback.away, state.rollback.silent
 		if !away {
 			a = execute(state)
 		}
@@ -184,7 +184,7 @@
 		hangUp(w, r, silent)
 		return
 	}
-	w.Header().Set(eraHeader, strconv.Itoa(era))
+	w.Header().Set(epochHeader, strconv.Itoa(epoch))
 	if a.value != nil {
 		w.Header().Set("Content-Type", "application/json")
 	}
@@ -245,7 +245,7 @@
 	changed := make(chan struct{})
 	s.do(func(state *storeState) {
 		t := state.topic(name)
-		if state.drill.away || from != len(t.records) {
+		if state.rollback.away || from != len(t.records) {
 			close(changed)
 			return
 		}
