Spread complete reads after a rollback of the store

Cause: once the store came back from an older copy, each instance whose next read was due read the whole list, also those that get it from the reader of their data centre: at 810 instances with 25 pages each 20,000 calls at about the same time, while the store accepts 2,000 a second. Change: instances that do not read the store for others wait for a random part of the time in which all together take a quarter of the store's reads, and go on from the list of a peer if that comes first. The members are spread by the same function. When the list counts as followed long enough for a rollout's verdict is decided in core/rollout. Result: TestListOfPeerSparesACompleteRead fails without the wait (2 complete reads instead of 1); TestCallsAfterRollbackAreBounded checks 9, 80 and 810 instances. Not measured with that many.

--- a/internal/core/rollout/resume.go
+++ b/internal/core/rollout/resume.go
@@ -7,6 +7,16 @@
 	"github.com/cornelhold/cornelhold/internal/core/storelog"
 )
 
+// renewalIntervals is the number of check-in intervals of endpoints after which one that has not
+// written its entry again has ended: then the platform removes it, too.
+const renewalIntervals = 3
+
+// ListSettled reports whether the list of endpoints, which write their entries at an interval, was
+// followed for so long that those which have not renewed theirs have ended.
+func ListSettled(followed, interval time.Duration) bool {
+	return followed > renewalIntervals*interval
+}
+
 // Stored is what a holder finds at the begin of its term.
 type Stored struct {
 	// Epoch is the epoch of the store in which the records were read.
--- a/internal/core/rollout/resume_test.go
+++ b/internal/core/rollout/resume_test.go
@@ -146,3 +146,13 @@
 	is.Equal(plans[0].Order, again.Position)
 	is.Equal(plans[0].State, Done)
 }
+
+// TestSilentEndpointsHaveEndedAfterThreeIntervals guards against a rollout taken for done since its
+// old endpoints have missed a heartbeat or two.
+func TestSilentEndpointsHaveEndedAfterThreeIntervals(t *testing.T) {
+	is := is.New(t)
+	const interval = 1200 * time.Millisecond
+	is.True(!ListSettled(-time.Second, interval)) // the list is older than the epoch
+	is.True(!ListSettled(3*interval, interval))
+	is.True(ListSettled(3*interval+time.Millisecond, interval))
+}
--- a/internal/core/storelog/storelog_test.go
+++ b/internal/core/storelog/storelog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -30,3 +31,17 @@
 		is.True(!ok)
 	}
 }
+
+// TestCallsAfterRollbackAreBounded guards against calls of all instances at once, beyond what the
+// store accepts, after it came back from an older copy: at 9, 80 and 810 instances, the latter with a
+// list of 25 pages.
+func TestCallsAfterRollbackAreBounded(t *testing.T) {
+	is := is.New(t)
+	const reads, share = 2000, 0.25
+	for _, d := range []struct{ instances, pages int }{{9, 1}, {80, 1}, {810, 25}} {
+		spread := Spread(d.instances, d.pages, reads, share)
+		is.True(float64(d.instances*d.pages)/spread.Seconds() <= share*reads*1.01)
+		is.True(d.pages > 1 || spread < 500*time.Millisecond) // of the bounds of a draining endpoint
+	}
+	is.Equal(Spread(9, 1, 0, share), time.Duration(0))
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -31,6 +31,11 @@
 	// listBehindShare is how long, as a share of the drain bound, the list may be
 	// behind that of a peer before the store is read.
 	listBehindShare = 0.2
+	// peerCheckInterval is the time between two checks whether peers have delivered a topic.
+	peerCheckInterval = 20 * time.Millisecond
+	// completeReadShare is the share of the store's reads that all instances together take for
+	// complete reads after the store came back from an older copy.
+	completeReadShare = 0.25
 	// quickFailure is the duration up to which a failed read is repeated at once: the
 	// store may only have closed an idle connection.
 	quickFailure = 200 * time.Millisecond
@@ -52,6 +57,9 @@
 	// untilRead returns the time until the topic has to be read again, retryDelay
 	// the delay after a failed read.
 	untilRead, retryDelay func() time.Duration
+	// completeReadDelay returns the delay of a complete read after the store came back from an older
+	// copy.
+	completeReadDelay func() time.Duration
 	// applied returns the position up to which records were already applied,
 	// including those received from peers.
 	applied func() storelog.Position
@@ -85,9 +93,10 @@
 	var next storelog.Position
 	resync, down, repeated := true, false, false
 	for ctx.Err() == nil {
+		f.awaitPeers(ctx, next)
+		next = max(next, f.applied())
 		startedAt := task.BootTime()
-		resync = resync || next.Epoch() != f.store.Epoch()
-		batch, err := f.read(ctx, next, resync)
+		batch, err := f.read(ctx, next, resync || next.Epoch() != f.store.Epoch())
 		switch {
 		case errors.Is(err, platform.ErrExpired):
 			f.log.WithField("topic", f.topic).Info("requested records have expired; reading the newest record of each key")
@@ -95,7 +104,7 @@
 			continue
 		case errors.Is(err, platform.ErrEpochChanged) && !repeated:
 			f.log.WithField("topic", f.topic).WithError(err).Info("reading the newest record of each key")
-			resync, repeated = true, true
+			repeated = true
 			continue
 		case errors.Is(err, errInterrupted):
 			continue
@@ -120,10 +129,10 @@
 			f.onRecovery(ctx)
 			down = false
 		}
-		f.onRecords(ctx, topicRead{batch: batch, resync: resync, startedAt: startedAt})
+		f.onRecords(ctx, topicRead{batch: batch.Batch, resync: batch.isComplete, startedAt: startedAt})
 		resync = false
 		f.waitUntilDue(ctx)
-		next = max(batch.Next, f.applied())
+		next = batch.Next
 	}
 	return nil
 }
@@ -146,14 +155,15 @@
 
 // read reads the newest record of each key if resync is set, and otherwise the
 // records from next on. A trigger interrupts only the latter.
-func (f *follower) read(ctx context.Context, next storelog.Position, resync bool) (platform.Batch, error) {
+func (f *follower) read(ctx context.Context, next storelog.Position, resync bool) (readBatch, error) {
 	if f.slowAfter > 0 {
 		watchCtx, stop := context.WithCancel(ctx)
 		defer stop()
 		go f.watchRead(watchCtx)
 	}
 	if resync {
-		return f.store.Newest(ctx, f.topic)
+		batch, err := f.store.Newest(ctx, f.topic)
+		return readBatch{Batch: batch, isComplete: true}, err
 	}
 	readCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -166,9 +176,27 @@
 	}()
 	batch, err := f.store.Read(readCtx, f.topic, next, f.wait)
 	if err != nil && errors.Is(context.Cause(readCtx), errInterrupted) {
-		return batch, errInterrupted
+		return readBatch{}, errInterrupted
+	}
+	return readBatch{Batch: batch}, err
+}
+
+// readBatch is what a read returned. isComplete is set if it has the newest record of each key.
+type readBatch struct {
+	platform.Batch
+	isComplete bool
+}
+
+// awaitPeers delays a complete read that is due because the store came back from an older copy, so
+// that not all instances read at once. It ends early if peers deliver what they read.
+func (f *follower) awaitPeers(ctx context.Context, next storelog.Position) {
+	if next == 0 || next.Epoch() == f.store.Epoch() {
+		return
+	}
+	deadline := task.BootTime() + f.completeReadDelay()
+	for ctx.Err() == nil && task.BootTime() < deadline && f.applied().Epoch() != f.store.Epoch() {
+		sleep(ctx, min(peerCheckInterval, deadline-task.BootTime()))
 	}
-	return batch, err
 }
 
 // watchRead calls onSlow once a read has taken slowAfter. ctx ends with the read.
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -36,7 +38,7 @@
 	f := &follower{
 		store: platform.NewStore(strings.TrimPrefix(server.URL, "http://")), topic: "keyed.x",
 		log: &log.Logger{Handler: discard.New()}, untilRead: func() time.Duration { return time.Hour },
-		retryDelay: func() time.Duration { return time.Millisecond }, applied: func() storelog.Position { return 0 },
+		retryDelay: func() time.Duration { return time.Millisecond }, applied: func() storelog.Position { return 0 }, completeReadDelay: func() time.Duration { return 0 },
 		onRecords: func(context.Context, topicRead) { results <- true },
 		onOutage:  func(context.Context) { results <- false }, onRecovery: func(context.Context) {},
 	}
@@ -66,7 +68,7 @@
 	f := &follower{
 		store: platform.NewStore(l.Addr().String()), topic: platform.TopicConfig, wait: 300 * time.Millisecond,
 		log: &log.Logger{Handler: discard.New()}, untilRead: func() time.Duration { return 0 },
-		retryDelay: func() time.Duration { return 10 * time.Millisecond }, applied: func() storelog.Position { return 0 },
+		retryDelay: func() time.Duration { return 10 * time.Millisecond }, applied: func() storelog.Position { return 0 }, completeReadDelay: func() time.Duration { return 0 },
 		onRecords: func(_ context.Context, r topicRead) {
 			for _, record := range r.batch.Records {
 				read <- string(record.Value)
@@ -99,3 +101,51 @@
 		}
 	}
 }
+
+// TestListOfPeerSparesACompleteRead guards against complete reads by all instances at the same time
+// after the store came back from an older copy: one that gets the list from a peer meanwhile goes
+// on from there, and the others wait for their turn.
+func TestListOfPeerSparesACompleteRead(t *testing.T) {
+	is := is.New(t)
+	var epoch, complete, applied atomic.Int64
+	from := make(chan string, 1024)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Store-Era", strconv.FormatInt(epoch.Load(), 10))
+		if r.URL.Path == "/log-newest" {
+			complete.Add(1)
+			_, _ = w.Write([]byte(`{"items":[],"end":9}`))
+			return
+		}
+		select {
+		case from <- r.URL.Query().Get("from"):
+		default:
+		}
+		_, _ = w.Write(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, 9), 0))
+	}))
+	t.Cleanup(server.Close)
+	const delay = 500 * time.Millisecond
+	f := &follower{
+		store: platform.NewStore(strings.TrimPrefix(server.URL, "http://")), topic: "keyed.x", log: &log.Logger{Handler: discard.New()},
+		untilRead: func() time.Duration { return 0 }, retryDelay: func() time.Duration { return time.Millisecond },
+		completeReadDelay: func() time.Duration { return delay }, wait: time.Millisecond,
+		applied:   func() storelog.Position { return storelog.Position(applied.Load()) },
+		onRecords: func(ctx context.Context, _ topicRead) { sleep(ctx, time.Millisecond) },
+		onOutage:  func(context.Context) {}, onRecovery: func(context.Context) {},
+	}
+	go func() { _ = f.run(t.Context()) }()
+	is.Equal(<-from, "9")
+	is.Equal(complete.Load(), int64(1))
+	epoch.Store(1)
+	time.Sleep(delay / 5)
+	applied.Store(int64(inEpoch(1, 4))) // a peer has delivered the list
+	for <-from != "4" {
+		is.Equal(complete.Load(), int64(1))
+	}
+	is.Equal(complete.Load(), int64(1))
+	rolledBack := time.Now()
+	epoch.Store(2)
+	for complete.Load() == 1 {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(time.Since(rolledBack) >= delay)
+}
--- a/internal/edge/join.go
+++ b/internal/edge/join.go
@@ -13,6 +13,7 @@
 
 	"github.com/cornelhold/cornelhold/internal/core/exchange"
 	"github.com/cornelhold/cornelhold/internal/core/fleet"
+	"github.com/cornelhold/cornelhold/internal/core/storelog"
 	"github.com/cornelhold/cornelhold/platform"
 )
 
@@ -28,8 +29,8 @@
 		select {
 		case <-ctx.Done():
 		case n := <-t.rejoin.Receive():
-			spread := float64(n) / (rejoinShare * t.process.deployment.StoreWritesPerSecond)
-			sleep(ctx, time.Duration(rand.Float64()*spread*float64(time.Second)))
+			spread := storelog.Spread(int(n), 1, t.process.deployment.StoreWritesPerSecond, rejoinShare)
+			sleep(ctx, time.Duration(rand.Float64()*float64(spread)))
 		}
 	}
 	return nil
--- a/internal/edge/listreads.go
+++ b/internal/edge/listreads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,8 @@
 	failedAt atomic.Int64
 	// isReader is set while this instance reads the store for its data centre.
 	isReader atomic.Bool
+	// instances is the number of instances of the deployment.
+	instances atomic.Int64
 	// reportedAt is the value of readAt that the gateway was last given.
 	reportedAt atomic.Int64
 }
@@ -123,6 +126,18 @@
 	return nonReaderRetryInterval
 }
 
+// completeReadDelay returns a random delay before this instance reads a topic of some records
+// completely after the store came back from an older copy. The readers of the data centres read at
+// once, since the others get the topic from them; the others spread their reads by their number.
+func (p *process) completeReadDelay(records int) time.Duration {
+	if p.list.isReader.Load() {
+		return 0
+	}
+	pages := 1 + records/platform.NewestPageRecords
+	spread := storelog.Spread(int(p.list.instances.Load()), pages, p.deployment.StoreReadsPerSecond, completeReadShare)
+	return time.Duration(rand.Float64() * float64(spread))
+}
+
 // triggerRead makes a follower read its topic immediately. It does nothing if a
 // read is already requested.
 func triggerRead(trigger chan<- struct{}) {
@@ -136,7 +151,8 @@
 	return &follower{
 		store: p.store, topic: platform.TopicConfig, log: p.log, wait: shareOf(p.deployment.Bounds.ConfigApply, configPollShare),
 		untilRead: p.untilConfigRead, retryDelay: p.storeRetryDelay, applied: func() storelog.Position { return 0 },
-		onOutage: func(context.Context) {}, onRecovery: func(context.Context) {}, trigger: p.configTrigger,
+		completeReadDelay: func() time.Duration { return p.completeReadDelay(1) },
+		onOutage:          func(context.Context) {}, onRecovery: func(context.Context) {}, trigger: p.configTrigger,
 		onRecords: func(ctx context.Context, read topicRead) {
 			if r, ok := platform.ConfigRecord(read.batch.Records); ok {
 				_ = p.directory.mailbox.Send(ctx, configRead{record: r, source: sourceStore})
@@ -150,6 +166,7 @@
 	return &follower{
 		store: p.store, topic: platform.TopicEndpoints, log: p.log,
 		untilRead: p.untilListRead, retryDelay: p.storeRetryDelay, applied: func() storelog.Position { return p.directory.published.Load().Position },
+		completeReadDelay: func() time.Duration { return p.completeReadDelay(len(p.directory.published.Load().Endpoints)) },
 		onRecovery: func(ctx context.Context) {
 			_ = p.directory.mailbox.Send(ctx, storeRecovered{})
 			// A read of the configuration may be waiting on a dead connection.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -207,6 +207,7 @@
 	if o.Reached.Instances != t.instances {
 		t.process.crashes.submitInstances(o.Reached.Instances + 1)
 	}
+	t.process.list.instances.Store(int64(o.Reached.Instances + 1))
 	t.instances, t.carriers = o.Reached.Instances, len(o.CarrierNodes)
 	t.process.gateway.Post(ctx, gateway.OthersReported{
 		Reached: o.Reached, Lost: o.Lost, Relays: o.Carrier, RelayNodes: o.CarrierNodes,
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -30,10 +30,6 @@
 // operatorRecords are records of the topic in which the operator orders rollouts.
 type operatorRecords struct{ records []platform.Record }
 
-// renewalIntervals is the number of check-in intervals of the endpoints after which one that has
-// not written its entry again has ended.
-const renewalIntervals = 3
-
 // leadership tells whether this instance holds the lease of the duties.
 type leadership struct {
 	held  bool
@@ -209,7 +205,7 @@
 // current epoch for so long that an endpoint which runs has renewed its entry.
 func (t *rolloutsTask) listSettled() bool {
 	followed := t.process.clock.Now() - t.state.ListSince - t.process.list.age()
-	return followed > renewalIntervals*t.process.deployment.Heartbeat
+	return rollout.ListSettled(followed, t.process.deployment.Heartbeat)
 }
 
 func (t *rolloutsTask) perform(ctx context.Context, action rollout.Action) {
