Close gaps in what follows a new epoch of the store

Cause: found by reading the change. An instance that became the reader of its data centre while it waited for its turn went on waiting. A term that follows another one of the same instance between two checks of the holder was taken for the same term.

--- a/internal/e2e/edge_rollback_test.go
+++ b/internal/e2e/edge_rollback_test.go
@@ -119,8 +119,12 @@
 
 // TestRolloutStaysFinalAfterRollback guards against a rollout that is reverted after it was done, with
 // the only replicas that are left (rule RECOVER, review case 15), or carried out again after it was
-// reverted, since the copy from which the store comes back says that it runs.
+// reverted, since the copy from which the store comes back says that it runs; and against one that is
+// reverted since the store came back midway.
 func TestRolloutStaysFinalAfterRollback(t *testing.T) {
+	if *allRollbacks {
+		t.Run("midway", checkRolloutGoesOn)
+	}
 	for name, c := range map[string]struct {
 		fault userplatform.Fault
 		state string
@@ -169,6 +173,24 @@
 	}
 }
 
+// checkRolloutGoesOn checks that a rollout is done in time if the store comes back from an older copy
+// midway.
+func checkRolloutGoesOn(t *testing.T) {
+	is := is.New(t)
+	f := newEdgeFleet(t, 3)
+	f.awaitHolder()
+	stop := rolloutLoad(f.Edges)
+	f.OrderRollout("v2", rolloutTime)
+	f.addVersion("v2", userplatform.FaultNone)
+	f.eventually(rolloutTime/3, "the rollout to run", f.hasRolloutState("v2 running"))
+	time.Sleep(2 * time.Second)
+	f.rollBackStore(userplatform.Rollback{CopyAge: 3 * time.Second, Silent: true}, rollbackAwayTime, false)
+	const storeDelay = 6 * time.Second // outer-ms
+	f.eventually(rolloutTime+storeDelay, "the rollout to be done", f.hasRolloutState("v2 done"))
+	is.True(!slices.Contains(f.RolloutStates(), "v2 reverted"))
+	is.True(stop().isServed())
+}
+
 // checkChangesAfterRollback changes the configuration and removes a replica, and checks that all
 // processes follow.
 func (f *edgeFleet) checkChangesAfterRollback() {
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -88,6 +88,8 @@
 	demand   *scaling.Demand
 	state    directoryState
 	held     bool
+	// fence is the fencing token of the current or the last term.
+	fence int64
 	// epochStart is when the current epoch of the store began, as far as known.
 	epochStart duty.EpochStart
 	// holderCalls is the number of calls under the lease that await their result.
@@ -247,10 +249,10 @@
 // updateHolder logs when this instance acquires or loses the duties. A new holder
 // discards state that the previous holder may have changed.
 func (t *dutiesTask) updateHolder(held bool, fence int64) {
-	if held == t.held {
+	if held == t.held && (!held || fence == t.fence) {
 		return
 	}
-	t.held = held
+	t.held, t.fence = held, fence
 	if held {
 		t.logTakeover(fence)
 		if t.lease.Takeover().Unopposed {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -58,8 +58,9 @@
 	// the delay after a failed read.
 	untilRead, retryDelay func() time.Duration
 	// completeReadDelay returns the delay of a complete read after the store came back from an older
-	// copy.
+	// copy. While isReader is true, others wait for what this instance reads, and there is none.
 	completeReadDelay func() time.Duration
+	isReader          func() bool
 	// applied returns the position up to which records were already applied,
 	// including those received from peers.
 	applied func() storelog.Position
@@ -193,9 +194,10 @@
 	if next == 0 || next.Epoch() == f.store.Epoch() {
 		return
 	}
-	deadline := task.BootTime() + f.completeReadDelay()
-	for ctx.Err() == nil && task.BootTime() < deadline && f.applied().Epoch() != f.store.Epoch() {
-		sleep(ctx, min(peerCheckInterval, deadline-task.BootTime()))
+	readAt := task.BootTime() + f.completeReadDelay()
+	isDue := func() bool { return f.isReader() || task.BootTime() >= readAt }
+	for ctx.Err() == nil && !isDue() && f.applied().Epoch() != f.store.Epoch() {
+		sleep(ctx, min(peerCheckInterval, readAt-task.BootTime()))
 	}
 }
 
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -38,7 +38,7 @@
 	f := &follower{
 		store: platform.NewStore(strings.TrimPrefix(server.URL, "http://")), topic: "keyed.x",
 		log: &log.Logger{Handler: discard.New()}, untilRead: func() time.Duration { return time.Hour },
-		retryDelay: func() time.Duration { return time.Millisecond }, applied: func() storelog.Position { return 0 }, completeReadDelay: func() time.Duration { return 0 },
+		retryDelay: func() time.Duration { return time.Millisecond }, applied: func() storelog.Position { return 0 }, completeReadDelay: func() time.Duration { return 0 }, isReader: func() bool { return false },
 		onRecords: func(context.Context, topicRead) { results <- true },
 		onOutage:  func(context.Context) { results <- false }, onRecovery: func(context.Context) {},
 	}
@@ -68,7 +68,7 @@
 	f := &follower{
 		store: platform.NewStore(l.Addr().String()), topic: platform.TopicConfig, wait: 300 * time.Millisecond,
 		log: &log.Logger{Handler: discard.New()}, untilRead: func() time.Duration { return 0 },
-		retryDelay: func() time.Duration { return 10 * time.Millisecond }, applied: func() storelog.Position { return 0 }, completeReadDelay: func() time.Duration { return 0 },
+		retryDelay: func() time.Duration { return 10 * time.Millisecond }, applied: func() storelog.Position { return 0 }, completeReadDelay: func() time.Duration { return 0 }, isReader: func() bool { return false },
 		onRecords: func(_ context.Context, r topicRead) {
 			for _, record := range r.batch.Records {
 				read <- string(record.Value)
@@ -108,6 +108,7 @@
 func TestListOfPeerSparesACompleteRead(t *testing.T) {
 	is := is.New(t)
 	var epoch, complete, applied atomic.Int64
+	var isReader atomic.Bool
 	from := make(chan string, 1024)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Store-Era", strconv.FormatInt(epoch.Load(), 10))
@@ -127,7 +128,7 @@
 	f := &follower{
 		store: platform.NewStore(strings.TrimPrefix(server.URL, "http://")), topic: "keyed.x", log: &log.Logger{Handler: discard.New()},
 		untilRead: func() time.Duration { return 0 }, retryDelay: func() time.Duration { return time.Millisecond },
-		completeReadDelay: func() time.Duration { return delay }, wait: time.Millisecond,
+		completeReadDelay: func() time.Duration { return delay }, isReader: isReader.Load, wait: time.Millisecond,
 		applied:   func() storelog.Position { return storelog.Position(applied.Load()) },
 		onRecords: func(ctx context.Context, _ topicRead) { sleep(ctx, time.Millisecond) },
 		onOutage:  func(context.Context) {}, onRecovery: func(context.Context) {},
@@ -147,5 +148,12 @@
 	for complete.Load() == 1 {
 		time.Sleep(time.Millisecond)
 	}
-	is.True(time.Since(rolledBack) >= delay)
+	is.True(time.Since(rolledBack) >= delay) // The reader of the data centre does not wait.
+	isReader.Store(true)
+	rolledBack = time.Now()
+	epoch.Store(3)
+	for complete.Load() == 2 {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(time.Since(rolledBack) < delay)
 }
--- a/internal/edge/listreads.go
+++ b/internal/edge/listreads.go
@@ -127,12 +127,8 @@
 }
 
 // completeReadDelay returns a random delay before this instance reads a topic of some records
-// completely after the store came back from an older copy. The readers of the data centres read at
-// once, since the others get the topic from them; the others spread their reads by their number.
+// completely after the store came back from an older copy, so that the reads of all are spread.
 func (p *process) completeReadDelay(records int) time.Duration {
-	if p.list.isReader.Load() {
-		return 0
-	}
 	pages := 1 + records/platform.NewestPageRecords
 	spread := storelog.Spread(int(p.list.instances.Load()), pages, p.deployment.StoreReadsPerSecond, completeReadShare)
 	return time.Duration(rand.Float64() * float64(spread))
@@ -151,8 +147,8 @@
 	return &follower{
 		store: p.store, topic: platform.TopicConfig, log: p.log, wait: shareOf(p.deployment.Bounds.ConfigApply, configPollShare),
 		untilRead: p.untilConfigRead, retryDelay: p.storeRetryDelay, applied: func() storelog.Position { return 0 },
-		completeReadDelay: func() time.Duration { return p.completeReadDelay(1) },
-		onOutage:          func(context.Context) {}, onRecovery: func(context.Context) {}, trigger: p.configTrigger,
+		completeReadDelay: func() time.Duration { return p.completeReadDelay(1) }, isReader: p.list.isReader.Load,
+		onOutage: func(context.Context) {}, onRecovery: func(context.Context) {}, trigger: p.configTrigger,
 		onRecords: func(ctx context.Context, read topicRead) {
 			if r, ok := platform.ConfigRecord(read.batch.Records); ok {
 				_ = p.directory.mailbox.Send(ctx, configRead{record: r, source: sourceStore})
@@ -166,7 +162,7 @@
 	return &follower{
 		store: p.store, topic: platform.TopicEndpoints, log: p.log,
 		untilRead: p.untilListRead, retryDelay: p.storeRetryDelay, applied: func() storelog.Position { return p.directory.published.Load().Position },
-		completeReadDelay: func() time.Duration { return p.completeReadDelay(len(p.directory.published.Load().Endpoints)) },
+		completeReadDelay: func() time.Duration { return p.completeReadDelay(len(p.directory.published.Load().Endpoints)) }, isReader: p.list.isReader.Load,
 		onRecovery: func(ctx context.Context) {
 			_ = p.directory.mailbox.Send(ctx, storeRecovered{})
 			// A read of the configuration may be waiting on a dead connection.
